--- /dev/null
+++ b/crates/magnoliasail-core/src/agent/loads.rs
@@ -0,0 +1,134 @@
+//! Loads of adapters: shared by all who wait, retried with back-off, given up in the end.
+
+use {
+    super::{Agent, AgentAction, RunId, Stage},
+    crate::{AdapterRef, RefusalReason, TimeMs},
+};
+
+/// A load that has been ordered and has not completed.
+#[derive(Clone, Debug)]
+pub(super) struct PendingLoad {
+    generation: u64,
+    attempts: u32,
+    retry_at_ms: Option<TimeMs>,
+}
+
+impl Agent {
+    pub(super) fn order_load(
+        &mut self,
+        slot: usize,
+        adapter: &AdapterRef,
+        evicted: Option<AdapterRef>,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let generation = self.slots.generation(slot);
+        let pending = PendingLoad {
+            generation,
+            attempts: 1,
+            retry_at_ms: None,
+        };
+        self.pending_loads.insert(slot, pending);
+        actions.push(AgentAction::Load {
+            slot,
+            generation,
+            adapter: adapter.clone(),
+            evicted,
+        });
+    }
+
+    fn is_pending(&self, slot: usize, generation: u64) -> bool {
+        self.pending_loads
+            .get(&slot)
+            .is_some_and(|pending| pending.generation == generation)
+    }
+
+    pub(super) fn loaded(&mut self, now_ms: TimeMs, slot: usize, generation: u64) {
+        if !self.is_pending(slot, generation) {
+            return;
+        }
+        self.pending_loads.remove(&slot);
+        self.slots.loaded(slot);
+        self.report.load_completed(now_ms);
+    }
+
+    pub(super) fn load_failed(
+        &mut self,
+        now_ms: TimeMs,
+        slot: usize,
+        generation: u64,
+        is_store_refusal: bool,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if !self.is_pending(slot, generation) {
+            return;
+        }
+        if is_store_refusal {
+            self.report.store_refused();
+        }
+        let backoff_ms = self.settings.load_backoff_ms;
+        let max_attempts = self.settings.max_load_attempts;
+        let Some(pending) = self.pending_loads.get_mut(&slot) else {
+            return;
+        };
+        if pending.attempts >= max_attempts {
+            self.give_up_load(now_ms, slot, generation, actions);
+            return;
+        }
+        let doublings = (pending.attempts - 1).min(16);
+        pending.retry_at_ms = Some(now_ms + (backoff_ms << doublings));
+    }
+
+    /// Refuses every request that waits for a load and empties the slot.
+    fn give_up_load(
+        &mut self,
+        now_ms: TimeMs,
+        slot: usize,
+        generation: u64,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.pending_loads.remove(&slot);
+        for id in self.waiting_for(slot, generation) {
+            self.refuse_run(now_ms, id, RefusalReason::LoadFailed, actions);
+        }
+        self.slots.clear(slot);
+    }
+
+    fn waiting_for(&self, slot: usize, generation: u64) -> Vec<RunId> {
+        self.runs
+            .values()
+            .filter(|run| run.stage == Stage::Waiting && run.slot() == Some((slot, generation)))
+            .map(|run| run.id)
+            .collect()
+    }
+
+    pub(super) fn retry_loads(&mut self, now_ms: TimeMs, actions: &mut Vec<AgentAction>) {
+        for (&slot, pending) in &mut self.pending_loads {
+            let is_due = pending.retry_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
+            if !is_due {
+                continue;
+            }
+            pending.retry_at_ms = None;
+            pending.attempts += 1;
+            if let Some(adapter) = self.slots.adapter(slot) {
+                actions.push(AgentAction::Load {
+                    slot,
+                    generation: pending.generation,
+                    adapter: adapter.clone(),
+                    evicted: None,
+                });
+            }
+        }
+    }
+
+    /// Loads an adapter again that the engine turned out to have lost.
+    pub(super) fn reload(&mut self, slot: usize, generation: u64, actions: &mut Vec<AgentAction>) {
+        if self.slots.generation(slot) != generation || self.is_pending(slot, generation) {
+            return;
+        }
+        let Some(adapter) = self.slots.adapter(slot).cloned() else {
+            return;
+        };
+        self.slots.unload(slot);
+        self.order_load(slot, &adapter, None, actions);
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/agent/reports.rs
@@ -0,0 +1,110 @@
+//! Load reports.
+
+use {
+    super::{Agent, AgentAction, run::Run},
+    crate::{
+        AdapterRef, TimeMs,
+        message::{Adapter, LoadReport},
+    },
+    std::collections::BTreeSet,
+};
+
+/// What has been reported and what has happened since.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReportState {
+    sent_ms: TimeMs,
+    sent: LoadReport,
+    residents: BTreeSet<AdapterRef>,
+    store_refusals: u32,
+    loads: u32,
+    stalled_ms: u64,
+    is_cold: bool,
+    loaded_ms: TimeMs,
+}
+
+impl ReportState {
+    pub(super) fn store_refused(&mut self) {
+        self.store_refusals += 1;
+    }
+
+    pub(super) fn load_completed(&mut self, now_ms: TimeMs) {
+        self.loads += 1;
+        self.loaded_ms = now_ms;
+    }
+
+    pub(super) fn stalled(&mut self, run: &Run, now_ms: TimeMs) {
+        if run.slot().is_some() {
+            self.stalled_ms += now_ms.saturating_sub(run.accepted_ms);
+        }
+    }
+
+    pub(super) fn server_restarted(&mut self) {
+        self.is_cold = true;
+    }
+}
+
+impl Agent {
+    /// Returns the load without the slots' contents.
+    pub(super) fn brief_report(&self) -> LoadReport {
+        let (running, queued) = self.load();
+        LoadReport {
+            running: running as u32,
+            queued: queued as u32,
+            capacity: self.settings.capacity as u32,
+            slots: self.slots.len() as u32,
+            pinned: self.slots.pinned() as u32,
+            loading: self.slots.loading() as u32,
+            ..LoadReport::default()
+        }
+    }
+
+    /// Returns the load with all that the slots hold.
+    pub(super) fn full_report(&self) -> LoadReport {
+        LoadReport {
+            full: true,
+            resident: self.slots.adapters().map(Adapter::from).collect(),
+            ..self.brief_report()
+        }
+    }
+
+    /// Sends what has changed since the last report, at most once per interval.
+    pub(super) fn send_reports(&mut self, now_ms: TimeMs, actions: &mut Vec<AgentAction>) {
+        let since_ms = now_ms.saturating_sub(self.report.sent_ms);
+        if since_ms < self.settings.report_interval_ms {
+            return;
+        }
+        let brief = self.brief_report();
+        let residents: BTreeSet<AdapterRef> = self.slots.adapters().cloned().collect();
+        let is_unchanged = brief == self.report.sent
+            && residents == self.report.residents
+            && self.report.store_refusals == 0;
+        if is_unchanged {
+            return;
+        }
+        let report = LoadReport {
+            resident: residents
+                .difference(&self.report.residents)
+                .map(Adapter::from)
+                .collect(),
+            evicted: self
+                .report
+                .residents
+                .difference(&residents)
+                .map(Adapter::from)
+                .collect(),
+            store_refusals: self.report.store_refusals,
+            loads: self.report.loads,
+            stalled_ms: self.report.stalled_ms,
+            cold: self.report.is_cold,
+            ..brief.clone()
+        };
+        self.broadcast(report, actions);
+        self.report = ReportState {
+            sent_ms: now_ms,
+            sent: brief,
+            residents,
+            loaded_ms: self.report.loaded_ms,
+            ..ReportState::default()
+        };
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/agent/settings.rs
@@ -0,0 +1,54 @@
+//! Limits of an agent.
+
+use std::sync::Arc;
+
+/// Identity and limits of an [`Agent`](super::Agent).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    /// Name of the plain service, empty for a model engine.
+    pub service: Arc<str>,
+    /// Slot of the service, empty for a model engine.
+    pub slot: Arc<str>,
+    /// Adapter slots of the engine.
+    pub adapter_slots: usize,
+    /// Requests that the server runs at once.
+    pub capacity: usize,
+    /// Requests that may wait.
+    pub max_queue: usize,
+    /// Attempts at one load before its waiters are refused.
+    pub max_load_attempts: u32,
+    /// Pause before the second attempt at a load; doubles with each further one, in milliseconds.
+    pub load_backoff_ms: u64,
+    /// Time for which an answer is retained without a link, in milliseconds.
+    pub resume_window_ms: u64,
+    /// Bytes of one answer that are retained for a resume.
+    pub max_retained_bytes: usize,
+    /// Records in the job ledger.
+    pub max_jobs: usize,
+    /// Bytes of answers in the job ledger.
+    pub max_job_answer_bytes: usize,
+    /// Time between load reports, in milliseconds.
+    pub report_interval_ms: u64,
+}
+
+impl Default for AgentSettings {
+    fn default() -> Self {
+        Self {
+            vm: "vm".into(),
+            service: "".into(),
+            slot: "".into(),
+            adapter_slots: 8,
+            capacity: 16,
+            max_queue: 64,
+            max_load_attempts: 4,
+            load_backoff_ms: 100,
+            resume_window_ms: 5_000,
+            max_retained_bytes: 4 << 20,
+            max_jobs: 100_000,
+            max_job_answer_bytes: 64 << 20,
+            report_interval_ms: 250,
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/entry/answers.rs
@@ -0,0 +1,211 @@
+//! Answers: relayed in order, checked, and ended by a proof that they are whole.
+
+use {
+    super::{
+        Entry, EntryAction,
+        request::{Attempt, Request, Stage, Target},
+        send,
+    },
+    crate::{
+        Outcome, Placement, RefusalReason, RetryReason, TimeMs,
+        message::{Acknowledge, Cancel, Chunk, End, Failed, Head, Refused},
+    },
+    std::sync::Arc,
+};
+
+impl<P: Placement> Entry<P> {
+    /// Returns the request and the attempt of a frame, unless the attempt is over.
+    fn current(&mut self, vm: &Arc<str>, number: u64) -> Option<(u64, &mut Request)> {
+        let id = *self.by_attempt.get(&number)?;
+        let request = self.requests.get_mut(&id)?;
+        match &request.stage {
+            Stage::Sent(attempt) if attempt.number == number && attempt.vm == *vm => {
+                Some((id, request))
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn head(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        head: Head,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some((id, request)) = self.current(vm, head.attempt) else {
+            actions.push(EntryAction::DroppedFrame);
+            return;
+        };
+        let is_right_model = match &request.target {
+            Target::Model { adapter } => adapter.model() == head.model,
+            Target::Call { .. } => true,
+        };
+        if !is_right_model {
+            let cancel = Cancel {
+                attempt: head.attempt,
+            };
+            send(actions, vm, cancel);
+            self.attempt_lost(now_ms, id, RefusalReason::WrongModel, actions);
+            return;
+        }
+        if request.passed_on {
+            return;
+        }
+        request.passed_on = true;
+        actions.push(EntryAction::Head {
+            request: id,
+            status: head.status,
+            content_type: head.content_type.into(),
+            model: head.model.into(),
+            vm: Arc::clone(vm),
+        });
+    }
+
+    pub(super) fn chunk(&mut self, vm: &Arc<str>, chunk: Chunk, actions: &mut Vec<EntryAction>) {
+        let Some((id, request)) = self.current(vm, chunk.attempt) else {
+            actions.push(EntryAction::DroppedFrame);
+            return;
+        };
+        let is_passed_on = request.passed_on;
+        let Stage::Sent(attempt) = &mut request.stage else {
+            return;
+        };
+        if !is_passed_on || chunk.sequence != attempt.next_sequence {
+            actions.push(EntryAction::DroppedFrame);
+            return;
+        }
+        attempt.next_sequence += 1;
+        actions.push(EntryAction::Data {
+            request: id,
+            data: chunk.data,
+        });
+    }
+
+    pub(super) fn end(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        end: &End,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        acknowledge(actions, vm, end.attempt);
+        let Some((id, request)) = self.current(vm, end.attempt) else {
+            actions.push(EntryAction::DroppedFrame);
+            return;
+        };
+        let is_whole = request.passed_on && sent(request).next_sequence == end.chunks;
+        if !is_whole {
+            self.attempt_lost(now_ms, id, RefusalReason::LinkLost, actions);
+            return;
+        }
+        self.remove(id);
+        actions.push(EntryAction::Done { request: id });
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        refused: &Refused,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        acknowledge(actions, vm, refused.attempt);
+        if let Some(load) = &refused.load {
+            self.servers.entry(vm).apply(load, now_ms);
+        }
+        let Some((id, request)) = self.current(vm, refused.attempt) else {
+            actions.push(EntryAction::DroppedFrame);
+            return;
+        };
+        let reason = RefusalReason::from_code(refused.reason);
+        let is_job = request.key().is_some();
+        let is_suspect_route = reason == RefusalReason::SuspectBusy;
+        request.excluded.push(Arc::clone(vm));
+        request.epoch = request.epoch.max(refused.epoch);
+        let outcome = match request.outcome() {
+            Outcome::Unknown if is_job && refused.covers_key => Outcome::NotRun,
+            outcome => outcome,
+        };
+        self.release_attempt(refused.attempt, vm);
+        self.set_placing(id);
+        let may_retry = if is_job {
+            reason == RefusalReason::StaleAttempt
+        } else {
+            reason.is_worth_another_server() && !is_suspect_route
+        };
+        let retry_reason = if is_job {
+            RetryReason::JobEpoch
+        } else {
+            RetryReason::Refused
+        };
+        if may_retry && self.retry(now_ms, id, retry_reason, actions) {
+            return;
+        }
+        self.fail(id, reason, outcome, refused.retry_after_ms, actions);
+    }
+
+    pub(super) fn failed(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        failed: &Failed,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        acknowledge(actions, vm, failed.attempt);
+        let Some((id, request)) = self.current(vm, failed.attempt) else {
+            actions.push(EntryAction::DroppedFrame);
+            return;
+        };
+        request.excluded.push(Arc::clone(vm));
+        let reason = RefusalReason::from_code(failed.reason);
+        self.attempt_lost(now_ms, id, reason, actions);
+    }
+
+    /// Ends an attempt that may have run: repeats the request if that does no harm.
+    pub(super) fn attempt_lost(
+        &mut self,
+        now_ms: TimeMs,
+        id: u64,
+        reason: RefusalReason,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.may_have_run = true;
+        let may_retry = request.is_repeatable() && !request.passed_on;
+        let Attempt { number, vm, .. } = sent(request).clone();
+        if !request.excluded.contains(&vm) {
+            request.excluded.push(Arc::clone(&vm));
+        }
+        self.release_attempt(number, &vm);
+        self.set_placing(id);
+        if may_retry && self.retry(now_ms, id, RetryReason::Repeatable, actions) {
+            return;
+        }
+        self.fail(id, reason, Outcome::Unknown, 1_000, actions);
+    }
+
+    fn set_placing(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.stage = Stage::Placing;
+        }
+    }
+}
+
+/// Returns the attempt in flight.
+///
+/// # Panics
+///
+/// Panics if the request has none.
+fn sent(request: &Request) -> &Attempt {
+    match &request.stage {
+        Stage::Sent(attempt) => attempt,
+        stage => panic!("a request without an attempt in flight: {stage:?}"),
+    }
+}
+
+fn acknowledge(actions: &mut Vec<EntryAction>, vm: &Arc<str>, attempt: u64) {
+    send(actions, vm, Acknowledge { attempt });
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/entry/links.rs
@@ -0,0 +1,222 @@
+//! Links to agents: greetings, resumes, losses and what arrives on them.
+
+use {
+    super::{Entry, EntryAction, request::Stage, send},
+    crate::{
+        Placement, RefusalReason, ServerState, TimeMs, Verdict,
+        message::{
+            AgentHello, AgentMessage, EntryHello, LoadReport, Resume, SuspectNotice, TablePages,
+            TableQuery, agent_message,
+        },
+        table::{Offer, Pages},
+    },
+    std::sync::Arc,
+};
+
+impl<P: Placement> Entry<P> {
+    pub(super) fn link_up(&self, vm: &Arc<str>, actions: &mut Vec<EntryAction>) {
+        let hello = EntryHello {
+            entry: self.identity,
+            table_version: self.adoption.version(),
+        };
+        send(actions, vm, hello);
+    }
+
+    pub(super) fn link_down(&mut self, now_ms: TimeMs, vm: &Arc<str>) {
+        self.membership.link_down(vm);
+        self.servers.entry(vm).is_live = false;
+        for request in self.requests.values_mut() {
+            if let Stage::Sent(attempt) = &mut request.stage
+                && attempt.vm == *vm
+                && attempt.link_lost_ms.is_none()
+            {
+                attempt.link_lost_ms = Some(now_ms);
+            }
+        }
+        self.refresh_liveness();
+    }
+
+    pub(super) fn message(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        message: AgentMessage,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        use agent_message::Kind;
+        match message.kind {
+            Some(Kind::Hello(hello)) => self.agent_hello(now_ms, vm, &hello, actions),
+            Some(Kind::Load(report)) => self.load_report(now_ms, vm, &report, actions),
+            Some(Kind::Drain(_)) => self.drain_notice(vm),
+            Some(Kind::Table(pages)) => self.table_from_peer(now_ms, vm, &pages, actions),
+            Some(Kind::TableQuery(query)) => self.table_query(vm, query.version, actions),
+            Some(Kind::Suspect(notice)) => self.suspect_notice(now_ms, vm, &notice, actions),
+            Some(Kind::Head(head)) => self.head(now_ms, vm, head, actions),
+            Some(Kind::Chunk(chunk)) => self.chunk(vm, chunk, actions),
+            Some(Kind::End(end)) => self.end(now_ms, vm, &end, actions),
+            Some(Kind::Refused(refused)) => self.refused(now_ms, vm, &refused, actions),
+            Some(Kind::Failed(failed)) => self.failed(now_ms, vm, &failed, actions),
+            Some(Kind::Accepted(_)) | None => {}
+        }
+    }
+
+    fn agent_hello(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        hello: &AgentHello,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        self.membership
+            .link_up(vm, hello.incarnation, hello.draining);
+        self.servers.entry(vm);
+        self.refresh_liveness();
+        self.greet(vm, hello, actions);
+        self.resume_attempts(now_ms, vm, hello.incarnation, actions);
+        self.place_waiting(now_ms, actions);
+    }
+
+    /// Brings an agent up to date and asks for what it is ahead in.
+    fn greet(&self, vm: &Arc<str>, hello: &AgentHello, actions: &mut Vec<EntryAction>) {
+        let version = self.adoption.version();
+        if hello.table_version > version {
+            send(actions, vm, TableQuery { version });
+        }
+        if let Some(notice) = self.holder_notice(vm) {
+            send(actions, vm, notice);
+        }
+    }
+
+    fn resume_attempts(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        incarnation: u64,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let mut lost = Vec::new();
+        let mut resumed = Vec::new();
+        for (&id, request) in &mut self.requests {
+            let Stage::Sent(attempt) = &mut request.stage else {
+                continue;
+            };
+            if attempt.vm != *vm {
+                continue;
+            }
+            if attempt.incarnation == incarnation {
+                attempt.link_lost_ms = None;
+                resumed.push(Resume {
+                    attempt: attempt.number,
+                    next_sequence: attempt.next_sequence,
+                });
+            } else {
+                lost.push(id);
+            }
+        }
+        // The agent's watermark needs resumes in the order of their numbers.
+        resumed.sort_unstable_by_key(|resume| resume.attempt);
+        for resume in resumed {
+            send(actions, vm, resume);
+        }
+        for id in lost {
+            self.attempt_lost(now_ms, id, RefusalReason::LinkLost, actions);
+        }
+    }
+
+    /// Gives up attempts whose link has not come back in time.
+    pub(super) fn expire_links(&mut self, now_ms: TimeMs, actions: &mut Vec<EntryAction>) {
+        let window_ms = self.settings.resume_window_ms;
+        let lost: Vec<u64> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| match &request.stage {
+                Stage::Sent(attempt) => attempt
+                    .link_lost_ms
+                    .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) > window_ms),
+                Stage::Queued | Stage::Placing => false,
+            })
+            .map(|(&id, _)| id)
+            .collect();
+        for id in lost {
+            self.attempt_lost(now_ms, id, RefusalReason::LinkLost, actions);
+        }
+    }
+
+    fn load_report(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        report: &LoadReport,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let capacity = self.servers.entry(vm).capacity;
+        self.servers.apply(vm, report, now_ms);
+        for _ in 0..report.store_refusals {
+            self.load_budget.refused(now_ms);
+        }
+        for _ in 0..report.loads {
+            self.load_budget.accepted(now_ms);
+        }
+        if capacity != report.capacity {
+            self.refresh_liveness();
+        }
+        self.place_waiting(now_ms, actions);
+    }
+
+    fn drain_notice(&mut self, vm: &Arc<str>) {
+        self.membership.drain_announced(vm);
+        debug_assert_ne!(self.membership.state(vm), ServerState::Live);
+        self.refresh_liveness();
+    }
+
+    fn table_from_peer(
+        &mut self,
+        now_ms: TimeMs,
+        vm: &Arc<str>,
+        message: &TablePages,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let version = self.adoption.version();
+        if message.version <= version {
+            return;
+        }
+        match Offer::from_message(message, &self.adoption.offer().pages) {
+            Some(offer) if !offer.pages.is_empty() => self.table_offered(now_ms, offer, actions),
+            _ => send(actions, vm, TableQuery { version: 0 }),
+        }
+    }
+
+    fn table_query(&self, vm: &Arc<str>, version: u64, actions: &mut Vec<EntryAction>) {
+        if self.adoption.version() > version {
+            let confirmed_ms = self.adoption.confirmed_ms();
+            let offer = self.adoption.offer();
+            send(
+                actions,
+                vm,
+                offer.to_message(confirmed_ms, &Pages::default()),
+            );
+        }
+    }
+
+    /// Adopts a verdict and passes it on to the other agents.
+    fn suspect_notice(
+        &mut self,
+        now_ms: TimeMs,
+        from: &Arc<str>,
+        notice: &SuspectNotice,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let verdict = Verdict::from_code(notice.verdict);
+        let fingerprint = notice.fingerprint;
+        if !self.suspects.learn(fingerprint, verdict, now_ms) {
+            return;
+        }
+        actions.push(EntryAction::Verdict {
+            fingerprint,
+            verdict,
+        });
+        for vm in self.connected.keys().filter(|vm| *vm != from) {
+            send(actions, vm, notice.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/entry/submit.rs
@@ -0,0 +1,180 @@
+//! From a caller's request to an admitted one: authentication, resolution and limits.
+
+use {
+    super::{
+        Ask, Entry, EntryAction, Failure, Submission,
+        request::{Request, Stage, Target},
+    },
+    crate::{
+        Admitted, Outcome, Placement, RefusalReason, TimeMs, Verdict, job::JobKey, table::Table,
+    },
+    std::sync::Arc,
+    xxhash_rust::xxh3::Xxh3,
+};
+
+impl<P: Placement> Entry<P> {
+    pub(super) fn submit(
+        &mut self,
+        now_ms: TimeMs,
+        submission: Submission,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let id = submission.request;
+        match self.prepare(now_ms, submission) {
+            Ok(request) => self.admit(now_ms, id, request, actions),
+            Err(failure) => actions.push(EntryAction::Failed {
+                request: id,
+                failure,
+            }),
+        }
+    }
+
+    fn prepare(&self, now_ms: TimeMs, submission: Submission) -> Result<Request, Failure> {
+        let table = self.adoption.table();
+        let has_key = submitted_key(&submission.ask).is_some();
+        let refuse = |reason, retry_after_ms| Failure {
+            reason,
+            outcome: if has_key {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            },
+            retry_after_ms,
+        };
+        if self.draining {
+            return Err(refuse(RefusalReason::Draining, 1_000));
+        }
+        if table.version == 0 {
+            return Err(refuse(RefusalReason::NotConfigured, 1_000));
+        }
+        let population = table
+            .population(&submission.bearer)
+            .ok_or_else(|| refuse(RefusalReason::Unauthorized, 0))?;
+        let population = &table.populations[population];
+        let fingerprint = fingerprint(&population.name, &submission);
+        let target = resolve(table, submission.ask).map_err(|reason| refuse(reason, 0))?;
+        if self.suspects.verdict(fingerprint, now_ms) == Verdict::Condemned {
+            return Err(refuse(RefusalReason::Poisonous, 0));
+        }
+        Ok(Request {
+            population: Arc::clone(&population.name),
+            priority: population.priority,
+            target,
+            body: submission.body,
+            fingerprint,
+            deadline_ms: now_ms.saturating_add(submission.budget_ms),
+            placing_since_ms: now_ms,
+            stage: Stage::Queued,
+            attempts: 0,
+            excluded: Vec::new(),
+            may_have_run: false,
+            passed_on: false,
+            epoch: 0,
+        })
+    }
+
+    fn admit(&mut self, now_ms: TimeMs, id: u64, request: Request, actions: &mut Vec<EntryAction>) {
+        let admitted = self.admission.offer(now_ms, &request.population, id);
+        if let Admitted::Refused {
+            reason,
+            retry_after_ms,
+        } = admitted
+        {
+            let failure = Failure {
+                reason,
+                outcome: request.outcome(),
+                retry_after_ms,
+            };
+            actions.push(EntryAction::Failed {
+                request: id,
+                failure,
+            });
+            return;
+        }
+        self.requests.insert(id, request);
+        self.retry_budget.deposit();
+        if admitted == Admitted::Now {
+            self.place_first(now_ms, id, actions);
+        }
+    }
+
+    /// Starts requests that waited for their population's turn.
+    pub(super) fn start_queued(&mut self, now_ms: TimeMs, actions: &mut Vec<EntryAction>) {
+        while let Some(id) = self.admission.next_request() {
+            self.place_first(now_ms, id, actions);
+        }
+    }
+
+    fn place_first(&mut self, now_ms: TimeMs, id: u64, actions: &mut Vec<EntryAction>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.stage = Stage::Placing;
+            request.placing_since_ms = now_ms;
+            self.placing.insert(id);
+        }
+        self.place(now_ms, id, actions);
+    }
+}
+
+const fn submitted_key(ask: &Ask) -> Option<&Arc<str>> {
+    match ask {
+        Ask::Service { key, .. } => key.as_ref(),
+        Ask::Model { .. } => None,
+    }
+}
+
+fn resolve(table: &Table, ask: Ask) -> Result<Target, RefusalReason> {
+    match ask {
+        Ask::Model { model } => {
+            let adapter = table.resolve(&model).ok_or(RefusalReason::UnknownModel)?;
+            Ok(Target::Model { adapter })
+        }
+        Ask::Service {
+            service,
+            method,
+            path,
+            content_type,
+            key,
+        } => {
+            let row = table
+                .service(&service, &method, &path)
+                .ok_or(RefusalReason::UnknownService)?;
+            let key = match key {
+                _ if row.repeatable => None,
+                None => return Err(RefusalReason::KeyMissing),
+                Some(key) => Some(JobKey::parse(&key).ok_or(RefusalReason::BadRequest)?),
+            };
+            Ok(Target::Call {
+                service,
+                method,
+                path,
+                content_type,
+                key,
+            })
+        }
+    }
+}
+
+/// Returns a hash of all that decides what a request does; idempotency keys are left out.
+fn fingerprint(population: &str, submission: &Submission) -> u64 {
+    let mut hasher = Xxh3::new();
+    let mut field = |bytes: &[u8]| {
+        hasher.update(&(bytes.len() as u64).to_le_bytes());
+        hasher.update(bytes);
+    };
+    field(population.as_bytes());
+    match &submission.ask {
+        Ask::Model { model } => field(model.as_bytes()),
+        Ask::Service {
+            service,
+            method,
+            path,
+            ..
+        } => {
+            field(service.as_bytes());
+            field(method.as_bytes());
+            field(path.as_bytes());
+        }
+    }
+    field(&submission.body);
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/job/key.rs
@@ -0,0 +1,78 @@
+//! A caller's idempotency key and the time that it carries.
+
+use {
+    super::CLOCK_SKEW_MS,
+    crate::TimeMs,
+    std::sync::Arc,
+    uuid::{Uuid, Version},
+};
+
+const MAX_KEY_BYTES: usize = 255;
+
+/// An idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct JobKey {
+    text: Arc<str>,
+    minted_ms: Option<TimeMs>,
+}
+
+impl JobKey {
+    /// Reads a key; returns nothing if it is empty, too long or not printable ASCII.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_printable = text.bytes().all(|byte| byte.is_ascii_graphic());
+        if text.is_empty() || text.len() > MAX_KEY_BYTES || !is_printable {
+            return None;
+        }
+        let minted_ms = Uuid::try_parse(text)
+            .ok()
+            .filter(|uuid| uuid.get_version() == Some(Version::SortRand))
+            .and_then(|uuid| uuid.get_timestamp())
+            .map(|timestamp| {
+                let (seconds, nanoseconds) = timestamp.to_unix();
+                seconds * 1_000 + u64::from(nanoseconds) / 1_000_000
+            });
+        Some(Self {
+            text: text.into(),
+            minted_ms,
+        })
+    }
+
+    /// Returns the key's text.
+    #[must_use]
+    pub const fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
+    /// Returns the time inside a version 7 UUID, in milliseconds since the epoch.
+    #[must_use]
+    pub const fn minted_ms(&self) -> Option<TimeMs> {
+        self.minted_ms
+    }
+
+    /// Returns the span in which the key was minted, as seen at `now_ms`.
+    ///
+    /// A key that carries no time was minted within the horizon for which callers resend.
+    #[must_use]
+    pub fn span(&self, now_ms: TimeMs, opaque_horizon_ms: u64) -> KeySpan {
+        match self.minted_ms {
+            Some(minted_ms) => KeySpan {
+                first_ms: minted_ms,
+                last_ms: minted_ms,
+            },
+            None => KeySpan {
+                first_ms: now_ms.saturating_sub(opaque_horizon_ms + CLOCK_SKEW_MS),
+                last_ms: now_ms + CLOCK_SKEW_MS,
+            },
+        }
+    }
+}
+
+/// The times between which a key was minted, in milliseconds since the epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeySpan {
+    /// Earliest possible time.
+    pub first_ms: TimeMs,
+    /// Latest possible time.
+    pub last_ms: TimeMs,
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/job/roster_history.rs
@@ -0,0 +1,90 @@
+//! The rosters that governed, govern and will govern key times.
+
+use {
+    super::KeySpan,
+    crate::{
+        TimeMs,
+        table::{Roster, RosterRow},
+    },
+    std::collections::VecDeque,
+};
+
+/// Time from the publication of a roster until it governs newly minted keys, in milliseconds.
+///
+/// It is fixed because every process, however stale its table, must agree on it.
+pub const ROSTER_LEAD_MS: u64 = 900_000;
+
+const MAX_SEGMENTS: usize = 16;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Segment {
+    roster: Roster,
+    first_ms: TimeMs,
+    last_ms: TimeMs,
+}
+
+/// Rosters by the span of key times for which this process can vouch for them.
+///
+/// A roster published at `p` governs keys minted from `p + ROSTER_LEAD_MS` on. A process that last
+/// confirmed it at `c` knows that no later roster governs keys up to `c + ROSTER_LEAD_MS`. Between
+/// such spans, and before the first, the process knows no home and refuses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RosterHistory {
+    segments: VecDeque<Segment>,
+}
+
+impl RosterHistory {
+    /// Adds a roster that was published at `published_ms` and current at `as_of_ms`.
+    pub fn adopt(&mut self, roster: &Roster, published_ms: TimeMs, as_of_ms: TimeMs) {
+        let first_ms = published_ms + ROSTER_LEAD_MS;
+        let last_ms = as_of_ms + ROSTER_LEAD_MS;
+        if let Some(newest) = self.segments.back_mut()
+            && newest.first_ms == first_ms
+            && newest.roster == *roster
+        {
+            newest.last_ms = newest.last_ms.max(last_ms);
+            return;
+        }
+        if let Some(newest) = self.segments.back_mut() {
+            newest.last_ms = newest.last_ms.min(first_ms.saturating_sub(1));
+        }
+        self.segments.push_back(Segment {
+            roster: roster.clone(),
+            first_ms,
+            last_ms,
+        });
+        if self.segments.len() > MAX_SEGMENTS {
+            self.segments.pop_front();
+        }
+    }
+
+    /// Records that the newest roster was current at `as_of_ms` on the platform's clock.
+    pub fn confirm(&mut self, as_of_ms: TimeMs) {
+        if let Some(newest) = self.segments.back_mut() {
+            newest.last_ms = newest.last_ms.max(as_of_ms + ROSTER_LEAD_MS);
+        }
+    }
+
+    /// Returns the home of a key, if this process can vouch for the roster that governs it.
+    #[must_use]
+    pub fn home(&self, service: &str, key: &str, span: KeySpan) -> Option<&RosterRow> {
+        self.segments
+            .iter()
+            .find(|segment| segment.first_ms <= span.first_ms && span.last_ms <= segment.last_ms)
+            .and_then(|segment| segment.roster.home(service, key))
+    }
+
+    /// Tells whether a key may be older than every roster that this process knows.
+    #[must_use]
+    pub fn is_before_first(&self, span: KeySpan) -> bool {
+        self.segments
+            .front()
+            .is_none_or(|segment| span.first_ms < segment.first_ms)
+    }
+
+    /// Returns the row of a slot in the newest roster.
+    #[must_use]
+    pub fn newest_row(&self, service: &str, slot: &str) -> Option<&RosterRow> {
+        self.segments.back()?.roster.row(service, slot)
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/lib.rs
@@ -0,0 +1,58 @@
+//! Every decision of magnoliasail, without clocks, sockets or threads.
+//!
+//! Two state machines hold the decisions: [`Entry`] for the process that faces callers and
+//! [`Agent`] for the process beside a backend server. Each takes an event and the current time in
+//! milliseconds and appends actions to a list; the daemons carry the actions out. The same code
+//! therefore runs in production, under a manual clock in property tests and in the policy model.
+//!
+//! ```
+//! use magnoliasail_core::{Agent, AgentAction, AgentEvent, AgentSettings};
+//!
+//! let mut agent = Agent::new(AgentSettings::default(), 1_000);
+//! let mut actions = Vec::new();
+//! agent.handle(1_000, AgentEvent::LinkUp { link: 7 }, &mut actions);
+//! assert!(matches!(actions[0], AgentAction::Send { link: 7, .. }));
+//! ```
+
+pub mod agent;
+pub mod entry;
+pub mod job;
+pub mod message;
+pub mod table;
+
+mod adapter;
+mod admission;
+mod liveness;
+mod load_budget;
+mod membership;
+mod outcome;
+mod reason;
+mod rendezvous;
+mod retry_budget;
+mod router;
+mod slots;
+mod suspects;
+mod token_bucket;
+mod vm_list;
+
+pub use self::{
+    adapter::AdapterRef,
+    admission::{Admission, AdmissionSettings, Admitted},
+    agent::{Agent, AgentAction, AgentEvent, AgentSettings},
+    entry::{Entry, EntryAction, EntryEvent, EntrySettings},
+    liveness::{Liveness, PauseDetector},
+    load_budget::LoadBudget,
+    membership::{Membership, MembershipSettings, ServerState},
+    outcome::Outcome,
+    reason::{RefusalReason, RetryReason},
+    rendezvous::{Name, rank, score},
+    retry_budget::RetryBudget,
+    router::{Choice, Placement, Router, RouterSettings, ServerView, Servers, Situation},
+    slots::{Lookup, SlotTable},
+    suspects::{Suspects, Verdict},
+    token_bucket::TokenBucket,
+    vm_list::{VmEntry, VmList, VmRole, VmState},
+};
+
+/// A point in time, in milliseconds, on the clock that the caller of the core supplies.
+pub type TimeMs = u64;
--- /dev/null
+++ b/crates/magnoliasail-core/src/membership.rs
@@ -0,0 +1,212 @@
+//! Which backend servers may take new work.
+//!
+//! The platform's list proposes servers, links decide: a server takes work only while its link is
+//! up, its agent has not announced a drain and the list does not call it leaving. Whichever says
+//! "leaving" first wins, and nothing older takes it back.
+//!
+//! ```
+//! use magnoliasail_core::{Membership, MembershipSettings, ServerState};
+//!
+//! let mut membership = Membership::new(MembershipSettings::default());
+//! membership.link_up("vm-1", 4, false);
+//! assert_eq!(membership.state("vm-1"), ServerState::Live);
+//! membership.drain_announced("vm-1");
+//! assert_eq!(membership.state("vm-1"), ServerState::Leaving);
+//! ```
+
+use {
+    crate::{TimeMs, VmEntry, VmList, VmRole, VmState},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+    strum::{Display, EnumIter},
+};
+
+/// Limits of [`Membership`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MembershipSettings {
+    /// Time after which a server that left the list loses its link, in milliseconds.
+    pub unlisted_grace_ms: u64,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            unlisted_grace_ms: 120_000,
+        }
+    }
+}
+
+/// Whether a server may take new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum ServerState {
+    /// The server takes new work.
+    Live,
+    /// The server finishes what it has.
+    Leaving,
+    /// The server has no link.
+    Unreachable,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Link {
+    up: bool,
+    incarnation: u64,
+    draining: bool,
+}
+
+/// What one process knows of the backend servers in its slice.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    settings: MembershipSettings,
+    listed: BTreeMap<Arc<str>, VmEntry>,
+    unlisted_since_ms: HashMap<Arc<str>, TimeMs>,
+    links: HashMap<Arc<str>, Link>,
+    list_as_of_ms: TimeMs,
+    entries: usize,
+}
+
+impl Membership {
+    /// Creates an empty membership.
+    #[must_use]
+    pub fn new(settings: MembershipSettings) -> Self {
+        Self {
+            settings,
+            listed: BTreeMap::new(),
+            unlisted_since_ms: HashMap::new(),
+            links: HashMap::new(),
+            list_as_of_ms: 0,
+            entries: 1,
+        }
+    }
+
+    /// Adopts a list unless a newer one has been adopted; returns whether it did.
+    pub fn adopt(&mut self, list: &VmList, now_ms: TimeMs) -> bool {
+        if list.as_of_ms < self.list_as_of_ms {
+            return false;
+        }
+        self.list_as_of_ms = list.as_of_ms;
+        let is_server = |vm: &&VmEntry| vm.role != VmRole::Entry;
+        let listed: BTreeMap<Arc<str>, VmEntry> = list
+            .vms
+            .iter()
+            .filter(is_server)
+            .map(|vm| (Arc::clone(&vm.vm), vm.clone()))
+            .collect();
+        for (name, vm) in &self.listed {
+            if !listed.contains_key(name) {
+                self.unlisted_since_ms
+                    .entry(Arc::clone(&vm.vm))
+                    .or_insert(now_ms);
+            }
+        }
+        self.unlisted_since_ms
+            .retain(|name, _| !listed.contains_key(name));
+        self.listed = listed;
+        self.entries = list.vms.len() - self.listed.len();
+        true
+    }
+
+    /// Returns the time on the platform's clock of the list in force, in milliseconds.
+    #[must_use]
+    pub const fn list_as_of_ms(&self) -> TimeMs {
+        self.list_as_of_ms
+    }
+
+    /// Returns the number of entries in the list, at least one.
+    #[must_use]
+    pub fn entries(&self) -> usize {
+        self.entries.max(1)
+    }
+
+    /// Records that a link came up.
+    pub fn link_up(&mut self, vm: &str, incarnation: u64, draining: bool) {
+        let link = self.links.entry(Arc::from(vm)).or_default();
+        let is_same = link.incarnation == incarnation;
+        link.draining = draining || (is_same && link.draining);
+        link.incarnation = incarnation;
+        link.up = true;
+    }
+
+    /// Records that a link went down.
+    pub fn link_down(&mut self, vm: &str) {
+        if let Some(link) = self.links.get_mut(vm) {
+            link.up = false;
+        }
+    }
+
+    /// Records that an agent announced its drain.
+    pub fn drain_announced(&mut self, vm: &str) {
+        if let Some(link) = self.links.get_mut(vm) {
+            link.draining = true;
+        }
+    }
+
+    /// Returns the incarnation of the agent that was linked last.
+    #[must_use]
+    pub fn incarnation(&self, vm: &str) -> Option<u64> {
+        self.links.get(vm).map(|link| link.incarnation)
+    }
+
+    /// Returns whether a server may take new work.
+    #[must_use]
+    pub fn state(&self, vm: &str) -> ServerState {
+        let Some(link) = self.links.get(vm).filter(|link| link.up) else {
+            return ServerState::Unreachable;
+        };
+        let is_leaving = self
+            .listed
+            .get(vm)
+            .map_or(self.unlisted_since_ms.contains_key(vm), |listed| {
+                listed.state == VmState::Leaving
+            });
+        if link.draining || is_leaving {
+            ServerState::Leaving
+        } else {
+            ServerState::Live
+        }
+    }
+
+    /// Returns the listed VM of this name.
+    #[must_use]
+    pub fn listed(&self, vm: &str) -> Option<&VmEntry> {
+        self.listed.get(vm)
+    }
+
+    /// Returns the listed servers in the order of their names.
+    pub fn servers(&self) -> impl Iterator<Item = &VmEntry> {
+        self.listed.values()
+    }
+
+    /// Returns the servers to which a link is wanted, with their addresses.
+    #[must_use]
+    pub fn wanted(&self, now_ms: TimeMs) -> Vec<(Arc<str>, Arc<str>)> {
+        debug_assert!(
+            self.unlisted_since_ms
+                .values()
+                .all(|&since| since <= now_ms)
+        );
+        self.listed
+            .values()
+            .map(|vm| (Arc::clone(&vm.vm), Arc::clone(&vm.address)))
+            .collect()
+    }
+
+    /// Forgets servers that left the list long ago and returns their names.
+    pub fn expire(&mut self, now_ms: TimeMs) -> Vec<Arc<str>> {
+        let grace_ms = self.settings.unlisted_grace_ms;
+        let expired: Vec<Arc<str>> = self
+            .unlisted_since_ms
+            .iter()
+            .filter(|&(_, &since_ms)| now_ms.saturating_sub(since_ms) > grace_ms)
+            .map(|(name, _)| Arc::clone(name))
+            .collect();
+        for name in &expired {
+            self.unlisted_since_ms.remove(name);
+            self.links.remove(name);
+        }
+        expired
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/message/from_entry.rs
@@ -0,0 +1,208 @@
+//! Messages from an entry to an agent.
+
+use {
+    super::shared::{Adapter, SuspectNotice, TablePages, TableQuery},
+    prost::{Message, Oneof, bytes::Bytes},
+};
+
+/// A message from an entry to an agent.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EntryMessage {
+    /// The message itself; absent in a heartbeat, and when the sender is newer than the receiver.
+    #[prost(oneof = "entry_message::Kind", tags = "1, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub kind: Option<entry_message::Kind>,
+}
+
+/// The kinds of [`EntryMessage`].
+pub mod entry_message {
+    use super::*;
+
+    /// A kind of [`EntryMessage`].
+    #[derive(Clone, PartialEq, Eq, Oneof)]
+    pub enum Kind {
+        /// Opens a link.
+        #[prost(message, tag = "1")]
+        Hello(EntryHello),
+        /// Submits one attempt.
+        #[prost(message, tag = "3")]
+        Submit(Submit),
+        /// Cancels an attempt.
+        #[prost(message, tag = "4")]
+        Cancel(Cancel),
+        /// Continues an attempt on a new link.
+        #[prost(message, tag = "5")]
+        Resume(Resume),
+        /// Releases what the agent retains of an attempt.
+        #[prost(message, tag = "6")]
+        Acknowledge(Acknowledge),
+        /// Passes on who holds the agent's service slot.
+        #[prost(message, tag = "7")]
+        Holder(HolderNotice),
+        /// Passes on the table.
+        #[prost(message, tag = "8")]
+        Table(TablePages),
+        /// Asks for the table.
+        #[prost(message, tag = "9")]
+        TableQuery(TableQuery),
+        /// Passes on a verdict.
+        #[prost(message, tag = "10")]
+        Suspect(SuspectNotice),
+    }
+}
+
+macro_rules! entry_message_from {
+    ($($kind:ident($message:ty)),* $(,)?) => {
+        $(impl From<$message> for EntryMessage {
+            fn from(message: $message) -> Self {
+                Self { kind: Some(entry_message::Kind::$kind(message)) }
+            }
+        })*
+    };
+}
+
+entry_message_from!(
+    Hello(EntryHello),
+    Submit(Submit),
+    Cancel(Cancel),
+    Resume(Resume),
+    Acknowledge(Acknowledge),
+    Holder(HolderNotice),
+    Table(TablePages),
+    TableQuery(TableQuery),
+    Suspect(SuspectNotice),
+);
+
+/// Opens a link.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EntryHello {
+    /// Random identity of the entry's process; attempts belong to it across links.
+    #[prost(fixed64, tag = "1")]
+    pub entry: u64,
+    /// Version of the table in force at the entry, zero for none.
+    #[prost(uint64, tag = "2")]
+    pub table_version: u64,
+}
+
+/// Submits one attempt of a request.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Submit {
+    /// Number of the attempt, unique within the entry's process.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Fingerprint of the request's content.
+    #[prost(fixed64, tag = "2")]
+    pub fingerprint: u64,
+    /// Time that remains until the caller's deadline, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub budget_ms: u64,
+    /// Priority of the caller population; higher runs first.
+    #[prost(uint32, tag = "4")]
+    pub priority: u32,
+    /// Body of the request.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: Bytes,
+    /// What the body is for.
+    #[prost(oneof = "submit::Work", tags = "6, 7")]
+    pub work: Option<submit::Work>,
+}
+
+/// The kinds of work.
+pub mod submit {
+    use super::*;
+
+    /// What an attempt asks for.
+    #[derive(Clone, PartialEq, Eq, Oneof)]
+    pub enum Work {
+        /// A request to a model engine.
+        #[prost(message, tag = "6")]
+        Model(ModelPart),
+        /// A call of a plain service.
+        #[prost(message, tag = "7")]
+        Job(JobPart),
+    }
+}
+
+/// The part of an attempt that is for a model engine.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ModelPart {
+    /// The exact adapter and version.
+    #[prost(message, optional, tag = "1")]
+    pub adapter: Option<Adapter>,
+    /// Permission to load the adapter, if it is not resident.
+    #[prost(enumeration = "LoadGrant", tag = "2")]
+    pub grant: i32,
+}
+
+/// Whether the entry has spent its load budget for an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum LoadGrant {
+    /// The adapter is expected to be resident; the agent may still load it from its own reserve.
+    Resident = 0,
+    /// The entry has spent its budget for one load.
+    Granted = 1,
+}
+
+/// The part of an attempt that is for a plain service.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct JobPart {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// HTTP method.
+    #[prost(string, tag = "2")]
+    pub method: String,
+    /// Path and query below the service.
+    #[prost(string, tag = "3")]
+    pub path: String,
+    /// Media type of the body.
+    #[prost(string, tag = "4")]
+    pub content_type: String,
+    /// Idempotency key, empty for a call that may be repeated.
+    #[prost(string, tag = "5")]
+    pub key: String,
+    /// Epoch of the key that the entry knows of.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
+}
+
+/// Cancels an attempt.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Cancel {
+    /// Number of the attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+}
+
+/// Continues an attempt on a new link.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Resume {
+    /// Number of the attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Sequence number of the first chunk that the entry lacks.
+    #[prost(uint64, tag = "2")]
+    pub next_sequence: u64,
+}
+
+/// Releases what the agent retains of an attempt.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Acknowledge {
+    /// Number of the attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+}
+
+/// Passes on who holds the agent's service slot by the platform's list.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HolderNotice {
+    /// Time on the platform's clock up to which the list was complete, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub as_of_ms: u64,
+    /// Name of the VM that holds the slot, empty for none.
+    #[prost(string, tag = "2")]
+    pub vm: String,
+    /// Whether the list has the agent's VM as leaving.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/rendezvous.rs
@@ -0,0 +1,48 @@
+//! Rendezvous hashing: every process ranks servers alike without messages.
+//!
+//! ```
+//! use magnoliasail_core::{rank, score};
+//!
+//! let servers = ["a", "b", "c"];
+//! assert_eq!(rank("k", &servers), rank("k", &servers));
+//! assert_eq!(score("k", "a"), score("k", "a"));
+//! ```
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A type that rendezvous hashing can rank.
+pub trait Name {
+    /// Returns the stable name that is hashed.
+    fn name(&self) -> &str;
+}
+
+impl Name for &str {
+    fn name(&self) -> &str {
+        self
+    }
+}
+
+impl Name for std::sync::Arc<str> {
+    fn name(&self) -> &str {
+        self
+    }
+}
+
+/// Returns the weight of `server` for `key`; the highest weight ranks first.
+#[must_use]
+pub fn score(key: &str, server: &str) -> u64 {
+    xxh3_64_with_seed(server.as_bytes(), xxh3_64(key.as_bytes()))
+}
+
+/// Returns the indices of `servers` in the order of preference for `key`.
+#[must_use]
+pub fn rank<N: Name>(key: &str, servers: &[N]) -> Vec<usize> {
+    let seed = xxh3_64(key.as_bytes());
+    let mut order: Vec<(u64, usize)> = servers
+        .iter()
+        .enumerate()
+        .map(|(index, server)| (xxh3_64_with_seed(server.name().as_bytes(), seed), index))
+        .collect();
+    order.sort_unstable_by(|a, b| b.cmp(a));
+    order.into_iter().map(|(_, index)| index).collect()
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/router.rs
@@ -0,0 +1,304 @@
+//! Placement: which backend server a request for an adapter goes to.
+//!
+//! The trait [`Placement`] is the seam between the entry and its policy; [`Router`] is the policy.
+//! It weighs waiting for a busy server that holds the adapter against loading another copy on one
+//! of the servers that rank first for the adapter by rendezvous.
+//!
+//! ```
+//! use magnoliasail_core::{AdapterRef, Router, RouterSettings, ServerView};
+//!
+//! let view = ServerView { capacity: 8, slots: 4, ..ServerView::default() };
+//! assert!(view.expected_wait_ms(&RouterSettings::default()) < 1.0);
+//! ```
+
+use {
+    crate::{AdapterRef, TimeMs, message::LoadReport, rendezvous, table::Deployment},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        sync::Arc,
+    },
+};
+
+/// Constants of the policy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouterSettings {
+    /// Expected time for which a request occupies a server, in milliseconds.
+    pub service_ms: f64,
+    /// Expected time of one load at full speed, in milliseconds.
+    pub load_ms: f64,
+    /// Servers that may be given a new copy of an adapter, in the order of rendezvous.
+    pub spread: usize,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            service_ms: 1_000.0,
+            load_ms: 250.0,
+            spread: 3,
+        }
+    }
+}
+
+/// What an entry knows of one backend server.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerView {
+    /// Requests that ran at the last report.
+    pub running: u32,
+    /// Requests that waited at the last report.
+    pub queued: u32,
+    /// Requests that the server runs at once.
+    pub capacity: u32,
+    /// Adapter slots.
+    pub slots: u32,
+    /// Slots that were pinned at the last report.
+    pub pinned: u32,
+    /// Loads that were under way at the last report.
+    pub loading: u32,
+    /// Requests that this entry has in flight there.
+    pub own: u32,
+    /// Requests that this entry has sent there since the last report.
+    pub unreported: u32,
+    /// Time of the last report, in milliseconds.
+    pub reported_ms: TimeMs,
+    /// Whether the server takes new work.
+    pub is_live: bool,
+    /// Adapters that are resident or being loaded.
+    pub residents: HashSet<AdapterRef>,
+}
+
+impl ServerView {
+    /// Returns the requests that the server has, including those it has not reported yet.
+    #[must_use]
+    pub const fn occupied(&self) -> u32 {
+        self.running + self.queued + self.unreported
+    }
+
+    /// Returns the expected time until a new request could run, in milliseconds.
+    #[must_use]
+    pub fn expected_wait_ms(&self, settings: &RouterSettings) -> f64 {
+        let capacity = f64::from(self.capacity.max(1));
+        let excess = f64::from(self.occupied()) + 1.0 - capacity;
+        (excess.max(0.0) / capacity) * settings.service_ms
+    }
+
+    /// Returns the share of the batch that is in use, from zero to one.
+    #[must_use]
+    pub fn fill(&self) -> f64 {
+        let capacity = f64::from(self.capacity.max(1));
+        (f64::from(self.occupied()) / capacity).min(1.0)
+    }
+
+    /// Adopts a load report.
+    pub fn apply(&mut self, report: &LoadReport, now_ms: TimeMs) {
+        self.running = report.running;
+        self.queued = report.queued;
+        self.capacity = report.capacity;
+        self.slots = report.slots;
+        self.pinned = report.pinned;
+        self.loading = report.loading;
+        self.unreported = 0;
+        self.reported_ms = now_ms;
+    }
+}
+
+/// The servers of an entry's slice, with an index from adapters to servers.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    views: BTreeMap<Arc<str>, ServerView>,
+    holders: HashMap<AdapterRef, Vec<Arc<str>>>,
+}
+
+impl Servers {
+    /// Returns a server.
+    #[must_use]
+    pub fn get(&self, vm: &str) -> Option<&ServerView> {
+        self.views.get(vm)
+    }
+
+    /// Returns a server, which is added if it is new.
+    pub fn entry(&mut self, vm: &Arc<str>) -> &mut ServerView {
+        self.views.entry(Arc::clone(vm)).or_default()
+    }
+
+    /// Returns all servers in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &ServerView)> {
+        self.views.iter()
+    }
+
+    /// Returns the servers that hold or load an adapter.
+    #[must_use]
+    pub fn holders(&self, adapter: &AdapterRef) -> &[Arc<str>] {
+        self.holders.get(adapter).map_or(&[], Vec::as_slice)
+    }
+
+    /// Records that a server holds or loads an adapter.
+    pub fn insert_resident(&mut self, vm: &Arc<str>, adapter: &AdapterRef) {
+        if self.entry(vm).residents.insert(adapter.clone()) {
+            let holders = self.holders.entry(adapter.clone()).or_default();
+            holders.push(Arc::clone(vm));
+        }
+    }
+
+    /// Records that a server no longer holds an adapter.
+    pub fn remove_resident(&mut self, vm: &str, adapter: &AdapterRef) {
+        if let Some(view) = self.views.get_mut(vm) {
+            view.residents.remove(adapter);
+        }
+        if let Some(holders) = self.holders.get_mut(adapter) {
+            holders.retain(|holder| &**holder != vm);
+            if holders.is_empty() {
+                self.holders.remove(adapter);
+            }
+        }
+    }
+
+    /// Records that a server holds nothing.
+    pub fn clear_residents(&mut self, vm: &str) {
+        let residents = self
+            .views
+            .get_mut(vm)
+            .map(|view| std::mem::take(&mut view.residents))
+            .unwrap_or_default();
+        for adapter in &residents {
+            self.remove_resident(vm, adapter);
+        }
+    }
+
+    /// Forgets a server.
+    pub fn remove(&mut self, vm: &str) {
+        self.clear_residents(vm);
+        self.views.remove(vm);
+    }
+
+    /// Adopts a load report of a server.
+    pub fn apply(&mut self, vm: &Arc<str>, report: &LoadReport, now_ms: TimeMs) {
+        if report.full || report.cold {
+            self.clear_residents(vm);
+        }
+        self.entry(vm).apply(report, now_ms);
+        for adapter in &report.evicted {
+            self.remove_resident(vm, &adapter.into());
+        }
+        for adapter in &report.resident {
+            self.insert_resident(vm, &adapter.into());
+        }
+    }
+}
+
+/// What a placement decides from.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation<'a> {
+    /// The servers of the slice.
+    pub servers: &'a Servers,
+    /// Servers that have refused this request.
+    pub excluded: &'a [Arc<str>],
+    /// Weights of the deployment.
+    pub deployment: &'a Deployment,
+    /// Time until this entry may order another load, in milliseconds.
+    pub budget_wait_ms: u64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The server holds the adapter or is loading it.
+    Resident(Arc<str>),
+    /// The server has to load the adapter.
+    Load(Arc<str>),
+}
+
+/// A placement policy.
+pub trait Placement {
+    /// Chooses a server for a request, or nothing if no server can take it.
+    fn choose(
+        &mut self,
+        now_ms: TimeMs,
+        adapter: &AdapterRef,
+        situation: Situation<'_>,
+    ) -> Option<Choice>;
+}
+
+/// The placement policy of the product.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    settings: RouterSettings,
+}
+
+impl Router {
+    /// Creates a router.
+    #[must_use]
+    pub const fn new(settings: RouterSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Returns the servers that may be given a new copy, best first.
+    fn candidates(&self, adapter: &AdapterRef, situation: &Situation<'_>) -> Vec<(Arc<str>, f64)> {
+        let model = adapter.model();
+        let mut ranked: Vec<(u64, &Arc<str>, &ServerView)> = situation
+            .servers
+            .iter()
+            .filter(|(vm, view)| is_usable(vm, view, situation) && view.pinned < view.slots)
+            .map(|(vm, view)| (rendezvous::score(&model, vm), vm, view))
+            .collect();
+        let spread = self.settings.spread.min(ranked.len());
+        if spread > 0 && spread < ranked.len() {
+            ranked.select_nth_unstable_by(spread - 1, |a, b| b.0.cmp(&a.0));
+        }
+        ranked.truncate(spread);
+        ranked
+            .into_iter()
+            .map(|(_, vm, view)| (Arc::clone(vm), view.expected_wait_ms(&self.settings)))
+            .collect()
+    }
+}
+
+fn is_usable(vm: &Arc<str>, view: &ServerView, situation: &Situation<'_>) -> bool {
+    view.is_live && view.slots > 0 && !situation.excluded.contains(vm)
+}
+
+fn least<I>(options: I) -> Option<(Arc<str>, f64)>
+where
+    I: IntoIterator<Item = (Arc<str>, f64)>,
+{
+    options.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
+impl Placement for Router {
+    fn choose(
+        &mut self,
+        _now_ms: TimeMs,
+        adapter: &AdapterRef,
+        situation: Situation<'_>,
+    ) -> Option<Choice> {
+        let resident = least(
+            situation
+                .servers
+                .holders(adapter)
+                .iter()
+                .filter_map(|vm| Some((vm, situation.servers.get(vm)?)))
+                .filter(|(vm, view)| is_usable(vm, view, &situation))
+                .map(|(vm, view)| (Arc::clone(vm), view.expected_wait_ms(&self.settings))),
+        );
+        if let Some((vm, wait_ms)) = &resident
+            && *wait_ms <= self.settings.load_ms
+        {
+            return Some(Choice::Resident(Arc::clone(vm)));
+        }
+        let load = least(self.candidates(adapter, &situation));
+        match (resident, load) {
+            (Some((vm, wait_ms)), Some((other, other_wait_ms))) => {
+                let load_cost_ms =
+                    other_wait_ms + self.settings.load_ms + situation.budget_wait_ms as f64;
+                if wait_ms <= load_cost_ms {
+                    Some(Choice::Resident(vm))
+                } else {
+                    Some(Choice::Load(other))
+                }
+            }
+            (Some((vm, _)), None) => Some(Choice::Resident(vm)),
+            (None, Some((vm, _))) => Some(Choice::Load(vm)),
+            (None, None) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/table/mod.rs
@@ -0,0 +1,112 @@
+//! The operators' table: CSV pages, checked whole and adopted whole.
+//!
+//! ```
+//! use magnoliasail_core::table::{Pages, Table};
+//!
+//! let mut pages = Pages::default();
+//! pages.insert("adapters", "adapter,version,digest,current\nbreeds,v1,d1,yes\n");
+//! pages.insert("populations", "population,key_sha256,share,priority,max_in_flight,rate_per_s\n");
+//! let table = Table::parse(1, &pages).unwrap();
+//! assert_eq!(table.resolve("breeds").unwrap().model(), "breeds@v1");
+//! ```
+
+mod adapter_row;
+mod adoption;
+mod deployment;
+mod pages;
+mod parse;
+mod population_row;
+mod problem;
+mod roster;
+mod service_row;
+mod spread;
+
+pub use self::{
+    adapter_row::AdapterRow,
+    adoption::{Adoption, AdoptionError, Offer},
+    deployment::Deployment,
+    pages::Pages,
+    population_row::PopulationRow,
+    problem::{Problem, Problems},
+    roster::{Roster, RosterRow},
+    service_row::ServiceRow,
+};
+
+use {
+    crate::AdapterRef,
+    sha2::{Digest, Sha256},
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// One version of the operators' table.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// Version that the platform gave to the table.
+    pub version: u64,
+    /// Adapters and versions.
+    pub adapters: Vec<AdapterRow>,
+    /// Caller populations.
+    pub populations: Vec<PopulationRow>,
+    /// Calls of plain services.
+    pub services: Vec<ServiceRow>,
+    /// Slots of plain services.
+    pub roster: Roster,
+    /// Weights and limits of the deployment.
+    pub deployment: Deployment,
+    by_model: HashMap<Arc<str>, usize>,
+    by_key: HashMap<[u8; 32], usize>,
+}
+
+impl Table {
+    /// Parses and checks all pages.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem found, with page, row, column and remedy.
+    pub fn parse(version: u64, pages: &Pages) -> Result<Self, Problems> {
+        parse::parse(version, pages)
+    }
+
+    /// Resolves `adapter` or `adapter@version` to an exact adapter.
+    #[must_use]
+    pub fn resolve(&self, model: &str) -> Option<AdapterRef> {
+        let row = &self.adapters[*self.by_model.get(model)?];
+        row.enabled.then(|| row.adapter.clone())
+    }
+
+    /// Returns the hash under which a bearer key is published.
+    #[must_use]
+    pub fn key_hash(key: &str) -> [u8; 32] {
+        Sha256::digest(key.as_bytes()).into()
+    }
+
+    /// Returns the index of the population that a bearer key belongs to.
+    #[must_use]
+    pub fn population(&self, key: &str) -> Option<usize> {
+        self.by_key.get(&Self::key_hash(key)).copied()
+    }
+
+    /// Returns the row for a call of a service: the longest matching prefix of its path.
+    #[must_use]
+    pub fn service(&self, service: &str, method: &str, path: &str) -> Option<&ServiceRow> {
+        self.services
+            .iter()
+            .filter(|row| row.matches(service, method, path))
+            .max_by_key(|row| row.path_prefix.len())
+    }
+
+    fn index(&mut self) {
+        for (index, row) in self.adapters.iter().enumerate() {
+            self.by_model.insert(row.adapter.model().into(), index);
+            if row.is_current {
+                self.by_model.insert(Arc::clone(&row.adapter.name), index);
+            }
+        }
+        for (index, row) in self.populations.iter().enumerate() {
+            self.by_key.insert(row.key_sha256, index);
+            if let Some(hash) = row.next_key_sha256 {
+                self.by_key.insert(hash, index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/table/parse.rs
@@ -0,0 +1,493 @@
+//! Parsing and checking of the pages.
+
+use {
+    super::{
+        AdapterRow, Deployment, Pages, PopulationRow, Problem, Problems, Roster, RosterRow,
+        ServiceRow, Table,
+    },
+    crate::AdapterRef,
+    csv::{ReaderBuilder, StringRecord, Trim},
+    std::{
+        collections::HashMap,
+        fmt::{self, Display, Formatter},
+        str::FromStr,
+        sync::Arc,
+    },
+};
+
+const MAX_PAGE_BYTES: usize = 1 << 20;
+const MAX_PRIORITY: u32 = 9;
+const DEFAULT_LEASE_MS: u64 = 90_000;
+const DEFAULT_OPAQUE_HORIZON_MS: u64 = 600_000;
+
+/// Parses and checks all pages, and collects every problem.
+pub(super) fn parse(version: u64, pages: &Pages) -> Result<Table, Problems> {
+    let mut problems = Vec::new();
+    check_names(pages, &mut problems);
+    let mut table = Table {
+        version,
+        adapters: adapters(pages, &mut problems),
+        populations: populations(pages, &mut problems),
+        services: services(pages, &mut problems),
+        roster: roster(pages, &mut problems),
+        deployment: deployment(pages, &mut problems),
+        ..Table::default()
+    };
+    check_roster(&table, &mut problems);
+    if !problems.is_empty() {
+        return Err(Problems { problems });
+    }
+    table.index();
+    Ok(table)
+}
+
+/// Where a row stands.
+#[derive(Clone, Debug)]
+struct Place {
+    page: Arc<str>,
+    row: u64,
+}
+
+impl Display for Place {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "row {} of {}.csv", self.row, self.page)
+    }
+}
+
+/// All pages of one kind while they are being read.
+struct Page<'a> {
+    kind: &'static str,
+    columns: HashMap<String, usize>,
+    records: Vec<(Place, StringRecord)>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Page<'a> {
+    fn open(
+        pages: &Pages,
+        kind: &'static str,
+        required: &[&str],
+        optional: &[&str],
+        problems: &'a mut Vec<Problem>,
+    ) -> Self {
+        let mut page = Self {
+            kind,
+            columns: HashMap::new(),
+            records: Vec::new(),
+            problems,
+        };
+        for (name, csv) in pages.of_kind(kind) {
+            page.read(name, csv, required, optional);
+        }
+        page
+    }
+
+    fn read(&mut self, name: &Arc<str>, csv: &str, required: &[&str], optional: &[&str]) {
+        let place = |row| Place {
+            page: Arc::clone(name),
+            row,
+        };
+        if csv.len() > MAX_PAGE_BYTES {
+            let message = format!(
+                "the page exceeds a megabyte; split it into {}-1, {}-2 and so on",
+                self.kind, self.kind
+            );
+            self.report(&place(0), "", &message);
+            return;
+        }
+        let mut reader = ReaderBuilder::new()
+            .trim(Trim::All)
+            .from_reader(csv.as_bytes());
+        let header = match reader.headers() {
+            Ok(header) => header.clone(),
+            Err(error) => {
+                self.report(
+                    &place(1),
+                    "",
+                    &format!("the header cannot be read: {error}"),
+                );
+                return;
+            }
+        };
+        for (index, column) in header.iter().enumerate() {
+            if !required.contains(&column) && !optional.contains(&column) {
+                let known = [required, optional].concat().join(", ");
+                self.report(
+                    &place(1),
+                    column,
+                    &format!("unknown column; the columns are {known}"),
+                );
+            }
+            self.columns.insert(column.to_owned(), index);
+        }
+        for column in required {
+            if !self.columns.contains_key(*column) {
+                self.report(
+                    &place(1),
+                    column,
+                    "the column is missing; add it to the header",
+                );
+            }
+        }
+        for record in reader.records() {
+            match record {
+                Ok(record) => {
+                    let row = record.position().map_or(0, csv::Position::line);
+                    self.records.push((place(row), record));
+                }
+                Err(error) => {
+                    let row = error.position().map_or(0, csv::Position::line);
+                    let message = format!("the row cannot be read: {error}");
+                    self.report(&place(row), "", &message);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, place: &Place, column: &str, message: &str) {
+        self.problems.push(Problem {
+            page: place.page.to_string(),
+            row: place.row,
+            column: column.to_owned(),
+            message: message.to_owned(),
+        });
+    }
+
+    fn rows(&mut self) -> Vec<(Place, StringRecord)> {
+        std::mem::take(&mut self.records)
+    }
+
+    fn cell<'r>(&self, record: &'r StringRecord, column: &str) -> &'r str {
+        self.columns
+            .get(column)
+            .and_then(|&index| record.get(index))
+            .unwrap_or("")
+    }
+
+    fn name(&mut self, place: &Place, record: &StringRecord, column: &str) -> Arc<str> {
+        let cell = self.cell(record, column);
+        let is_valid = !cell.is_empty()
+            && cell
+                .bytes()
+                .all(|byte| byte.is_ascii_alphanumeric() || b"-_.:/".contains(&byte));
+        if !is_valid {
+            self.report(
+                place,
+                column,
+                "a name is needed, of letters, digits and -_.:/ only",
+            );
+        }
+        cell.into()
+    }
+
+    fn flag(&mut self, place: &Place, record: &StringRecord, column: &str, default: bool) -> bool {
+        match self.cell(record, column) {
+            "yes" => true,
+            "no" => false,
+            "" => default,
+            other => {
+                let message = format!("`{other}` is neither yes nor no");
+                self.report(place, column, &message);
+                default
+            }
+        }
+    }
+
+    fn number<T>(
+        &mut self,
+        place: &Place,
+        record: &StringRecord,
+        column: &str,
+        default: Option<T>,
+        (min, max): (T, T),
+    ) -> T
+    where
+        T: FromStr + PartialOrd + Copy + Display,
+    {
+        let cell = self.cell(record, column);
+        if cell.is_empty()
+            && let Some(default) = default
+        {
+            return default;
+        }
+        match cell.parse::<T>() {
+            Ok(value) if value >= min && value <= max => value,
+            _ => {
+                let message = format!("`{cell}` is not a number from {min} to {max}");
+                self.report(place, column, &message);
+                min
+            }
+        }
+    }
+
+    fn key_hash(
+        &mut self,
+        place: &Place,
+        record: &StringRecord,
+        column: &str,
+        is_required: bool,
+    ) -> Option<[u8; 32]> {
+        let cell = self.cell(record, column);
+        if cell.is_empty() && !is_required {
+            return None;
+        }
+        let hash = decode_hex(cell);
+        if hash.is_none() {
+            self.report(
+                place,
+                column,
+                "a SHA-256 of 64 hexadecimal digits is needed; publish hashes, never keys",
+            );
+        }
+        hash
+    }
+}
+
+fn decode_hex(text: &str) -> Option<[u8; 32]> {
+    let mut hash = [0; 32];
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    for (index, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(hash)
+}
+
+fn check_names(pages: &Pages, problems: &mut Vec<Problem>) {
+    for (name, _) in pages.iter() {
+        if !Pages::KINDS.contains(&Pages::kind(name)) {
+            problems.push(Problem {
+                page: name.to_string(),
+                row: 0,
+                column: String::new(),
+                message: format!("unknown page; the pages are {}", Pages::KINDS.join(", ")),
+            });
+        }
+    }
+    for name in ["adapters", "populations"] {
+        if pages.of_kind(name).next().is_none() {
+            problems.push(Problem {
+                page: name.to_owned(),
+                row: 0,
+                column: String::new(),
+                message: "the page is missing; publish it, if only its header".to_owned(),
+            });
+        }
+    }
+}
+
+fn adapters(pages: &Pages, problems: &mut Vec<Problem>) -> Vec<AdapterRow> {
+    let mut page = Page::open(
+        pages,
+        "adapters",
+        &["adapter", "version", "digest", "current"],
+        &["enabled"],
+        problems,
+    );
+    let mut rows = Vec::new();
+    let mut models = HashMap::new();
+    let mut current = HashMap::new();
+    for (place, record) in page.rows() {
+        let adapter = AdapterRef {
+            name: page.name(&place, &record, "adapter"),
+            version: page.name(&place, &record, "version"),
+            digest: page.name(&place, &record, "digest"),
+        };
+        let is_current = page.flag(&place, &record, "current", false);
+        if let Some(first) = models.insert(adapter.model(), place.clone()) {
+            let message = format!("{first} has the same adapter and version; remove one");
+            page.report(&place, "version", &message);
+        }
+        if is_current && let Some(first) = current.insert(Arc::clone(&adapter.name), place.clone())
+        {
+            let message = format!("{first} is current for this adapter too; choose one");
+            page.report(&place, "current", &message);
+        }
+        rows.push(AdapterRow {
+            adapter,
+            is_current,
+            enabled: page.flag(&place, &record, "enabled", true),
+        });
+    }
+    rows
+}
+
+fn populations(pages: &Pages, problems: &mut Vec<Problem>) -> Vec<PopulationRow> {
+    let mut page = Page::open(
+        pages,
+        "populations",
+        &[
+            "population",
+            "key_sha256",
+            "share",
+            "priority",
+            "max_in_flight",
+            "rate_per_s",
+        ],
+        &["next_key_sha256"],
+        problems,
+    );
+    let mut rows = Vec::new();
+    let mut names = HashMap::new();
+    let mut keys = HashMap::new();
+    for (place, record) in page.rows() {
+        let name = page.name(&place, &record, "population");
+        if let Some(first) = names.insert(Arc::clone(&name), place.clone()) {
+            let message = format!("{first} has the same population; remove one");
+            page.report(&place, "population", &message);
+        }
+        let key_sha256 = page
+            .key_hash(&place, &record, "key_sha256", true)
+            .unwrap_or_default();
+        let next_key_sha256 = page.key_hash(&place, &record, "next_key_sha256", false);
+        for hash in [Some(key_sha256), next_key_sha256].into_iter().flatten() {
+            if let Some(first) = keys.insert(hash, place.clone()) {
+                let message = format!("{first} has the same key; give each its own");
+                page.report(&place, "key_sha256", &message);
+            }
+        }
+        rows.push(PopulationRow {
+            name,
+            key_sha256,
+            next_key_sha256,
+            share: page.number(&place, &record, "share", None, (1, 1_000_000)),
+            priority: page.number(&place, &record, "priority", None, (0, MAX_PRIORITY)),
+            max_in_flight: page.number(&place, &record, "max_in_flight", None, (1, 1_000_000)),
+            rate_per_s: page.number(&place, &record, "rate_per_s", None, (0.001, 1e9)),
+        });
+    }
+    rows
+}
+
+fn services(pages: &Pages, problems: &mut Vec<Problem>) -> Vec<ServiceRow> {
+    let mut page = Page::open(
+        pages,
+        "services",
+        &["service", "method", "path_prefix", "repeatable"],
+        &[],
+        problems,
+    );
+    let mut rows = Vec::new();
+    let mut calls = HashMap::new();
+    for (place, record) in page.rows() {
+        let service = page.name(&place, &record, "service");
+        let method: Arc<str> = page.cell(&record, "method").into();
+        let path_prefix: Arc<str> = page.cell(&record, "path_prefix").into();
+        if method.is_empty() {
+            page.report(&place, "method", "an HTTP method is needed, or * for any");
+        }
+        if !path_prefix.starts_with('/') {
+            page.report(&place, "path_prefix", "a path is needed that starts with /");
+        }
+        let call = (
+            Arc::clone(&service),
+            Arc::clone(&method),
+            Arc::clone(&path_prefix),
+        );
+        if let Some(first) = calls.insert(call, place.clone()) {
+            let message = format!("{first} is for the same call; remove one");
+            page.report(&place, "path_prefix", &message);
+        }
+        rows.push(ServiceRow {
+            service,
+            method,
+            path_prefix,
+            repeatable: page.flag(&place, &record, "repeatable", false),
+        });
+    }
+    rows
+}
+
+fn roster(pages: &Pages, problems: &mut Vec<Problem>) -> Roster {
+    let mut page = Page::open(
+        pages,
+        "roster",
+        &["service", "slot"],
+        &["lease_ms", "opaque_horizon_ms"],
+        problems,
+    );
+    let mut rows = Vec::new();
+    let mut slots = HashMap::new();
+    for (place, record) in page.rows() {
+        let service = page.name(&place, &record, "service");
+        let slot = page.name(&place, &record, "slot");
+        if let Some(first) = slots.insert((Arc::clone(&service), Arc::clone(&slot)), place.clone())
+        {
+            let message = format!("{first} has the same slot; remove one");
+            page.report(&place, "slot", &message);
+        }
+        rows.push(RosterRow {
+            service,
+            slot,
+            lease_ms: page.number(
+                &place,
+                &record,
+                "lease_ms",
+                Some(DEFAULT_LEASE_MS),
+                (1_000, 3_600_000),
+            ),
+            opaque_horizon_ms: page.number(
+                &place,
+                &record,
+                "opaque_horizon_ms",
+                Some(DEFAULT_OPAQUE_HORIZON_MS),
+                (1_000, 604_800_000),
+            ),
+        });
+    }
+    Roster { rows }
+}
+
+fn check_roster(table: &Table, problems: &mut Vec<Problem>) {
+    for service in table.services.iter().filter(|row| !row.repeatable) {
+        let has_slot = |row: &RosterRow| row.service == service.service;
+        if !table.roster.rows.iter().any(has_slot) {
+            problems.push(Problem {
+                page: "roster".to_owned(),
+                row: 0,
+                column: "service".to_owned(),
+                message: format!(
+                    "service `{}` has calls that may not be repeated but no slot; add its slots",
+                    service.service
+                ),
+            });
+        }
+    }
+}
+
+fn deployment(pages: &Pages, problems: &mut Vec<Problem>) -> Deployment {
+    let mut page = Page::open(pages, "deployment", &["key", "value"], &[], problems);
+    let mut deployment = Deployment::default();
+    let mut keys = HashMap::new();
+    for (place, record) in page.rows() {
+        let key = page.cell(&record, "key").to_owned();
+        if let Some(first) = keys.insert(key.clone(), place.clone()) {
+            let message = format!("{first} has the same key; remove one");
+            page.report(&place, "key", &message);
+        }
+        let weight = (0.0, 1_000.0);
+        match key.as_str() {
+            "stall_weight" => {
+                deployment.stall_weight = page.number(&place, &record, "value", None, weight);
+            }
+            "batch_weight" => {
+                deployment.batch_weight = page.number(&place, &record, "value", None, weight);
+            }
+            "loads_per_s" => {
+                deployment.loads_per_s = page.number(&place, &record, "value", None, (0.01, 1e6));
+            }
+            "load_concurrency" => {
+                deployment.load_concurrency =
+                    page.number(&place, &record, "value", None, (1, 1_000_000));
+            }
+            other => {
+                let message = format!(
+                    "`{other}` is unknown; the keys are stall_weight, batch_weight, loads_per_s, load_concurrency"
+                );
+                page.report(&place, "key", &message);
+            }
+        }
+    }
+    deployment
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/token_bucket.rs
@@ -0,0 +1,63 @@
+//! A token bucket under a supplied clock.
+
+use crate::TimeMs;
+
+/// Tokens that accrue at a rate up to a burst.
+#[derive(Clone, Debug)]
+pub struct TokenBucket {
+    rate_per_s: f64,
+    burst: f64,
+    tokens: f64,
+    updated_ms: TimeMs,
+}
+
+impl TokenBucket {
+    /// Creates a full bucket.
+    #[must_use]
+    pub const fn new(rate_per_s: f64, burst: f64, now_ms: TimeMs) -> Self {
+        Self {
+            rate_per_s,
+            burst,
+            tokens: burst,
+            updated_ms: now_ms,
+        }
+    }
+
+    /// Changes the rate and keeps the tokens.
+    pub fn set_rate(&mut self, rate_per_s: f64, burst: f64, now_ms: TimeMs) {
+        self.refill(now_ms);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Takes one token if there is one.
+    pub fn take(&mut self, now_ms: TimeMs) -> bool {
+        self.refill(now_ms);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Returns the milliseconds until the next token.
+    #[must_use]
+    pub fn wait_ms(&self, now_ms: TimeMs) -> u64 {
+        let tokens = self.tokens_at(now_ms);
+        if tokens >= 1.0 || self.rate_per_s <= 0.0 {
+            return 0;
+        }
+        ((1.0 - tokens) / self.rate_per_s * 1_000.0).ceil() as u64
+    }
+
+    fn refill(&mut self, now_ms: TimeMs) {
+        self.tokens = self.tokens_at(now_ms);
+        self.updated_ms = self.updated_ms.max(now_ms);
+    }
+
+    fn tokens_at(&self, now_ms: TimeMs) -> f64 {
+        let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
+        (self.tokens + self.rate_per_s * elapsed_ms as f64 / 1_000.0).min(self.burst)
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/magnoliasail-standin/src/config.rs
@@ -0,0 +1,233 @@
+//! The platform's configuration service: pages that can only be read and watched.
+//!
+//! `GET /v1/index?after=N&wait_ms=M` answers at once if the version is newer than `N` and else
+//! waits; `GET /v1/pages/NAME` reads a page. `POST /admin/publish` stands for the operators.
+
+use {
+    crate::{Body, FaultSwitch, Faults, Server, json, now_ms},
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode},
+    serde::Deserialize,
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::watch, time::timeout},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// A page that is published from the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PageSettings {
+    /// Name of the page.
+    pub name: String,
+    /// File that holds the page; used if `csv` is empty.
+    pub file: String,
+    /// The page itself.
+    pub csv: String,
+}
+
+/// Settings of a [`ConfigStandin`].
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConfigSettings {
+    /// Address to listen on.
+    pub listen: String,
+    /// Pages that are published from the start.
+    pub pages: Vec<PageSettings>,
+    /// Time that has passed since the first publication, in milliseconds.
+    pub published_ago_ms: u64,
+    /// Faults from the start.
+    pub faults: Faults,
+}
+
+impl Default for ConfigSettings {
+    fn default() -> Self {
+        Self {
+            listen: "127.0.0.1:0".to_owned(),
+            pages: Vec::new(),
+            published_ago_ms: 3_600_000,
+            faults: Faults::default(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Page {
+    csv: String,
+    published_ms: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct State {
+    version: u64,
+    pages: BTreeMap<String, Page>,
+    frozen_ms: Option<u64>,
+}
+
+/// A configuration service.
+#[derive(Debug)]
+pub struct ConfigStandin {
+    faults: FaultSwitch,
+    current: Mutex<State>,
+    stale: Mutex<Option<State>>,
+    version: watch::Sender<u64>,
+    calls: AtomicU64,
+}
+
+impl ConfigStandin {
+    /// Creates a service.
+    #[must_use]
+    pub fn new(settings: ConfigSettings) -> Self {
+        let published_ms = now_ms().saturating_sub(settings.published_ago_ms);
+        let page = |page: PageSettings| {
+            let csv = if page.csv.is_empty() {
+                std::fs::read_to_string(&page.file).unwrap_or_default()
+            } else {
+                page.csv
+            };
+            (page.name, Page { csv, published_ms })
+        };
+        let pages: BTreeMap<String, Page> = settings.pages.into_iter().map(page).collect();
+        let version = u64::from(!pages.is_empty());
+        let state = State {
+            version,
+            pages,
+            frozen_ms: None,
+        };
+        Self {
+            faults: FaultSwitch::new(settings.faults),
+            current: Mutex::new(state),
+            stale: Mutex::new(None),
+            version: watch::Sender::new(version),
+            calls: AtomicU64::new(0),
+        }
+    }
+
+    /// Publishes pages over those that are there; an empty page is removed.
+    pub fn publish(&self, pages: BTreeMap<String, String>) -> u64 {
+        let mut state = lock(&self.current);
+        state.version += 1;
+        for (name, csv) in pages {
+            if csv.is_empty() {
+                state.pages.remove(&name);
+                continue;
+            }
+            let is_same = state.pages.get(&name).is_some_and(|page| page.csv == csv);
+            if !is_same {
+                let published_ms = now_ms();
+                state.pages.insert(name, Page { csv, published_ms });
+            }
+        }
+        self.version.send_replace(state.version);
+        state.version
+    }
+
+    /// Returns the state that readers see: the current one, or the one of when staleness began.
+    fn visible(&self) -> State {
+        let mut stale = lock(&self.stale);
+        if !self.faults.get().stale {
+            *stale = None;
+            return lock(&self.current).clone();
+        }
+        stale
+            .get_or_insert_with(|| State {
+                frozen_ms: Some(now_ms()),
+                ..lock(&self.current).clone()
+            })
+            .clone()
+    }
+
+    async fn index(&self, query: &str) -> Response<Body> {
+        let after = parameter(query, "after");
+        let wait_ms = parameter(query, "wait_ms");
+        let mut version = self.version.subscribe();
+        if wait_ms > 0 {
+            let newer = version.wait_for(|&version| version > after);
+            let _ = timeout(Duration::from_millis(wait_ms), newer).await;
+        }
+        let state = self.visible();
+        let pages: Vec<Value> = state
+            .pages
+            .iter()
+            .map(|(name, page)| {
+                json!({
+                    "name": name,
+                    "digest": xxh3_64(page.csv.as_bytes()),
+                    "published_ms": page.published_ms,
+                })
+            })
+            .collect();
+        let index = json!({
+            "version": state.version,
+            "as_of_ms": state.frozen_ms.unwrap_or_else(now_ms),
+            "pages": pages,
+        });
+        json(StatusCode::OK, &index)
+    }
+
+    fn page(&self, name: &str) -> Response<Body> {
+        match self.visible().pages.get(name) {
+            Some(page) => json(StatusCode::OK, &json!({ "csv": page.csv })),
+            None => json(StatusCode::NOT_FOUND, &"no such page"),
+        }
+    }
+
+    fn admin_publish(&self, body: &[u8]) -> Response<Body> {
+        match serde_json::from_slice(body) {
+            Ok(pages) => json(StatusCode::OK, &json!({ "version": self.publish(pages) })),
+            Err(error) => json(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn parameter(query: &str, name: &str) -> u64 {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0)
+}
+
+impl Server for ConfigStandin {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    async fn call(
+        self: Arc<Self>,
+        _method: String,
+        path: String,
+        request: Request<Bytes>,
+    ) -> Response<Body> {
+        match path.as_str() {
+            "/admin/publish" => return self.admin_publish(request.body()),
+            "/admin/calls" => {
+                let calls = self.calls.load(Ordering::SeqCst);
+                return json(StatusCode::OK, &json!({ "calls": calls }));
+            }
+            _ => {}
+        }
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.faults.get().refuse {
+            return json(StatusCode::SERVICE_UNAVAILABLE, &"down");
+        }
+        let (path, query) = path.split_once('?').unwrap_or((&path, ""));
+        match path.strip_prefix("/v1/pages/") {
+            Some(name) => self.page(name),
+            None if path == "/v1/index" => self.index(query).await,
+            None => json(StatusCode::NOT_FOUND, &"no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-standin/src/lib.rs
@@ -0,0 +1,37 @@
+//! Small fakes of the outside systems that magnoliasail meets.
+//!
+//! Each speaks its system's published protocol over HTTP on loopback and can be told to fail
+//! through `POST /admin/faults`. They hold no code of the product.
+//!
+//! ```
+//! use magnoliasail_standin::Faults;
+//!
+//! let faults: Faults = serde_json::from_str(r#"{"delay_ms": 20, "refuse": true}"#).unwrap();
+//! assert!(faults.refuse);
+//! ```
+
+mod config;
+mod engine;
+mod faults;
+mod http;
+mod service;
+mod vms;
+mod weights;
+
+pub use self::{
+    config::{ConfigSettings, ConfigStandin, PageSettings},
+    engine::{EngineSettings, EngineStandin},
+    faults::{FaultSwitch, Faults},
+    http::{Body, Server, bind, json, serve},
+    service::{ServiceSettings, ServiceStandin},
+    vms::{VmsSettings, VmsStandin},
+    weights::{WeightsSettings, WeightsStandin},
+};
+
+/// Returns the time since the epoch, in milliseconds.
+#[must_use]
+pub fn now_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/magnoliasail-standin/src/service.rs
@@ -0,0 +1,163 @@
+//! A plain service whose calls have effects that can be counted.
+
+use {
+    crate::{Body, FaultSwitch, Faults, Server, json, now_ms},
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode},
+    serde::Deserialize,
+    serde_json::json,
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::watch, time::sleep},
+};
+
+/// Settings of a [`ServiceStandin`].
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceSettings {
+    /// Address to listen on.
+    pub listen: String,
+    /// Time of one call, in milliseconds.
+    pub service_ms: u64,
+    /// Faults from the start.
+    pub faults: Faults,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            listen: "127.0.0.1:0".to_owned(),
+            service_ms: 5,
+            faults: Faults::default(),
+        }
+    }
+}
+
+/// A plain service.
+#[derive(Debug)]
+pub struct ServiceStandin {
+    settings: ServiceSettings,
+    faults: FaultSwitch,
+    runs: Mutex<BTreeMap<String, u64>>,
+    highest_fencing: AtomicU64,
+    epoch: watch::Sender<u64>,
+    down_until_ms: AtomicU64,
+}
+
+impl ServiceStandin {
+    /// Creates a service.
+    #[must_use]
+    pub fn new(settings: ServiceSettings) -> Self {
+        Self {
+            faults: FaultSwitch::new(settings.faults.clone()),
+            runs: Mutex::new(BTreeMap::new()),
+            highest_fencing: AtomicU64::new(0),
+            epoch: watch::Sender::new(now_ms()),
+            down_until_ms: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Returns how often each idempotency key has run.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn count(&self, key: &str) -> u64 {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = runs.entry(key.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+
+    fn is_fenced(&self, request: &Request<Bytes>) -> bool {
+        let Some(fencing) = header(request, "x-fencing-token").parse::<u64>().ok() else {
+            return false;
+        };
+        let highest = self.highest_fencing.fetch_max(fencing, Ordering::SeqCst);
+        self.faults.get().check_fencing && fencing < highest
+    }
+
+    fn crash(&self, restart_ms: u64) {
+        self.down_until_ms
+            .store(now_ms() + restart_ms, Ordering::SeqCst);
+        self.epoch.send_modify(|epoch| *epoch += 1);
+    }
+}
+
+fn header<'r>(request: &'r Request<Bytes>, name: &str) -> &'r str {
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+}
+
+fn contains(body: &[u8], marker: &str) -> bool {
+    !marker.is_empty()
+        && body
+            .windows(marker.len())
+            .any(|part| part == marker.as_bytes())
+}
+
+impl Server for ServiceStandin {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    fn is_down(&self) -> bool {
+        now_ms() < self.down_until_ms.load(Ordering::SeqCst)
+    }
+
+    async fn cut(&self) {
+        let _ = self.epoch.subscribe().changed().await;
+    }
+
+    async fn call(
+        self: Arc<Self>,
+        method: String,
+        path: String,
+        request: Request<Bytes>,
+    ) -> Response<Body> {
+        match path.as_str() {
+            "/health" => {
+                let epoch = *self.epoch.borrow();
+                return json(StatusCode::OK, &json!({ "epoch": epoch }));
+            }
+            "/admin/runs" => return json(StatusCode::OK, &self.runs()),
+            _ => {}
+        }
+        let faults = self.faults.get();
+        if faults.refuse {
+            return json(StatusCode::SERVICE_UNAVAILABLE, &"down");
+        }
+        if self.is_fenced(&request) {
+            return json(StatusCode::CONFLICT, &"fenced");
+        }
+        let key = header(&request, "idempotency-key").to_owned();
+        let run = self.count(&key);
+        if contains(request.body(), &faults.crash_marker) {
+            self.crash(faults.restart_ms);
+            std::future::pending::<()>().await;
+        }
+        sleep(Duration::from_millis(self.settings.service_ms)).await;
+        let answer = json!({
+            "method": method,
+            "path": path,
+            "key": key,
+            "run": run,
+            "bytes": request.body().len(),
+        });
+        json(StatusCode::OK, &answer)
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-standin/src/vms.rs
@@ -0,0 +1,122 @@
+//! The platform's lagging list of VMs.
+
+use {
+    crate::{Body, FaultSwitch, Faults, Server, json, now_ms},
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode},
+    serde::Deserialize,
+    serde_json::{Value, json},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+const MAX_HISTORY: usize = 256;
+
+/// Settings of a [`VmsStandin`].
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct VmsSettings {
+    /// Address to listen on.
+    pub listen: String,
+    /// The VMs, as the list gives them.
+    pub vms: Vec<Value>,
+    /// Faults from the start.
+    pub faults: Faults,
+}
+
+impl Default for VmsSettings {
+    fn default() -> Self {
+        Self {
+            listen: "127.0.0.1:0".to_owned(),
+            vms: Vec::new(),
+            faults: Faults::default(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Version {
+    since_ms: u64,
+    vms: Vec<Value>,
+}
+
+/// A list of VMs that is set by `POST /admin/vms` and read by `GET /v1/vms`.
+#[derive(Debug)]
+pub struct VmsStandin {
+    faults: FaultSwitch,
+    history: Mutex<VecDeque<Version>>,
+}
+
+impl VmsStandin {
+    /// Creates a list.
+    #[must_use]
+    pub fn new(settings: VmsSettings) -> Self {
+        let first = Version {
+            since_ms: 0,
+            vms: settings.vms,
+        };
+        Self {
+            faults: FaultSwitch::new(settings.faults),
+            history: Mutex::new(VecDeque::from([first])),
+        }
+    }
+
+    /// Replaces the list.
+    pub fn set(&self, vms: Vec<Value>) {
+        let mut history = self.lock();
+        history.push_back(Version {
+            since_ms: now_ms(),
+            vms,
+        });
+        if history.len() > MAX_HISTORY {
+            history.pop_front();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Version>> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn list(&self) -> Value {
+        let as_of_ms = now_ms().saturating_sub(self.faults.get().lag_ms);
+        let history = self.lock();
+        let version = history
+            .iter()
+            .rev()
+            .find(|version| version.since_ms <= as_of_ms)
+            .or_else(|| history.front());
+        json!({
+            "as_of_ms": as_of_ms,
+            "vms": version.map(|version| version.vms.clone()).unwrap_or_default(),
+        })
+    }
+}
+
+impl Server for VmsStandin {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    async fn call(
+        self: Arc<Self>,
+        _method: String,
+        path: String,
+        request: Request<Bytes>,
+    ) -> Response<Body> {
+        if path == "/admin/vms" {
+            return match serde_json::from_slice::<Vec<Value>>(request.body()) {
+                Ok(vms) => {
+                    self.set(vms);
+                    json(StatusCode::OK, &"set")
+                }
+                Err(error) => json(StatusCode::BAD_REQUEST, &error.to_string()),
+            };
+        }
+        if self.faults.get().refuse {
+            return json(StatusCode::SERVICE_UNAVAILABLE, &"down");
+        }
+        json(StatusCode::OK, &self.list())
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/agent/decide.rs
@@ -0,0 +1,213 @@
+//! The deciding duty: owns the core and carries its actions out.
+
+use {
+    super::{Input, links::LinkCommand, server::ServerCommand, status},
+    crate::{
+        clock::Clock,
+        entry::emit_verdict,
+        events::{EventId, emit},
+        metrics::Metrics,
+        ring::RingReader,
+        supervisor::Supervisor,
+    },
+    magnoliasail_core::{
+        Agent, AgentAction, AgentEvent, AgentSettings, PauseDetector, RefusalReason,
+    },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::{mpsc, watch as signal},
+};
+
+const TICK: Duration = Duration::from_millis(10);
+const TICK_MS: u64 = 10;
+const PAUSE_LIMIT_MS: u64 = 1_000;
+const MAX_BATCH: usize = 256;
+
+/// What the duties of an agent share.
+#[derive(Clone, Debug)]
+pub(super) struct Shared {
+    pub(super) vm: Arc<str>,
+    pub(super) data_centre: Arc<str>,
+    pub(super) core: AgentSettings,
+    pub(super) metrics: Metrics,
+    pub(super) supervisor: Supervisor,
+    pub(super) drained: signal::Sender<bool>,
+    pub(super) is_ready: Arc<AtomicBool>,
+}
+
+/// The deciding duty of an agent.
+pub(super) struct Decide {
+    shared: Shared,
+    core: Agent,
+    links: mpsc::Sender<LinkCommand>,
+    server: mpsc::Sender<ServerCommand>,
+    actions: Vec<AgentAction>,
+    clock: Clock,
+    pauses: PauseDetector,
+    ticked_ms: u64,
+}
+
+impl Decide {
+    pub(super) fn new(
+        shared: Shared,
+        links: mpsc::Sender<LinkCommand>,
+        server: mpsc::Sender<ServerCommand>,
+    ) -> Self {
+        let mut clock = Clock::default();
+        let now_ms = clock.now_ms();
+        Self {
+            core: Agent::new(shared.core.clone(), now_ms),
+            shared,
+            links,
+            server,
+            actions: Vec::new(),
+            clock,
+            pauses: PauseDetector::new(PAUSE_LIMIT_MS, now_ms),
+            ticked_ms: now_ms,
+        }
+    }
+
+    /// Runs until every writer of the ring is gone.
+    pub(super) fn run(mut self, ring: &RingReader<Input>) {
+        // Links of an earlier life of this duty belong to an earlier incarnation.
+        self.order_links(LinkCommand::CloseAll);
+        self.order_server(ServerCommand::CancelAll);
+        loop {
+            let (input, is_open) = ring.pop(TICK);
+            if !is_open {
+                return;
+            }
+            let now_ms = self.clock.now_ms();
+            self.check_pause(now_ms);
+            if let Some(input) = input {
+                self.take(now_ms, input);
+                for _ in 0..MAX_BATCH {
+                    let Some(input) = ring.try_pop() else { break };
+                    self.take(now_ms, input);
+                }
+            }
+            self.tick(now_ms);
+        }
+    }
+
+    fn check_pause(&mut self, now_ms: u64) {
+        if let Some(pause_ms) = self.pauses.observe(now_ms) {
+            emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
+            self.shared.metrics.pauses.inc();
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        if now_ms < self.ticked_ms + TICK_MS {
+            return;
+        }
+        self.ticked_ms = now_ms;
+        self.handle(now_ms, AgentEvent::Tick);
+        self.measure(now_ms);
+    }
+
+    fn take(&mut self, now_ms: u64, input: Input) {
+        match input {
+            Input::Event(event) => self.handle(now_ms, event),
+            // An operator that went away needs no answer.
+            Input::Status(sender) => {
+                let _ = sender.send(status::agent(&self.shared, &self.core, now_ms));
+            }
+        }
+    }
+
+    fn handle(&mut self, now_ms: u64, event: AgentEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle(now_ms, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Send { link, message } => {
+                self.order_links(LinkCommand::Send { link, message });
+            }
+            AgentAction::Run { run, order } => {
+                self.shared.metrics.requests.inc();
+                self.order_server(ServerCommand::Run { run, order });
+            }
+            AgentAction::CancelRun { run } => self.order_server(ServerCommand::Cancel { run }),
+            AgentAction::Load {
+                slot,
+                generation,
+                adapter,
+                evicted,
+            } => self.order_server(ServerCommand::Load {
+                slot,
+                generation,
+                adapter,
+                evicted,
+                fencing: self.core.incarnation(),
+            }),
+            AgentAction::TableAdopted { version } => {
+                self.shared.is_ready.store(true, Ordering::SeqCst);
+                emit(EventId::TableAdopted, format_args!("version={version}"));
+            }
+            AgentAction::TableRejected { message } => {
+                self.shared.metrics.tables_rejected.inc();
+                emit(EventId::TableRejected, message);
+            }
+            AgentAction::Refused { reason } => {
+                self.shared.metrics.refused(reason);
+                if reason == RefusalReason::WrongModel {
+                    let vm = &self.shared.vm;
+                    emit(EventId::WrongModel, format_args!("vm={vm}"));
+                }
+            }
+            AgentAction::Verdict {
+                fingerprint,
+                verdict,
+            } => emit_verdict(fingerprint, verdict),
+            AgentAction::Drained => {
+                self.shared.drained.send_replace(true);
+            }
+        }
+    }
+
+    fn order_links(&self, command: LinkCommand) {
+        // A message that is lost here ends its link, and the resume recovers it.
+        if let Err(error) = self.links.try_send(command) {
+            self.shared.metrics.refused(RefusalReason::RingFull);
+            emit(EventId::RingFull, format_args!("ring=links: {error}"));
+        }
+    }
+
+    fn order_server(&self, command: ServerCommand) {
+        if let Err(error) = self.server.try_send(command) {
+            self.shared.metrics.refused(RefusalReason::RingFull);
+            emit(EventId::RingFull, format_args!("ring=server: {error}"));
+        }
+    }
+
+    fn measure(&self, now_ms: u64) {
+        let metrics = &self.shared.metrics;
+        let (running, waiting) = self.core.load();
+        let slots = self.core.slots();
+        let adoption = self.core.adoption();
+        let age_ms = now_ms.saturating_sub(adoption.confirmed_ms());
+        let fill_percent = 100 * running / self.shared.core.capacity.max(1);
+        metrics.in_flight.set(running as i64);
+        metrics.waiting.set(waiting as i64);
+        metrics.batch_fill_percent.set(fill_percent as i64);
+        metrics.slots_pinned.set(slots.pinned() as i64);
+        metrics.loads_in_transit.set(slots.loading() as i64);
+        metrics.table_version.set(adoption.version() as i64);
+        metrics.table_age_ms.set(age_ms as i64);
+        metrics
+            .duty_restarts
+            .set(self.shared.supervisor.restarts() as i64);
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/entry/mod.rs
@@ -0,0 +1,312 @@
+//! The daemon of an entry: its duties and how they are joined.
+//!
+//! | duty | thread | reads | writes |
+//! |---|---|---|---|
+//! | `decide` | blocking | the ring of [`Input`]s | replies, commands to links |
+//! | `links` | runtime | commands | link events into the ring |
+//! | `watch` | runtime | the platform | tables and lists into the ring |
+//! | `callers` | runtime | HTTP | submissions into the ring |
+//! | `operator` | runtime | HTTP | questions into the ring |
+
+mod decide;
+mod links;
+mod status;
+mod watch;
+
+pub(crate) use self::decide::emit_verdict;
+
+use {
+    self::{
+        decide::{Decide, Shared},
+        links::LinkCommand,
+    },
+    crate::{
+        events::{EventId, emit},
+        http::{
+            CallerApi, CallerLimits, OperatorApi, ReplyWriter, ServeLimits, operator_router, serve,
+        },
+        metrics::Metrics,
+        ring::{RingReader, RingWriter, ring},
+        settings::EntryFile,
+        supervisor::{Supervisor, run_async},
+    },
+    magnoliasail_core::entry::{EntryEvent, Submission},
+    snafu::{ResultExt, Snafu},
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::{mpsc, oneshot, watch as signal},
+};
+
+const RING_ITEMS: usize = 65_536;
+const COMMANDS: usize = 65_536;
+
+/// Why a daemon could not start.
+#[derive(Debug, Snafu)]
+#[snafu(display("{address} cannot be listened on: {source}; choose a free address"))]
+pub(crate) struct StartError {
+    address: String,
+    source: std::io::Error,
+}
+
+/// An item for the deciding duty.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// An event for the core.
+    Event(EntryEvent),
+    /// A caller's request.
+    Submit(Submission, ReplyWriter),
+    /// An operator asks for the state.
+    Status(oneshot::Sender<String>),
+    /// An operator asks where a model's requests go.
+    Explain(String, oneshot::Sender<String>),
+}
+
+impl crate::http::CallerInput for Input {
+    fn submit(submission: Submission, reply: ReplyWriter) -> Self {
+        Self::Submit(submission, reply)
+    }
+
+    fn caller_gone(request: u64) -> Self {
+        Self::Event(EntryEvent::CallerGone { request })
+    }
+}
+
+/// A running entry.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryHandle {
+    pub(crate) address: SocketAddr,
+    pub(crate) operator_address: SocketAddr,
+    ring: RingWriter<Input>,
+    shared: Shared,
+    stop_accepting: signal::Sender<bool>,
+    callers_done: signal::Receiver<bool>,
+    drain_notice: Duration,
+}
+
+impl EntryHandle {
+    /// Tells whether the entry takes new work.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Shuts down gracefully: refuses readiness, waits for the balancer, then finishes.
+    pub(crate) async fn drain(mut self) {
+        emit(EventId::DrainStarted, format_args!("role=entry"));
+        self.shared.is_draining.store(true, Ordering::SeqCst);
+        tokio::time::sleep(self.drain_notice).await;
+        self.stop_accepting.send_replace(true);
+        let _ = self.callers_done.wait_for(|&is_done| is_done).await;
+        let _ = self.ring.push(Input::Event(EntryEvent::Drain));
+        emit(EventId::DrainFinished, format_args!("role=entry"));
+    }
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be listened on.
+pub(crate) fn start(settings: &EntryFile) -> Result<EntryHandle, StartError> {
+    let listener = listen(&settings.listen)?;
+    let operator_listener = listen(&settings.operator_listen)?;
+    let address = local(&listener, &settings.listen)?;
+    let operator_address = local(&operator_listener, &settings.operator_listen)?;
+    let supervisor = Supervisor::default();
+    let metrics = Metrics::new();
+    let (writer, reader) = ring(RING_ITEMS);
+    let (commands, command_reader) = mpsc::channel(COMMANDS);
+    let (stop_accepting, stop) = signal::channel(false);
+    let (done, callers_done) = signal::channel(false);
+    let shared = Shared::new(settings, metrics, supervisor.clone());
+    let link_reader = Arc::new(tokio::sync::Mutex::new(command_reader));
+
+    start_decide(&supervisor, &shared, &reader, &commands);
+    links::start(&supervisor, settings, &writer, link_reader);
+    watch::start(&supervisor, settings, &writer);
+    start_callers(
+        &supervisor,
+        settings,
+        &shared,
+        &writer,
+        listener,
+        stop,
+        done,
+    );
+    start_operator(&supervisor, &shared, &writer, operator_listener);
+    emit(
+        EventId::Started,
+        format_args!(
+            "role=entry vm={} address={address} operator={operator_address}",
+            settings.vm
+        ),
+    );
+    Ok(EntryHandle {
+        address,
+        operator_address,
+        ring: writer,
+        shared,
+        stop_accepting,
+        callers_done,
+        drain_notice: Duration::from_millis(settings.drain_notice_ms),
+    })
+}
+
+/// Binds a listener that a duty can take over, also after a restart.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on.
+pub(crate) fn listen(address: &str) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).context(StartSnafu { address })?;
+    listener
+        .set_nonblocking(true)
+        .context(StartSnafu { address })?;
+    Ok(listener)
+}
+
+/// Returns the address that a listener got.
+///
+/// # Errors
+///
+/// Returns an error if the system cannot tell.
+pub(crate) fn local(listener: &TcpListener, address: &str) -> Result<SocketAddr, StartError> {
+    listener.local_addr().context(StartSnafu { address })
+}
+
+/// Hands a copy of a listener to the runtime of this thread.
+///
+/// # Panics
+///
+/// Panics if the system gives no further descriptor.
+pub(crate) fn adopt_listener(listener: &TcpListener) -> tokio::net::TcpListener {
+    let copy = listener.try_clone().expect("a listener can be copied");
+    tokio::net::TcpListener::from_std(copy).expect("a runtime takes a listener")
+}
+
+fn start_decide(
+    supervisor: &Supervisor,
+    shared: &Shared,
+    reader: &RingReader<Input>,
+    commands: &mpsc::Sender<LinkCommand>,
+) {
+    let shared = shared.clone();
+    let reader = reader.clone();
+    let commands = commands.clone();
+    supervisor.start("decide", move || {
+        Decide::new(shared.clone(), commands.clone()).run(&reader);
+    });
+}
+
+fn start_callers(
+    supervisor: &Supervisor,
+    settings: &EntryFile,
+    shared: &Shared,
+    ring: &RingWriter<Input>,
+    listener: TcpListener,
+    stop: signal::Receiver<bool>,
+    done: signal::Sender<bool>,
+) {
+    let caller_limits = CallerLimits {
+        max_body_bytes: settings.max_body_bytes as usize,
+        body_timeout: Duration::from_millis(settings.body_timeout_ms),
+        deadline_ms: settings.deadline_ms,
+    };
+    let serve_limits = ServeLimits {
+        max_connections: settings.max_connections as usize,
+        head_timeout: Duration::from_millis(settings.head_timeout_ms),
+    };
+    let shared = shared.clone();
+    let ring = ring.clone();
+    supervisor.start("callers", move || {
+        let api = CallerApi::new(
+            ring.clone(),
+            Arc::clone(&shared.table),
+            caller_limits,
+            shared.metrics.clone(),
+            shared.identity,
+        );
+        let metrics = shared.metrics.clone();
+        let refused = move || metrics.refused(magnoliasail_core::RefusalReason::TooManyConnections);
+        run_async(async {
+            let listener = adopt_listener(&listener);
+            serve(listener, api.router(), serve_limits, stop.clone(), refused).await;
+        });
+        done.send_replace(true);
+    });
+}
+
+fn start_operator(
+    supervisor: &Supervisor,
+    shared: &Shared,
+    ring: &RingWriter<Input>,
+    listener: TcpListener,
+) {
+    let api = Arc::new(Operator {
+        ring: ring.clone(),
+        shared: shared.clone(),
+    });
+    let (_, forever) = signal::channel(false);
+    supervisor.start("operator", move || {
+        let router = operator_router(Arc::clone(&api));
+        run_async(async {
+            let listener = adopt_listener(&listener);
+            let limits = ServeLimits::default();
+            serve(listener, router, limits, forever.clone(), || {}).await;
+        });
+    });
+}
+
+struct Operator {
+    ring: RingWriter<Input>,
+    shared: Shared,
+}
+
+impl OperatorApi for Operator {
+    fn status(&self) -> Option<oneshot::Receiver<String>> {
+        let (sender, receiver) = oneshot::channel();
+        self.ring.push(Input::Status(sender)).ok()?;
+        Some(receiver)
+    }
+
+    fn explain(&self, model: &str) -> Option<oneshot::Receiver<String>> {
+        let (sender, receiver) = oneshot::channel();
+        self.ring
+            .push(Input::Explain(model.to_owned(), sender))
+            .ok()?;
+        Some(receiver)
+    }
+
+    fn metrics(&self) -> String {
+        self.shared.metrics.encode()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+}
+
+impl Shared {
+    fn new(settings: &EntryFile, metrics: Metrics, supervisor: Supervisor) -> Self {
+        Self {
+            vm: settings.vm.as_str().into(),
+            data_centre: settings.data_centre.as_str().into(),
+            identity: rand::random(),
+            core: settings.core(),
+            table: Arc::new(Mutex::default()),
+            is_draining: Arc::new(AtomicBool::new(false)),
+            metrics,
+            supervisor,
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.version > 0 && !self.is_draining.load(Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/entry/status.rs
@@ -0,0 +1,139 @@
+//! The state of an entry as a document for operators.
+
+use {
+    super::decide::{Shared, chosen},
+    magnoliasail_core::{Choice, Entry, Router, RouterSettings, ServerState},
+    serde_json::{Value, json},
+    std::sync::atomic::Ordering,
+};
+
+const STALE_TABLE_MS: u64 = 60_000;
+const STALE_LIST_MS: u64 = 60_000;
+
+/// Returns the state of an entry as JSON.
+pub(super) fn entry(shared: &Shared, core: &Entry<Router>, now_ms: u64) -> String {
+    let adoption = core.adoption();
+    let servers: Vec<Value> = core
+        .membership()
+        .servers()
+        .map(|vm| server(core, vm))
+        .collect();
+    let populations: Vec<Value> = core
+        .admission()
+        .iter()
+        .map(|(name, share, in_flight, waiting)| {
+            json!({
+                "population": name,
+                "share": share,
+                "in_flight": in_flight,
+                "waiting": waiting,
+            })
+        })
+        .collect();
+    let table_age_ms = now_ms.saturating_sub(adoption.confirmed_ms());
+    let list_age_ms = now_ms.saturating_sub(core.membership().list_as_of_ms());
+    let status = json!({
+        "role": "entry",
+        "vm": shared.vm,
+        "data_centre": shared.data_centre,
+        "draining": shared.is_draining.load(Ordering::SeqCst),
+        "table": {
+            "version": adoption.version(),
+            "age_ms": table_age_ms,
+            "rejected": adoption.rejected().map(ToString::to_string),
+        },
+        "list_age_ms": list_age_ms,
+        "servers": servers,
+        "populations": populations,
+        "load_budget_per_s": core.load_budget().rate_per_s(),
+        "suspects": core.suspects(),
+        "refusals": shared.metrics.refusals(),
+        "retries": shared.metrics.retries(),
+        "duty_restarts": shared.supervisor.restarts(),
+        "attention": attention(core, table_age_ms, list_age_ms),
+    });
+    status.to_string()
+}
+
+fn server(core: &Entry<Router>, vm: &magnoliasail_core::VmEntry) -> Value {
+    let state = core.membership().state(&vm.vm);
+    let view = core.servers().get(&vm.vm).cloned().unwrap_or_default();
+    json!({
+        "vm": vm.vm,
+        "role": vm.role.to_string(),
+        "service": vm.service,
+        "slot": vm.slot,
+        "data_centre": vm.data_centre,
+        "state": state.to_string(),
+        "running": view.running,
+        "queued": view.queued,
+        "capacity": view.capacity,
+        "slots": view.slots,
+        "pinned": view.pinned,
+        "loading": view.loading,
+        "residents": view.residents.len(),
+    })
+}
+
+/// Lists what an operator should look at first.
+fn attention(core: &Entry<Router>, table_age_ms: u64, list_age_ms: u64) -> Vec<String> {
+    let mut lines = Vec::new();
+    if let Some(error) = core.adoption().rejected() {
+        lines.push(format!("the table was rejected: {error}"));
+    }
+    if core.adoption().version() == 0 {
+        lines.push("no table has been adopted; check the configuration service".to_owned());
+    } else if table_age_ms > STALE_TABLE_MS {
+        lines.push(format!(
+            "the table was last confirmed {} s ago; check the configuration service",
+            table_age_ms / 1_000
+        ));
+    }
+    if list_age_ms > STALE_LIST_MS {
+        lines.push(format!(
+            "the list of VMs is {} s old; check the platform",
+            list_age_ms / 1_000
+        ));
+    }
+    for vm in core.membership().servers() {
+        if core.membership().state(&vm.vm) == ServerState::Unreachable {
+            lines.push(format!("{} is listed but has no link", vm.vm));
+        }
+    }
+    if core.suspects() > 0 {
+        lines.push(format!(
+            "{} request(s) are suspected of crashing servers",
+            core.suspects()
+        ));
+    }
+    lines
+}
+
+/// Returns where a request for a model would go, and what speaks for and against each server.
+pub(super) fn explain(core: &Entry<Router>, model: &str, choice: Option<&Choice>) -> String {
+    let table = core.adoption().table();
+    let Some(adapter) = table.resolve(model) else {
+        return json!({ "error": format!("the table has no model `{model}`") }).to_string();
+    };
+    let settings = RouterSettings::default();
+    let mut servers: Vec<Value> = core
+        .servers()
+        .iter()
+        .filter(|(_, view)| view.slots > 0)
+        .map(|(vm, view)| {
+            json!({
+                "vm": vm,
+                "live": view.is_live,
+                "resident": view.residents.contains(&adapter),
+                "expected_wait_ms": view.expected_wait_ms(&settings),
+                "rank_score": magnoliasail_core::score(&adapter.model(), vm),
+            })
+        })
+        .collect();
+    servers.sort_by_key(|server| std::cmp::Reverse(server["rank_score"].as_u64()));
+    let chosen = choice.map(|choice| {
+        let (vm, why) = chosen(choice);
+        json!({ "vm": vm, "why": why })
+    });
+    json!({ "model": adapter.model(), "chosen": chosen, "servers": servers }).to_string()
+}
--- /dev/null
+++ b/crates/magnoliasail/src/events.rs
@@ -0,0 +1,137 @@
+//! Numbered log events; `docs/EVENTS.md` lists each with its cause and what the operator does.
+
+use {
+    log::Level,
+    logforth::{
+        append::Stderr,
+        layout::{JsonLayout, TextLayout},
+        record::LevelFilter,
+    },
+    std::{fmt::Display, str::FromStr},
+    strum::{Display as StrumDisplay, EnumIter, EnumString, IntoStaticStr},
+};
+
+/// A kind of log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr, StrumDisplay)]
+#[strum(serialize_all = "snake_case")]
+#[repr(u16)]
+pub enum EventId {
+    /// A process is ready.
+    Started = 100,
+    /// A graceful shutdown began.
+    DrainStarted = 101,
+    /// A graceful shutdown is complete.
+    DrainFinished = 102,
+    /// A second signal ended the process at once.
+    DrainHurried = 103,
+    /// A duty panicked and is restarted.
+    DutyRestarted = 110,
+    /// A duty panicked too often and the process ends.
+    DutyFailed = 111,
+    /// The process was paused and has woken.
+    Paused = 120,
+    /// A link came up.
+    LinkUp = 200,
+    /// A link ended.
+    LinkDown = 201,
+    /// A peer could not prove a key.
+    LinkUnauthenticated = 202,
+    /// A ring was full.
+    RingFull = 210,
+    /// A table version came into force.
+    TableAdopted = 300,
+    /// A table version was rejected.
+    TableRejected = 301,
+    /// The configuration service cannot be read.
+    ConfigUnreachable = 302,
+    /// The list of VMs cannot be read.
+    ListUnreachable = 303,
+    /// A backend server crashed or restarted cold.
+    ServerCrashed = 400,
+    /// A load failed.
+    LoadFailed = 401,
+    /// An engine refused an order with an old fencing number.
+    OrderFenced = 402,
+    /// An engine answered for another adapter.
+    WrongModel = 403,
+    /// A request came under suspicion of crashing servers.
+    RequestSuspected = 410,
+    /// A request was found to crash servers and is refused.
+    RequestCondemned = 411,
+    /// A request was cleared of suspicion.
+    RequestCleared = 412,
+}
+
+impl EventId {
+    /// Returns the number by which the catalogue lists the event.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Returns the level at which the event is logged.
+    #[must_use]
+    pub const fn level(self) -> Level {
+        match self {
+            Self::DutyFailed | Self::TableRejected | Self::WrongModel => Level::Error,
+            Self::DrainHurried
+            | Self::DutyRestarted
+            | Self::Paused
+            | Self::LinkDown
+            | Self::LinkUnauthenticated
+            | Self::RingFull
+            | Self::ConfigUnreachable
+            | Self::ListUnreachable
+            | Self::ServerCrashed
+            | Self::LoadFailed
+            | Self::OrderFenced
+            | Self::RequestSuspected
+            | Self::RequestCondemned => Level::Warn,
+            Self::Started
+            | Self::DrainStarted
+            | Self::DrainFinished
+            | Self::LinkUp
+            | Self::TableAdopted
+            | Self::RequestCleared => Level::Info,
+        }
+    }
+}
+
+/// Logs an event with what is particular to it.
+pub fn emit<D: Display>(event: EventId, detail: D) {
+    let name: &'static str = event.into();
+    let number = event.number();
+    log::log!(event.level(), event = number, name = name; "E{number} {name}: {detail}");
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumString, StrumDisplay)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text per event.
+    #[default]
+    Text,
+    /// One JSON object per event.
+    Json,
+}
+
+/// Starts logging to stderr.
+pub fn start_logging(format: LogFormat, level: &str) {
+    let filter = match Level::from_str(level) {
+        Ok(Level::Error) => LevelFilter::MoreSevereEqual(logforth::record::Level::Error),
+        Ok(Level::Warn) => LevelFilter::MoreSevereEqual(logforth::record::Level::Warn),
+        Ok(Level::Debug | Level::Trace) => {
+            LevelFilter::MoreSevereEqual(logforth::record::Level::Debug)
+        }
+        Ok(Level::Info) | Err(_) => LevelFilter::MoreSevereEqual(logforth::record::Level::Info),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            let stderr = match format {
+                LogFormat::Text => Stderr::default().with_layout(TextLayout::default()),
+                LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+            };
+            dispatch.filter(filter).append(stderr)
+        })
+        .apply();
+}
--- /dev/null
+++ b/crates/magnoliasail/src/http/mod.rs
@@ -0,0 +1,18 @@
+//! HTTP towards callers, operators, the platform and backend servers.
+
+mod caller;
+mod chat_head;
+mod client;
+mod failure;
+mod operator;
+mod reply;
+mod server;
+
+pub(crate) use self::{
+    caller::{CallerApi, CallerInput, CallerLimits},
+    chat_head::ModelEcho,
+    client::{HttpClient, HttpError},
+    operator::{OperatorApi, operator_router},
+    reply::{ReplyPart, ReplyWriter},
+    server::{ServeLimits, serve},
+};
--- /dev/null
+++ b/crates/magnoliasail/src/http/operator.rs
@@ -0,0 +1,122 @@
+//! The operators' interface of a process: state, metrics, health and readiness.
+
+use {
+    super::failure::text_response,
+    gotham::{
+        handler::HandlerResult,
+        middleware::state::StateMiddleware,
+        pipeline::{new_pipeline, single_pipeline},
+        router::{
+            Router,
+            builder::{DefineSingleRoute, DrawRoutes, build_router},
+        },
+        state::{FromState, State, StateData},
+    },
+    hyper::{StatusCode, Uri},
+    std::{panic::AssertUnwindSafe, sync::Arc},
+    tokio::sync::oneshot,
+};
+
+const UNANSWERED: &str = "the deciding duty did not answer; see the logs";
+
+/// What the operators' interface needs of its process.
+pub(crate) trait OperatorApi: Send + Sync + 'static {
+    /// Asks the deciding duty for the state of the process as JSON.
+    fn status(&self) -> Option<oneshot::Receiver<String>>;
+
+    /// Asks the deciding duty where a request for a model would go, as JSON.
+    fn explain(&self, model: &str) -> Option<oneshot::Receiver<String>>;
+
+    /// Returns the metrics as text.
+    fn metrics(&self) -> String;
+
+    /// Tells whether the process takes new work.
+    fn is_ready(&self) -> bool;
+}
+
+struct Shared<A: OperatorApi>(AssertUnwindSafe<Arc<A>>);
+
+impl<A: OperatorApi> StateData for Shared<A> {}
+
+impl<A: OperatorApi> Clone for Shared<A> {
+    fn clone(&self) -> Self {
+        Self(AssertUnwindSafe(Arc::clone(&self.0)))
+    }
+}
+
+/// Builds the routes of the interface.
+pub(crate) fn operator_router<A: OperatorApi>(api: Arc<A>) -> Router {
+    let middleware = StateMiddleware::new(Shared(AssertUnwindSafe(api)));
+    let (chain, pipelines) = single_pipeline(new_pipeline().add(middleware).build());
+    build_router(chain, pipelines, |route| {
+        route.get("/status").to_async(status::<A>);
+        route.get("/explain").to_async(explain::<A>);
+        route.get("/metrics").to_async(metrics::<A>);
+        route.get("/healthz").to_async(health::<A>);
+        route.get("/readyz").to_async(ready::<A>);
+    })
+}
+
+fn api<A: OperatorApi>(state: &State) -> Arc<A> {
+    Arc::clone(&Shared::<A>::borrow_from(state).0)
+}
+
+async fn json_answer(state: State, answer: Option<oneshot::Receiver<String>>) -> HandlerResult {
+    let text = match answer {
+        Some(receiver) => receiver.await.ok(),
+        None => None,
+    };
+    let response = match text {
+        Some(text) => text_response(StatusCode::OK, "application/json", text),
+        None => text_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", UNANSWERED),
+    };
+    Ok((state, response))
+}
+
+async fn status<A: OperatorApi>(state: State) -> HandlerResult {
+    let answer = api::<A>(&state).status();
+    json_answer(state, answer).await
+}
+
+async fn explain<A: OperatorApi>(state: State) -> HandlerResult {
+    let query = Uri::borrow_from(&state).query().unwrap_or_default();
+    let model = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("model="))
+        .unwrap_or_default()
+        .replace("%40", "@");
+    let answer = api::<A>(&state).explain(&model);
+    json_answer(state, answer).await
+}
+
+async fn metrics<A: OperatorApi>(state: State) -> HandlerResult {
+    let text = api::<A>(&state).metrics();
+    let response = text_response(StatusCode::OK, "text/plain; version=0.0.4", text);
+    Ok((state, response))
+}
+
+async fn health<A: OperatorApi>(state: State) -> HandlerResult {
+    let is_alive = match api::<A>(&state).status() {
+        Some(receiver) => receiver.await.is_ok(),
+        None => false,
+    };
+    let response = if is_alive {
+        text_response(StatusCode::OK, "text/plain", "ok\n")
+    } else {
+        text_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", UNANSWERED)
+    };
+    Ok((state, response))
+}
+
+async fn ready<A: OperatorApi>(state: State) -> HandlerResult {
+    let response = if api::<A>(&state).is_ready() {
+        text_response(StatusCode::OK, "text/plain", "ready\n")
+    } else {
+        text_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "text/plain",
+            "not ready: draining, or no table has been adopted yet\n",
+        )
+    };
+    Ok((state, response))
+}
--- /dev/null
+++ b/crates/magnoliasail/src/lib.rs
@@ -0,0 +1,28 @@
+//! The daemons and commands of magnoliasail.
+//!
+//! Decisions are in `magnoliasail-core`; this crate gives them clocks, sockets and threads. Each
+//! duty of a process has a thread of its own, and bounded rings join them.
+//!
+//! ```
+//! use magnoliasail::EntryFile;
+//!
+//! let settings = EntryFile::parse("data_centre = \"dc-1\"", "entry.toml").unwrap();
+//! assert_eq!(settings.data_centre, "dc-1");
+//! ```
+
+pub mod command;
+
+mod agent;
+mod clock;
+mod entry;
+mod events;
+mod http;
+mod metrics;
+mod ring;
+mod settings;
+mod supervisor;
+
+pub use self::{
+    events::{EventId, LogFormat, emit, start_logging},
+    settings::{AgentFile, EntryFile, LinkSection, SettingsError},
+};
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,83 @@
+//! The commands that CI and maintainers run.
+//!
+//! `cargo xtask ci` is the whole verdict: formatting, lints, documentation, tests and bounds.
+
+use {
+    bpaf::{Args, Bpaf, Parser},
+    std::process::{Command, ExitCode},
+};
+
+/// What a maintainer can ask for.
+#[derive(Clone, Debug, Bpaf)]
+enum Task {
+    /// Checks formatting, lints, documentation, tests and bounds
+    #[bpaf(command)]
+    Ci,
+    /// Checks formatting
+    #[bpaf(command)]
+    Fmt,
+    /// Runs the linter
+    #[bpaf(command)]
+    Lint,
+    /// Builds the documentation
+    #[bpaf(command)]
+    Docs,
+    /// Runs the tests
+    #[bpaf(command)]
+    Test,
+}
+
+/// A step of CI: a name and the arguments of cargo.
+type Step = (&'static str, &'static [&'static str]);
+
+const FMT: Step = ("formatting", &["fmt", "--all", "--check"]);
+const LINT: Step = (
+    "lints",
+    &[
+        "clippy",
+        "--workspace",
+        "--all-targets",
+        "--locked",
+        "--",
+        "-D",
+        "warnings",
+    ],
+);
+const DOCS: Step = (
+    "documentation",
+    &["doc", "--workspace", "--no-deps", "--locked"],
+);
+const TEST: Step = ("tests", &["test", "--workspace", "--locked"]);
+
+fn main() -> ExitCode {
+    let task = match task().to_options().run_inner(Args::current_args()) {
+        Ok(task) => task,
+        Err(failure) => {
+            failure.print_message(100);
+            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
+        }
+    };
+    match task {
+        Task::Ci => run(&[FMT, LINT, DOCS, TEST]),
+        Task::Fmt => run(&[FMT]),
+        Task::Lint => run(&[LINT]),
+        Task::Docs => run(&[DOCS]),
+        Task::Test => run(&[TEST]),
+    }
+}
+
+/// Runs steps until one fails.
+fn run(steps: &[Step]) -> ExitCode {
+    for (name, arguments) in steps {
+        println!("xtask: {name}");
+        let status = Command::new("cargo")
+            .args(*arguments)
+            .env("RUSTDOCFLAGS", "-D warnings")
+            .status();
+        if !status.is_ok_and(|status| status.success()) {
+            eprintln!("xtask: {name} failed");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
