test: failures of real processes, and incarnations that cannot be mistaken

Cause: the core's histories cannot show silent connections, frozen or killed processes and graceful shutdowns.

An incarnation now ends in sixteen random bits.

--- a/crates/magnoliasail-core/src/agent/mod.rs
+++ b/crates/magnoliasail-core/src/agent/mod.rs
@@ -6,7 +6,7 @@
 //! ```
 //! use magnoliasail_core::{Agent, AgentAction, AgentEvent, AgentSettings};
 //!
-//! let mut agent = Agent::new(AgentSettings::default(), 0);
+//! let mut agent = Agent::new(AgentSettings::default(), 1, 0);
 //! let mut actions = Vec::new();
 //! agent.handle(0, AgentEvent::Drain, &mut actions);
 //! assert!(actions.contains(&AgentAction::Drained));
@@ -56,8 +56,8 @@
 /// A run on the backend server.
 pub type RunId = u64;
 
-/// Keeps the run numbers of successive incarnations in one process apart.
-const RUNS_PER_MS_BITS: u32 = 16;
+/// Bits below the start time in numbers that must differ between incarnations.
+const NONCE_BITS: u32 = 16;
 
 /// Why an attempt is refused, and what that proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,10 +106,12 @@
 
 impl Agent {
     /// Creates the agent of an incarnation that starts at `now_ms` on the VM's clock.
+    ///
+    /// The random `nonce` keeps apart incarnations that start in the same millisecond.
     #[must_use]
-    pub fn new(settings: AgentSettings, now_ms: TimeMs) -> Self {
+    pub fn new(settings: AgentSettings, nonce: u16, now_ms: TimeMs) -> Self {
         Self {
-            incarnation: now_ms,
+            incarnation: (now_ms << NONCE_BITS) | u64::from(nonce),
             adoption: Adoption::default(),
             lease: JobLease::new(now_ms),
             ledger: JobLedger::new(settings.max_jobs, settings.max_job_answer_bytes),
@@ -120,7 +122,7 @@
             watermarks: HashMap::new(),
             runs: BTreeMap::new(),
             by_attempt: HashMap::new(),
-            next_run: now_ms << RUNS_PER_MS_BITS,
+            next_run: now_ms << NONCE_BITS,
             draining: false,
             listed_leaving: false,
             drained: false,
--- a/crates/magnoliasail-core/src/lib.rs
+++ b/crates/magnoliasail-core/src/lib.rs
@@ -8,7 +8,7 @@
 //! ```
 //! use magnoliasail_core::{Agent, AgentAction, AgentEvent, AgentSettings};
 //!
-//! let mut agent = Agent::new(AgentSettings::default(), 1_000);
+//! let mut agent = Agent::new(AgentSettings::default(), 1, 1_000);
 //! let mut actions = Vec::new();
 //! agent.handle(1_000, AgentEvent::LinkUp { link: 7 }, &mut actions);
 //! assert!(matches!(actions[0], AgentAction::Send { link: 7, .. }));
--- a/crates/magnoliasail/src/agent/decide.rs
+++ b/crates/magnoliasail/src/agent/decide.rs
@@ -61,7 +61,7 @@
         let mut clock = Clock::default();
         let now_ms = clock.now_ms();
         Self {
-            core: Agent::new(shared.core.clone(), now_ms),
+            core: Agent::new(shared.core.clone(), rand::random(), now_ms),
             shared,
             links,
             server,
--- /dev/null
+++ b/crates/magnoliasail/tests/processes/relay.rs
@@ -0,0 +1,83 @@
+//! A TCP relay that can forget its open connections without a word, while new ones work.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// A relay in front of one address.
+pub(crate) struct Relay {
+    pub(crate) address: SocketAddr,
+    opened: Arc<AtomicU64>,
+    silenced: Arc<AtomicU64>,
+}
+
+impl Relay {
+    /// Starts a relay in front of `target`.
+    pub(crate) fn start(target: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let opened = Arc::new(AtomicU64::new(0));
+        let silenced = Arc::new(AtomicU64::new(0));
+        let relay = Self {
+            address,
+            opened: Arc::clone(&opened),
+            silenced: Arc::clone(&silenced),
+        };
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Ok(server) = TcpStream::connect(&target) else {
+                    continue;
+                };
+                let number = opened.fetch_add(1, Ordering::SeqCst) + 1;
+                for (from, to) in [(&stream, &server), (&server, &stream)] {
+                    let from = from.try_clone().expect("a copy");
+                    let to = to.try_clone().expect("a copy");
+                    let silenced = Arc::clone(&silenced);
+                    thread::spawn(move || carry(from, to, number, &silenced));
+                }
+            }
+        });
+        relay
+    }
+
+    /// Lets every connection that is open now go silent for good.
+    pub(crate) fn silence(&self) {
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.silenced.store(opened, Ordering::SeqCst);
+    }
+
+    /// Returns the number of connections so far.
+    pub(crate) fn opened(&self) -> u64 {
+        self.opened.load(Ordering::SeqCst)
+    }
+}
+
+fn carry(mut from: TcpStream, mut to: TcpStream, number: u64, silenced: &AtomicU64) {
+    let mut buffer = [0; 16_384];
+    from.set_read_timeout(Some(POLL)).expect("a timeout");
+    loop {
+        let is_silent = number <= silenced.load(Ordering::SeqCst);
+        match from.read(&mut buffer) {
+            Ok(0) if !is_silent => break,
+            Ok(count) if !is_silent => {
+                if to.write_all(&buffer[..count]).is_err() {
+                    break;
+                }
+            }
+            Ok(0) => thread::sleep(POLL),
+            Ok(_) => {}
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => break,
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
