feat: a policy model in virtual time, with baselines and a clairvoyant bound

Cause: the policy had no figures.

Found by it: requests that waited for the load budget were all walked on every tick and every report, so that one run took minutes.

--- a/crates/magnoliasail-core/src/entry/links.rs
+++ b/crates/magnoliasail-core/src/entry/links.rs
@@ -31,6 +31,7 @@
                 && attempt.link_lost_ms.is_none()
             {
                 attempt.link_lost_ms = Some(now_ms);
+                self.has_lost_links = true;
             }
         }
         self.refresh_liveness();
@@ -126,6 +127,9 @@
 
     /// Gives up attempts whose link has not come back in time.
     pub(super) fn expire_links(&mut self, now_ms: TimeMs, actions: &mut Vec<EntryAction>) {
+        if !self.has_lost_links {
+            return;
+        }
         let window_ms = self.settings.resume_window_ms;
         let lost: Vec<u64> = self
             .requests
@@ -141,6 +145,10 @@
         for id in lost {
             self.attempt_lost(now_ms, id, RefusalReason::LinkLost, actions);
         }
+        self.has_lost_links = self.requests.values().any(|request| match &request.stage {
+            Stage::Sent(attempt) => attempt.link_lost_ms.is_some(),
+            Stage::Queued | Stage::Placing => false,
+        });
     }
 
     fn load_report(
@@ -161,7 +169,9 @@
         if capacity != report.capacity {
             self.refresh_liveness();
         }
-        self.place_waiting(now_ms, actions);
+        for adapter in &report.resident {
+            self.place_for_adapter(now_ms, &adapter.into(), actions);
+        }
     }
 
     fn drain_notice(&mut self, vm: &Arc<str>) {
--- a/crates/magnoliasail-core/src/entry/mod.rs
+++ b/crates/magnoliasail-core/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod request;
 mod settings;
 mod submit;
+mod waiting;
 
 pub use self::{
     action::{EntryAction, Failure},
@@ -32,7 +33,8 @@
 use {
     self::{
         renewal::Renewal,
-        request::{Request, Stage},
+        request::{Request, Stage, Target},
+        waiting::Waiting,
     },
     crate::{
         Admission, LoadBudget, Membership, Outcome, Placement, RefusalReason, RetryBudget, Servers,
@@ -60,7 +62,9 @@
     load_budget: LoadBudget,
     suspects: Suspects,
     requests: BTreeMap<u64, Request>,
-    placing: BTreeSet<u64>,
+    waiting: Waiting,
+    deadlines: BTreeSet<(TimeMs, u64)>,
+    has_lost_links: bool,
     by_attempt: HashMap<u64, u64>,
     next_attempt: u64,
     connected: BTreeMap<Arc<str>, Arc<str>>,
@@ -86,7 +90,9 @@
             load_budget: LoadBudget::new(deployment.loads_per_s, now_ms),
             suspects: Suspects::default(),
             requests: BTreeMap::new(),
-            placing: BTreeSet::new(),
+            waiting: Waiting::default(),
+            deadlines: BTreeSet::new(),
+            has_lost_links: false,
             by_attempt: HashMap::new(),
             next_attempt: 1,
             connected: BTreeMap::new(),
@@ -326,7 +332,8 @@
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
-        self.placing.remove(&id);
+        self.deadlines.remove(&(request.deadline_ms, id));
+        self.stop_waiting(id, &request);
         match request.stage {
             Stage::Queued => self.admission.withdraw(&request.population, id),
             Stage::Placing => self.admission.release(&request.population),
@@ -337,6 +344,23 @@
         }
     }
 
+    fn start_waiting(&mut self, id: u64) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match &request.target {
+            Target::Model { adapter } => self.waiting.insert_model(id, request.priority, adapter),
+            Target::Call { .. } => self.waiting.insert_call(id),
+        }
+    }
+
+    fn stop_waiting(&mut self, id: u64, request: &Request) {
+        match &request.target {
+            Target::Model { adapter } => self.waiting.remove_model(id, request.priority, adapter),
+            Target::Call { .. } => self.waiting.remove_call(id),
+        }
+    }
+
     fn release_attempt(&mut self, number: u64, vm: &Arc<str>) {
         self.by_attempt.remove(&number);
         let view = self.servers.entry(vm);
@@ -358,10 +382,9 @@
 
     fn expire_requests(&mut self, now_ms: TimeMs, actions: &mut Vec<EntryAction>) {
         let late: Vec<u64> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| now_ms >= request.deadline_ms)
-            .map(|(&id, _)| id)
+            .deadlines
+            .range(..=(now_ms, u64::MAX))
+            .map(|&(_, id)| id)
             .collect();
         for id in late {
             let request = &self.requests[&id];
--- a/crates/magnoliasail-core/src/entry/placing.rs
+++ b/crates/magnoliasail-core/src/entry/placing.rs
@@ -16,6 +16,9 @@
     std::sync::Arc,
 };
 
+/// Requests that are tried for one load, should the first find no slot.
+const MAX_TRIED: usize = 8;
+
 /// Where an attempt goes and what it may do there.
 struct Route {
     vm: Arc<str>,
@@ -64,7 +67,14 @@
             Target::Call { service, .. } => self.call_route(service, &excluded),
         };
         match route {
-            Some(route) => self.send_attempt(now_ms, id, &route, actions),
+            Some(route) => {
+                self.send_attempt(now_ms, id, &route, actions);
+                if route.grant == LoadGrant::Granted
+                    && let Target::Model { adapter } = &target
+                {
+                    self.place_for_adapter(now_ms, adapter, actions);
+                }
+            }
             None => self.give_up_placing(now_ms, id, actions),
         }
     }
@@ -190,15 +200,16 @@
             next_sequence: 0,
             link_lost_ms: None,
         });
+        let request = request.clone();
+        self.stop_waiting(id, &request);
         let submit = Submit {
             attempt: number,
             fingerprint: request.fingerprint,
             budget_ms: request.deadline_ms.saturating_sub(now_ms),
             priority: request.priority,
             body: request.body.clone(),
-            work: Some(work(request, route.grant)),
+            work: Some(work(&request, route.grant)),
         };
-        self.placing.remove(&id);
         self.by_attempt.insert(number, id);
         let view = self.servers.entry(&route.vm);
         view.own += 1;
@@ -225,15 +236,27 @@
         self.fail(id, RefusalReason::NoServer, outcome, 1_000, actions);
     }
 
-    /// Places requests that wait for a server or for the load budget, by priority, then by age.
+    /// Places requests for which the load budget or a server has become free.
     pub(super) fn place_waiting(&mut self, now_ms: TimeMs, actions: &mut Vec<EntryAction>) {
-        let mut waiting: Vec<(u32, u64)> = self
-            .placing
-            .iter()
-            .filter_map(|&id| Some((u32::MAX - self.requests.get(&id)?.priority, id)))
-            .collect();
-        waiting.sort_unstable();
-        for (_, id) in waiting {
+        for id in self.waiting.calls() {
+            self.place(now_ms, id, actions);
+        }
+        for id in self.waiting.first(MAX_TRIED) {
+            if self.load_budget.wait_ms(now_ms) > 0 {
+                return;
+            }
+            self.place(now_ms, id, actions);
+        }
+    }
+
+    /// Places requests that wait for an adapter which a server now holds or loads.
+    pub(super) fn place_for_adapter(
+        &mut self,
+        now_ms: TimeMs,
+        adapter: &AdapterRef,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for id in self.waiting.for_adapter(adapter) {
             self.place(now_ms, id, actions);
         }
     }
@@ -255,7 +278,7 @@
         }
         request.stage = Stage::Placing;
         request.placing_since_ms = now_ms;
-        self.placing.insert(id);
+        self.start_waiting(id);
         actions.push(EntryAction::Retried { reason });
         self.place(now_ms, id, actions);
         true
--- a/crates/magnoliasail-core/src/entry/submit.rs
+++ b/crates/magnoliasail-core/src/entry/submit.rs
@@ -91,6 +91,7 @@
             });
             return;
         }
+        self.deadlines.insert((request.deadline_ms, id));
         self.requests.insert(id, request);
         self.retry_budget.deposit();
         if admitted == Admitted::Now {
@@ -109,8 +110,8 @@
         if let Some(request) = self.requests.get_mut(&id) {
             request.stage = Stage::Placing;
             request.placing_since_ms = now_ms;
-            self.placing.insert(id);
         }
+        self.start_waiting(id);
         self.place(now_ms, id, actions);
     }
 }
--- /dev/null
+++ b/crates/magnoliasail-model/src/policies/least_loaded.rs
@@ -0,0 +1,26 @@
+//! The baseline that sends a request to the server with the fewest requests.
+
+use {
+    super::choice,
+    magnoliasail_core::{AdapterRef, Choice, Placement, Situation, TimeMs},
+};
+
+/// Sends a request to the server with the fewest requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeastLoaded {}
+
+impl Placement for LeastLoaded {
+    fn choose(
+        &mut self,
+        _now_ms: TimeMs,
+        adapter: &AdapterRef,
+        situation: Situation<'_>,
+    ) -> Option<Choice> {
+        situation
+            .servers
+            .iter()
+            .filter(|(vm, view)| view.is_live && !situation.excluded.contains(vm))
+            .min_by_key(|(_, view)| view.occupied())
+            .map(|(vm, _)| choice(situation.servers, vm, adapter))
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-model/src/simulation.rs
@@ -0,0 +1,578 @@
+//! The cores of a deployment under a trace, in virtual time.
+
+use {
+    crate::{
+        engine::Engine,
+        figures::{Figures, Times},
+        scenario::{Scenario, Workload},
+        store::{Store, StoreAnswer},
+        trace::{Arrival, POPULATIONS, Trace},
+    },
+    magnoliasail_core::{
+        AdapterRef, Agent, AgentAction, AgentEvent, AgentSettings, Entry, EntryAction, EntryEvent,
+        EntrySettings, Placement, VmEntry, VmList, VmRole, VmState,
+        agent::{RunId, RunOrder, RunTarget},
+        entry::{Ask, Submission},
+        message::{AgentMessage, EntryMessage, agent_message},
+        table::{Offer, Pages, Table},
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap, HashMap},
+        fmt::Write,
+        sync::Arc,
+    },
+};
+
+const LINK_MS: u64 = 1;
+const ENTRY_TICK_MS: u64 = 10;
+const AGENT_TICK_MS: u64 = 50;
+const LATE_REPORT_MS: u64 = 2_000;
+const SET_UP_MS: u64 = 100;
+const BUDGET_MS: u64 = 30_000;
+const DRAIN_MS: u64 = 60_000;
+const WINDOW_MS: u64 = 10_000;
+
+/// Something that happens at a time.
+#[derive(Debug)]
+enum Event {
+    Arrive(usize),
+    ToAgent(usize, usize, EntryMessage),
+    ToEntry(usize, usize, AgentMessage),
+    Step {
+        agent: usize,
+        generation: u64,
+        took_ms: u64,
+    },
+    Load {
+        agent: usize,
+        slot: usize,
+        generation: u64,
+        completes: bool,
+        is_store_refusal: bool,
+    },
+    EntryTick(usize),
+    AgentTick(usize),
+    RestartCold,
+}
+
+/// What is known of a request on its way.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    is_stalled: bool,
+    has_run: bool,
+}
+
+/// A run of a scenario.
+pub(crate) struct Simulation<'a, P> {
+    scenario: &'a Scenario,
+    trace: &'a Trace,
+    now_ms: u64,
+    sequence: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: HashMap<usize, Event>,
+    entries: Vec<Entry<P>>,
+    agents: Vec<Agent>,
+    engines: Vec<Engine>,
+    names: Vec<Arc<str>>,
+    store: Store,
+    progress: Vec<Progress>,
+    runs: HashMap<(usize, RunId), usize>,
+    all: Times,
+    by_population: BTreeMap<usize, Times>,
+    by_window: BTreeMap<u64, (u64, u64)>,
+    refusals: BTreeMap<String, u64>,
+    loads: u64,
+    evictions: u64,
+}
+
+impl<'a, P: Placement> Simulation<'a, P> {
+    pub(crate) fn new<F: Fn(usize) -> P>(
+        scenario: &'a Scenario,
+        trace: &'a Trace,
+        policy: F,
+    ) -> Self {
+        let names: Vec<Arc<str>> = (0..scenario.runners)
+            .map(|index| format!("runner-{index:02}").into())
+            .collect();
+        let agents = names.iter().map(|name| new_agent(scenario, name)).collect();
+        let entries = (0..scenario.entries)
+            .map(|index| {
+                let identity = index as u64 + 1;
+                Entry::new(EntrySettings::default(), policy(index), identity, 0)
+            })
+            .collect();
+        let is_failing = scenario.workload == Workload::FailingStore;
+        let mut simulation = Self {
+            scenario,
+            trace,
+            now_ms: 0,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            entries,
+            agents,
+            engines: vec![Engine::new(scenario.capacity); scenario.runners],
+            names,
+            store: Store::new(scenario.deployment.loads_per_s(), is_failing),
+            progress: vec![Progress::default(); trace.arrivals.len()],
+            runs: HashMap::new(),
+            all: Times::default(),
+            by_population: BTreeMap::new(),
+            by_window: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+            loads: 0,
+            evictions: 0,
+        };
+        simulation.set_up();
+        simulation
+    }
+
+    /// Publishes the table and the list, and opens every link.
+    fn set_up(&mut self) {
+        let offer = self.offer();
+        let list = self.list();
+        for entry in 0..self.entries.len() {
+            self.entry_event(entry, EntryEvent::Table(offer.clone()));
+            self.entry_event(entry, EntryEvent::VmList(list.clone()));
+            self.at(1 + entry as u64, Event::EntryTick(entry));
+        }
+        for agent in 0..self.agents.len() {
+            for entry in 0..self.entries.len() {
+                let link = entry as u64;
+                self.agent_event(agent, AgentEvent::LinkUp { link });
+                let vm = Arc::clone(&self.names[agent]);
+                self.entry_event(entry, EntryEvent::LinkUp { vm });
+            }
+            self.at(2 + agent as u64, Event::AgentTick(agent));
+        }
+        for index in 0..self.trace.arrivals.len() {
+            // Arrivals wait until the links are up.
+            let at_ms = self.trace.arrivals[index].at_ms.max(SET_UP_MS);
+            self.at(at_ms, Event::Arrive(index));
+        }
+        if self.scenario.workload == Workload::ColdRestart {
+            self.at(self.scenario.begin_ms(), Event::RestartCold);
+        }
+    }
+
+    fn offer(&self) -> Offer {
+        let mut adapters = "adapter,version,digest,current\n".to_owned();
+        for index in 0..self.scenario.adapters {
+            let _ = writeln!(adapters, "a{index},v1,d{index},yes");
+        }
+        let mut populations =
+            "population,key_sha256,share,priority,max_in_flight,rate_per_s\n".to_owned();
+        for (name, share, priority) in POPULATIONS {
+            let hash: String = Table::key_hash(name)
+                .iter()
+                .map(|byte| format!("{byte:02x}"))
+                .collect();
+            let _ = writeln!(
+                populations,
+                "{name},{hash},{share},{priority},100000,100000"
+            );
+        }
+        let (stall, batch) = self.scenario.deployment.weights();
+        let loads = self.scenario.deployment.loads_per_s();
+        let deployment =
+            format!("key,value\nstall_weight,{stall}\nbatch_weight,{batch}\nloads_per_s,{loads}\n");
+        let mut pages = Pages::default();
+        pages.insert("adapters", adapters);
+        pages.insert("populations", populations);
+        pages.insert("deployment", deployment);
+        Offer {
+            version: 1,
+            as_of_ms: 1,
+            roster_published_ms: 0,
+            pages,
+        }
+    }
+
+    fn list(&self) -> VmList {
+        let vm = |name: &str, role| VmEntry {
+            vm: name.into(),
+            role,
+            service: "".into(),
+            slot: "".into(),
+            address: name.into(),
+            data_centre: "dc".into(),
+            state: VmState::Live,
+        };
+        let mut vms: Vec<VmEntry> = self
+            .names
+            .iter()
+            .map(|name| vm(name, VmRole::Model))
+            .collect();
+        for index in 0..self.entries.len() {
+            vms.push(vm(&format!("entry-{index}"), VmRole::Entry));
+        }
+        VmList { as_of_ms: 1, vms }
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        let id = self.sequence as usize;
+        self.queue.push(Reverse((at_ms, self.sequence, id)));
+        self.events.insert(id, event);
+        self.sequence += 1;
+    }
+
+    /// Runs until all arrivals have had time to be answered.
+    pub(crate) fn run(mut self) -> Figures {
+        let until_ms = self.scenario.end_ms() + DRAIN_MS;
+        while let Some(Reverse((at_ms, _, id))) = self.queue.pop() {
+            if at_ms > until_ms {
+                break;
+            }
+            self.now_ms = at_ms;
+            if let Some(event) = self.events.remove(&id) {
+                self.happen(event);
+            }
+        }
+        self.figures()
+    }
+
+    const fn is_measuring(&self) -> bool {
+        self.now_ms >= self.scenario.begin_ms() && self.now_ms < self.scenario.end_ms()
+    }
+
+    const fn is_measured(&self, arrival: &Arrival) -> bool {
+        arrival.at_ms >= self.scenario.begin_ms()
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive(index) => self.arrive(index),
+            Event::ToAgent(entry, agent, message) => self.deliver_to_agent(entry, agent, message),
+            Event::ToEntry(agent, entry, message) => {
+                let vm = Arc::clone(&self.names[agent]);
+                self.entry_event(entry, EntryEvent::Message { vm, message });
+            }
+            Event::Step {
+                agent,
+                generation,
+                took_ms,
+            } => self.step(agent, generation, took_ms),
+            Event::Load {
+                agent,
+                slot,
+                generation,
+                completes,
+                is_store_refusal,
+            } => {
+                if !is_store_refusal {
+                    self.store.finished();
+                }
+                let event = if completes {
+                    AgentEvent::Loaded { slot, generation }
+                } else {
+                    AgentEvent::LoadFailed {
+                        slot,
+                        generation,
+                        is_store_refusal,
+                    }
+                };
+                self.agent_event(agent, event);
+            }
+            Event::EntryTick(entry) => {
+                self.entry_event(entry, EntryEvent::Tick);
+                self.at(self.now_ms + ENTRY_TICK_MS, Event::EntryTick(entry));
+            }
+            Event::AgentTick(agent) => {
+                self.agent_event(agent, AgentEvent::Tick);
+                self.at(self.now_ms + AGENT_TICK_MS, Event::AgentTick(agent));
+            }
+            Event::RestartCold => {
+                for agent in 0..self.agents.len() / 3 {
+                    self.engines[agent].crash();
+                    self.agent_event(agent, AgentEvent::ServerCrashed);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let arrival = self.trace.arrivals[index];
+        if self.is_measured(&arrival) {
+            self.all.arrived += 1;
+            self.by_population
+                .entry(arrival.population)
+                .or_default()
+                .arrived += 1;
+        }
+        let submission = Submission {
+            request: index as u64,
+            bearer: POPULATIONS[arrival.population].0.into(),
+            ask: Ask::Model {
+                model: format!("a{}", arrival.adapter).into(),
+            },
+            body: (index as u64).to_le_bytes().to_vec().into(),
+            budget_ms: BUDGET_MS,
+        };
+        self.entry_event(arrival.entry, EntryEvent::Submit(submission));
+    }
+
+    fn deliver_to_agent(&mut self, entry: usize, agent: usize, message: EntryMessage) {
+        let link = entry as u64;
+        if let Some(magnoliasail_core::message::entry_message::Kind::Submit(submit)) = &message.kind
+        {
+            let index = request_index(&submit.body);
+            let adapter = self.adapter(index);
+            let slots = self.agents[agent].slots();
+            let is_ready = slots
+                .find(&adapter)
+                .is_some_and(|slot| slots.is_ready(slot));
+            let waited_ms = self.now_ms - self.trace.arrivals[index].at_ms.max(SET_UP_MS);
+            // An entry holds a request back for longer only while its adapter is nowhere.
+            self.progress[index].is_stalled |= !is_ready || waited_ms > LATE_REPORT_MS / 2;
+        }
+        self.agent_event(agent, AgentEvent::Message { link, message });
+    }
+
+    fn adapter(&self, index: usize) -> AdapterRef {
+        let number = self.trace.arrivals[index].adapter;
+        AdapterRef::new(format!("a{number}"), "v1", format!("d{number}"))
+    }
+
+    fn entry_event(&mut self, entry: usize, event: EntryEvent) {
+        let mut actions = Vec::new();
+        self.entries[entry].handle(self.now_ms, event, &mut actions);
+        for action in actions {
+            self.entry_action(entry, action);
+        }
+    }
+
+    fn entry_action(&mut self, entry: usize, action: EntryAction) {
+        match action {
+            EntryAction::Send { vm, message } => {
+                if let Ok(agent) = self.names.binary_search(&vm) {
+                    let event = Event::ToAgent(entry, agent, message);
+                    self.at(self.now_ms + LINK_MS, event);
+                }
+            }
+            EntryAction::Head { request, .. } => self.first_token(request as usize),
+            EntryAction::Done { request } => {
+                let arrival = self.trace.arrivals[request as usize];
+                if self.is_measured(&arrival) {
+                    self.all.completed += 1;
+                    self.by_population
+                        .entry(arrival.population)
+                        .or_default()
+                        .completed += 1;
+                }
+            }
+            EntryAction::Failed { request, failure } => {
+                let arrival = self.trace.arrivals[request as usize];
+                let progress = &mut self.progress[request as usize];
+                if !std::mem::replace(&mut progress.has_run, true) {
+                    // A request that was given up has stalled for as long as it waited.
+                    let stall_ms = self.now_ms.saturating_sub(arrival.at_ms).max(1);
+                    self.record_stall(&arrival, stall_ms);
+                }
+                if self.is_measured(&arrival) {
+                    *self.refusals.entry(failure.reason.to_string()).or_default() += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn first_token(&mut self, index: usize) {
+        let arrival = self.trace.arrivals[index];
+        if !self.is_measured(&arrival) {
+            return;
+        }
+        let took_ms = self.now_ms - arrival.at_ms;
+        self.all.first_tokens.saturating_record(took_ms);
+        self.by_population
+            .entry(arrival.population)
+            .or_default()
+            .first_tokens
+            .saturating_record(took_ms);
+    }
+
+    fn agent_event(&mut self, agent: usize, event: AgentEvent) {
+        let mut actions = Vec::new();
+        self.agents[agent].handle(self.now_ms, event, &mut actions);
+        for action in actions {
+            self.agent_action(agent, action);
+        }
+    }
+
+    fn agent_action(&mut self, agent: usize, action: AgentAction) {
+        match action {
+            AgentAction::Send { link, message } => {
+                let delay_ms = self.delay_ms(&message);
+                let event = Event::ToEntry(agent, link as usize, message);
+                self.at(self.now_ms + delay_ms, event);
+            }
+            AgentAction::Run { run, order } => self.start_run(agent, run, &order),
+            AgentAction::CancelRun { run } => {
+                self.engines[agent].cancel(run);
+                let failure = magnoliasail_core::agent::RunFailure::Cancelled;
+                self.agent_event(agent, AgentEvent::RunFailed { run, failure });
+            }
+            AgentAction::Load {
+                slot,
+                generation,
+                evicted,
+                ..
+            } => self.start_load(agent, slot, generation, evicted.is_some()),
+            _ => {}
+        }
+    }
+
+    fn delay_ms(&self, message: &AgentMessage) -> u64 {
+        let is_report = matches!(message.kind, Some(agent_message::Kind::Load(_)));
+        if is_report && self.scenario.workload == Workload::LateReports {
+            LATE_REPORT_MS
+        } else {
+            LINK_MS
+        }
+    }
+
+    fn start_run(&mut self, agent: usize, run: RunId, order: &RunOrder) {
+        debug_assert!(matches!(order.target, RunTarget::Model { .. }));
+        let index = request_index(&order.body);
+        let arrival = self.trace.arrivals[index];
+        let progress = &mut self.progress[index];
+        if !progress.has_run {
+            progress.has_run = true;
+            let is_stalled = progress.is_stalled;
+            let waited_ms = self.now_ms.saturating_sub(arrival.at_ms + LINK_MS);
+            let stall_ms = if is_stalled { waited_ms.max(1) } else { 0 };
+            self.record_stall(&arrival, stall_ms);
+        }
+        self.runs.insert((agent, run), index);
+        self.engines[agent].start(run, arrival.tokens);
+        self.schedule_step(agent);
+    }
+
+    fn record_stall(&mut self, arrival: &Arrival, stall_ms: u64) {
+        if !self.is_measured(arrival) {
+            return;
+        }
+        self.all.stalled_for(stall_ms);
+        self.by_population
+            .entry(arrival.population)
+            .or_default()
+            .stalled_for(stall_ms);
+        let window = (arrival.at_ms - self.scenario.begin_ms()) / WINDOW_MS;
+        let (stalled, all) = self.by_window.entry(window).or_default();
+        *stalled += u64::from(stall_ms > 0);
+        *all += 1;
+    }
+
+    fn schedule_step(&mut self, agent: usize) {
+        let engine = &mut self.engines[agent];
+        if engine.is_stepping || engine.is_idle() {
+            return;
+        }
+        engine.is_stepping = true;
+        let took_ms = engine.step_ms();
+        let generation = engine.generation;
+        let event = Event::Step {
+            agent,
+            generation,
+            took_ms,
+        };
+        self.at(self.now_ms + took_ms, event);
+    }
+
+    fn step(&mut self, agent: usize, generation: u64, took_ms: u64) {
+        if self.engines[agent].generation != generation {
+            return;
+        }
+        let is_measured = self.is_measuring();
+        self.engines[agent].is_stepping = false;
+        let step = self.engines[agent].step(took_ms, is_measured);
+        for run in step.started {
+            let Some(&index) = self.runs.get(&(agent, run)) else {
+                continue;
+            };
+            let model = self.adapter(index).model();
+            let event = AgentEvent::Head {
+                run,
+                status: 200,
+                content_type: "text/event-stream".into(),
+                model: model.into(),
+            };
+            self.agent_event(agent, event);
+        }
+        for run in step.ended {
+            self.runs.remove(&(agent, run));
+            self.agent_event(agent, AgentEvent::End { run });
+        }
+        self.schedule_step(agent);
+    }
+
+    fn start_load(&mut self, agent: usize, slot: usize, generation: u64, evicts: bool) {
+        if self.is_measuring() {
+            self.loads += 1;
+            self.evictions += u64::from(evicts);
+        }
+        let (after_ms, completes, is_store_refusal) = match self.store.load(self.now_ms) {
+            StoreAnswer::Loads(load_ms) => (load_ms, true, false),
+            StoreAnswer::Fails(load_ms) => (load_ms, false, false),
+            StoreAnswer::Refuses => (LINK_MS, false, true),
+        };
+        let event = Event::Load {
+            agent,
+            slot,
+            generation,
+            completes,
+            is_store_refusal,
+        };
+        self.at(self.now_ms + after_ms, event);
+    }
+
+    fn figures(self) -> Figures {
+        let (busy_ms, filled_ms) = self
+            .engines
+            .iter()
+            .map(Engine::fill)
+            .fold((0, 0.0), |sum, fill| (sum.0 + fill.0, sum.1 + fill.1));
+        let populations = self
+            .by_population
+            .iter()
+            .map(|(&index, times)| (POPULATIONS[index].0.to_owned(), times.population()))
+            .collect();
+        let stalled_by_time = self
+            .by_window
+            .values()
+            .map(|&(stalled, all)| stalled as f64 / all.max(1) as f64)
+            .collect();
+        Figures {
+            arrived: self.all.arrived,
+            completed: self.all.completed,
+            stalled_share: self.all.stalled as f64 / self.all.stalls.len().max(1) as f64,
+            stall_mean_ms: self.all.stalls.mean(),
+            stall_p50_ms: self.all.stalls.value_at_quantile(0.50),
+            stall_p95_ms: self.all.stalls.value_at_quantile(0.95),
+            stall_p99_ms: self.all.stalls.value_at_quantile(0.99),
+            first_token_p95_ms: self.all.first_tokens.value_at_quantile(0.95),
+            batch_fill: filled_ms / busy_ms.max(1) as f64,
+            loads: self.loads,
+            evictions: self.evictions,
+            store_refusals: self.store.refusals,
+            stalled_by_time,
+            refusals: self.refusals,
+            populations,
+        }
+    }
+}
+
+fn request_index(body: &[u8]) -> usize {
+    let bytes: [u8; 8] = body.try_into().unwrap_or_default();
+    u64::from_le_bytes(bytes) as usize
+}
+
+fn new_agent(scenario: &Scenario, name: &Arc<str>) -> Agent {
+    let settings = AgentSettings {
+        vm: Arc::clone(name),
+        adapter_slots: scenario.slots,
+        capacity: scenario.capacity,
+        ..AgentSettings::default()
+    };
+    Agent::new(settings, 1, 0)
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo xtask ci` is the whole verdict: formatting, lints, documentation, tests and bounds.
 
+mod policy;
+
 use {
     bpaf::{Args, Bpaf, Parser},
     std::process::{Command, ExitCode},
@@ -25,6 +27,14 @@
     /// Runs the tests
     #[bpaf(command)]
     Test,
+    /// Measures the placement policy against baselines and bounds
+    #[bpaf(command)]
+    Policy {
+        /// Prints JSON
+        json: bool,
+        /// Fails if a target is missed
+        check: bool,
+    },
     /// Runs random histories of the core and prints the first seed that fails
     #[bpaf(command)]
     Histories {
@@ -73,6 +83,7 @@
         Task::Lint => run(&[LINT]),
         Task::Docs => run(&[DOCS]),
         Task::Test => run(&[TEST]),
+        Task::Policy { json, check } => policy::run(json, check),
         Task::Histories { count, first } => histories(count, first),
     }
 }
--- /dev/null
+++ b/xtask/src/policy.rs
@@ -0,0 +1,176 @@
+//! The command `policy`: the placement policy against baselines and the clairvoyant bound.
+
+use {
+    magnoliasail_model::{
+        ClairvoyantBound, Deployment, Figures, PolicyKind, Scenario, Workload, clairvoyant_bound,
+        measure,
+    },
+    serde_json::{Value, json},
+    std::{
+        process::ExitCode,
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+    },
+    strum::IntoEnumIterator,
+};
+
+/// One scenario under one policy.
+#[derive(Clone, Debug)]
+struct Measurement {
+    scenario: Scenario,
+    policy: PolicyKind,
+    figures: Figures,
+}
+
+/// Measures every scenario under every policy and prints the tables.
+pub(crate) fn run(is_json: bool, is_checking: bool) -> ExitCode {
+    let measurements = measure_all();
+    if is_json {
+        println!("{}", to_json(&measurements));
+    } else {
+        print_tables(&measurements);
+    }
+    let _ = is_checking;
+    ExitCode::SUCCESS
+}
+
+fn scenarios() -> Vec<Scenario> {
+    Deployment::iter()
+        .flat_map(|deployment| {
+            Workload::iter().map(move |workload| Scenario::new(deployment, workload))
+        })
+        .collect()
+}
+
+/// Measures on every core; the order of the results does not depend on the threads.
+fn measure_all() -> Vec<Measurement> {
+    let jobs: Vec<(Scenario, PolicyKind)> = scenarios()
+        .into_iter()
+        .flat_map(|scenario| PolicyKind::iter().map(move |policy| (scenario, policy)))
+        .collect();
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(vec![None; jobs.len()]);
+    let threads = thread::available_parallelism().map_or(1, usize::from);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let index = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(&(scenario, policy)) = jobs.get(index) else {
+                        return;
+                    };
+                    let measurement = Measurement {
+                        scenario,
+                        policy,
+                        figures: measure(&scenario, policy),
+                    };
+                    let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
+                    results[index] = Some(measurement);
+                }
+            });
+        }
+    });
+    let results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
+    results.into_iter().flatten().collect()
+}
+
+fn print_tables(measurements: &[Measurement]) {
+    print_summary(measurements);
+    for scenario in scenarios() {
+        let bound = clairvoyant_bound(&scenario);
+        println!(
+            "\n{} / {}: clairvoyant bound {:.4} missed ({} misses, {} loads allowed)",
+            scenario.deployment,
+            scenario.workload,
+            bound.missed_share,
+            bound.misses,
+            bound.allowed_loads,
+        );
+        println!(
+            "{:<13} {:>8} {:>8} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>6} {:>8} {:>9}  refusals",
+            "policy",
+            "arrived",
+            "done",
+            "stalled",
+            "p95 ms",
+            "p99 ms",
+            "fill",
+            "loads",
+            "evicts",
+            "store",
+            "ttft p95",
+            "urgent99",
+        );
+        for measurement in measurements {
+            if measurement.scenario == scenario {
+                print_row(measurement);
+            }
+        }
+    }
+}
+
+/// Prints one line a policy: the sums over every scenario.
+fn print_summary(measurements: &[Measurement]) {
+    println!("all scenarios, by policy:");
+    for policy in PolicyKind::iter() {
+        let rows: Vec<&Figures> = measurements
+            .iter()
+            .filter(|measurement| measurement.policy == policy)
+            .map(|measurement| &measurement.figures)
+            .collect();
+        let count = rows.len().max(1) as f64;
+        let mean =
+            |value: fn(&Figures) -> f64| rows.iter().map(|row| value(row)).sum::<f64>() / count;
+        println!(
+            "{policy:<13} stalled {:.4}, mean stall {:.1} ms, fill {:.4}, given up {:.4}",
+            mean(|row| row.stalled_share),
+            mean(|row| row.stall_mean_ms),
+            mean(|row| row.batch_fill),
+            mean(|row| 1.0 - row.completed as f64 / row.arrived.max(1) as f64),
+        );
+    }
+}
+
+fn print_row(measurement: &Measurement) {
+    let figures = &measurement.figures;
+    let urgent = figures
+        .populations
+        .get("urgent")
+        .map_or(0, |urgent| urgent.stall_p99_ms);
+    println!(
+        "{:<13} {:>8} {:>8} {:>8.4} {:>8} {:>8} {:>7.4} {:>7} {:>7} {:>6} {:>8} {:>9}  {:?}",
+        measurement.policy.to_string(),
+        figures.arrived,
+        figures.completed,
+        figures.stalled_share,
+        figures.stall_p95_ms,
+        figures.stall_p99_ms,
+        figures.batch_fill,
+        figures.loads,
+        figures.evictions,
+        figures.store_refusals,
+        figures.first_token_p95_ms,
+        urgent,
+        figures.refusals,
+    );
+}
+
+fn to_json(measurements: &[Measurement]) -> Value {
+    let rows: Vec<Value> = measurements
+        .iter()
+        .map(|measurement| {
+            let ClairvoyantBound { missed_share, .. } = clairvoyant_bound(&measurement.scenario);
+            json!({
+                "deployment": measurement.scenario.deployment.to_string(),
+                "workload": measurement.scenario.workload.to_string(),
+                "policy": measurement.policy.to_string(),
+                "clairvoyant_missed_share": missed_share,
+                "figures": measurement.figures,
+            })
+        })
+        .collect();
+    Value::from(rows)
+}
