perf: a claim on the weight store that refusals no longer collapse

Cause: every entry hears every refusal and halved its claim for each, so that one burst brought all six claims to the floor: 434 load orders in 120 s where 840 are allowed.

Change: the claim shrinks by a tenth, once a second at most.

--- a/crates/magnoliasail-core/src/load_budget.rs
+++ b/crates/magnoliasail-core/src/load_budget.rs
@@ -1,7 +1,7 @@
 //! Shares the weight store's rate among processes with no coordinator.
 //!
 //! Each process takes the published rate divided by the number of live peers, lends itself more
-//! while the store accepts, and halves its claim when the store refuses.
+//! while the store accepts, and lowers its claim when the store refuses.
 //!
 //! ```
 //! use magnoliasail_core::LoadBudget;
@@ -14,10 +14,11 @@
 
 use crate::{TimeMs, TokenBucket};
 
-const GROWTH_PER_LOAD: f64 = 0.05;
-const SHRINK_ON_REFUSAL: f64 = 0.5;
-const MIN_CLAIM: f64 = 0.25;
-const MAX_CLAIM: f64 = 4.0;
+const GROWTH_PER_LOAD: f64 = 0.01;
+const SHRINK_ON_REFUSAL: f64 = 0.9;
+const SHRINK_INTERVAL_MS: u64 = 1_000;
+const MIN_CLAIM: f64 = 0.5;
+const MAX_CLAIM: f64 = 2.0;
 const BURST_LOADS: f64 = 1.0;
 
 /// One process's claim on the weight store.
@@ -26,6 +27,7 @@
     fleet_rate_per_s: f64,
     peers: usize,
     claim: f64,
+    shrunk_ms: TimeMs,
     bucket: TokenBucket,
 }
 
@@ -37,6 +39,7 @@
             fleet_rate_per_s,
             peers: 1,
             claim: 1.0,
+            shrunk_ms: 0,
             bucket: TokenBucket::new(fleet_rate_per_s, BURST_LOADS, now_ms),
         }
     }
@@ -70,8 +73,14 @@
         self.apply(now_ms);
     }
 
-    /// Halves the claim after the store has refused a load.
+    /// Lowers the claim after the store has refused loads, at most once per interval.
+    ///
+    /// Every peer hears of every refusal, so that all of them lower their claims together.
     pub fn refused(&mut self, now_ms: TimeMs) {
+        if now_ms < self.shrunk_ms + SHRINK_INTERVAL_MS {
+            return;
+        }
+        self.shrunk_ms = now_ms;
         self.claim = (self.claim * SHRINK_ON_REFUSAL).max(MIN_CLAIM);
         self.apply(now_ms);
     }
