perf: loads that the store refuses are ordered again, not given up

Cause: a refusal for the store's rate counted as a failed load; after four of them in 0.7 s the waiters were refused and each cost another entry a load.

Change: such a refusal postpones the load while a request waits for it; an abandoned one frees its slot. The claim shrinks by 3% and not below 0.8.

--- a/crates/magnoliasail-core/src/agent/loads.rs
+++ b/crates/magnoliasail-core/src/agent/loads.rs
@@ -64,6 +64,8 @@
         }
         if is_store_refusal {
             self.report.store_refused();
+            self.postpone_load(now_ms, slot);
+            return;
         }
         let backoff_ms = self.settings.load_backoff_ms;
         let max_attempts = self.settings.max_load_attempts;
@@ -78,6 +80,15 @@
         pending.retry_at_ms = Some(now_ms + (backoff_ms << doublings));
     }
 
+    /// Orders a load again that the store refused for its rate, which is no fault of the load.
+    fn postpone_load(&mut self, now_ms: TimeMs, slot: usize) {
+        let backoff_ms = self.settings.load_backoff_ms;
+        if let Some(pending) = self.pending_loads.get_mut(&slot) {
+            pending.attempts -= 1;
+            pending.retry_at_ms = Some(now_ms + backoff_ms);
+        }
+    }
+
     /// Refuses every request that waits for a load and empties the slot.
     fn give_up_load(
         &mut self,
@@ -102,11 +113,16 @@
     }
 
     pub(super) fn retry_loads(&mut self, now_ms: TimeMs, actions: &mut Vec<AgentAction>) {
+        let mut abandoned = Vec::new();
         for (&slot, pending) in &mut self.pending_loads {
             let is_due = pending.retry_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
             if !is_due {
                 continue;
             }
+            if self.slots.pins(slot) == 0 {
+                abandoned.push(slot);
+                continue;
+            }
             pending.retry_at_ms = None;
             pending.attempts += 1;
             if let Some(adapter) = self.slots.adapter(slot) {
@@ -118,6 +134,10 @@
                 });
             }
         }
+        for slot in abandoned {
+            self.pending_loads.remove(&slot);
+            self.slots.clear(slot);
+        }
     }
 
     /// Loads an adapter again that the engine turned out to have lost.
--- a/crates/magnoliasail-core/src/load_budget.rs
+++ b/crates/magnoliasail-core/src/load_budget.rs
@@ -14,10 +14,10 @@
 
 use crate::{TimeMs, TokenBucket};
 
-const GROWTH_PER_LOAD: f64 = 0.01;
-const SHRINK_ON_REFUSAL: f64 = 0.9;
+const GROWTH_PER_LOAD: f64 = 0.02;
+const SHRINK_ON_REFUSAL: f64 = 0.97;
 const SHRINK_INTERVAL_MS: u64 = 1_000;
-const MIN_CLAIM: f64 = 0.5;
+const MIN_CLAIM: f64 = 0.8;
 const MAX_CLAIM: f64 = 2.0;
 const BURST_LOADS: f64 = 1.0;
 
