perf: eviction remembers ten minutes of use

Cause: uses decayed in a minute, in which an adapter outside the few hottest is hardly asked for once, so that eviction among them was by recency.

Change: the decay time of a slot's use count is 600 s in place of 60 s.

--- a/crates/magnoliasail-core/src/slots.rs
+++ b/crates/magnoliasail-core/src/slots.rs
@@ -16,7 +16,7 @@
 
 use crate::{AdapterRef, TimeMs};
 
-const RATE_DECAY_MS: f64 = 60_000.0;
+const RATE_DECAY_MS: f64 = 600_000.0;
 
 /// What pinning an adapter found.
 #[derive(Clone, Debug, PartialEq, Eq)]
