perf: loads go where they evict the least used adapter

Cause: a load went to the least loaded of three servers by rendezvous, whatever its slots held, so that servers with many hot adapters evicted hot ones.

Change: a load report tells the recent uses of the adapter that the next load would evict; a load goes to the cheapest of sixteen servers by rendezvous, counting those uses and the loads that the entry has just ordered there.

--- a/crates/magnoliasail-core/src/agent/reports.rs
+++ b/crates/magnoliasail-core/src/agent/reports.rs
@@ -81,7 +81,9 @@
         if is_unchanged {
             return;
         }
+        let victim_uses = self.slots.victim_uses(now_ms);
         let report = LoadReport {
+            victim_milli_uses: (victim_uses * 1_000.0) as u32,
             resident: residents
                 .difference(&self.report.residents)
                 .map(Adapter::from)
--- a/crates/magnoliasail-core/src/entry/placing.rs
+++ b/crates/magnoliasail-core/src/entry/placing.rs
@@ -105,6 +105,7 @@
             Choice::Resident(vm) => Some(Route::to(vm)),
             Choice::Load(vm) => self.load_budget.take(now_ms).then(|| {
                 self.servers.insert_resident(&vm, adapter);
+                self.servers.entry(&vm).ordered += 1;
                 Route {
                     vm,
                     grant: LoadGrant::Granted,
--- a/crates/magnoliasail-core/src/load_budget.rs
+++ b/crates/magnoliasail-core/src/load_budget.rs
@@ -93,7 +93,11 @@
 
     fn update(&mut self, now_ms: TimeMs) {
         let oldest_ms = now_ms.saturating_sub(WINDOW_MS);
-        while self.loaded_ms.front().is_some_and(|&at_ms| at_ms < oldest_ms) {
+        while self
+            .loaded_ms
+            .front()
+            .is_some_and(|&at_ms| at_ms < oldest_ms)
+        {
             self.loaded_ms.pop_front();
         }
         let used_per_s = self.loaded_ms.len() as f64 * 1_000.0 / WINDOW_MS as f64;
--- a/crates/magnoliasail-core/src/message/from_agent.rs
+++ b/crates/magnoliasail-core/src/message/from_agent.rs
@@ -227,6 +227,9 @@
     /// Time that requests have waited for loads since the last report, in milliseconds.
     #[prost(uint64, tag = "12")]
     pub stalled_ms: u64,
+    /// Recent uses of the adapter that the next load would evict, in thousandths.
+    #[prost(uint32, tag = "14")]
+    pub victim_milli_uses: u32,
     /// Whether the engine has restarted since the last report and is cold.
     #[prost(bool, tag = "13")]
     pub cold: bool,
--- a/crates/magnoliasail-core/src/router.rs
+++ b/crates/magnoliasail-core/src/router.rs
@@ -28,6 +28,8 @@
     pub load_ms: f64,
     /// Servers that may be given a new copy of an adapter, in the order of rendezvous.
     pub spread: usize,
+    /// Cost of each recent use of an adapter that a load evicts, in milliseconds.
+    pub reload_ms: f64,
 }
 
 impl Default for RouterSettings {
@@ -35,7 +37,8 @@
         Self {
             service_ms: 1_000.0,
             load_ms: 250.0,
-            spread: 3,
+            spread: 16,
+            reload_ms: 250.0,
         }
     }
 }
@@ -55,6 +58,10 @@
     pub pinned: u32,
     /// Loads that were under way at the last report.
     pub loading: u32,
+    /// Recent uses of the adapter that the next load would evict, at the last report.
+    pub victim_uses: f64,
+    /// Loads that this entry has ordered there since the last report.
+    pub ordered: u32,
     /// Requests that this entry has in flight there.
     pub own: u32,
     /// Requests that this entry has sent there since the last report.
@@ -89,6 +96,14 @@
         (f64::from(self.occupied()) / capacity).min(1.0)
     }
 
+    /// Adopts the load that came with a refusal, which says nothing of the slots' contents.
+    pub fn apply_refusal(&mut self, report: &LoadReport, now_ms: TimeMs) {
+        let (victim_uses, ordered) = (self.victim_uses, self.ordered);
+        self.apply(report, now_ms);
+        self.victim_uses = victim_uses;
+        self.ordered = ordered;
+    }
+
     /// Adopts a load report.
     pub fn apply(&mut self, report: &LoadReport, now_ms: TimeMs) {
         self.running = report.running;
@@ -97,6 +112,8 @@
         self.slots = report.slots;
         self.pinned = report.pinned;
         self.loading = report.loading;
+        self.victim_uses = f64::from(report.victim_milli_uses) / 1_000.0;
+        self.ordered = 0;
         self.unreported = 0;
         self.reported_ms = now_ms;
     }
@@ -248,9 +265,15 @@
         ranked.truncate(spread);
         ranked
             .into_iter()
-            .map(|(_, vm, view)| (Arc::clone(vm), view.expected_wait_ms(&self.settings)))
+            .map(|(_, vm, view)| (Arc::clone(vm), self.load_cost_ms(view)))
             .collect()
     }
+
+    /// Returns what a load on a server costs: the wait there, and the reloads that it brings about.
+    fn load_cost_ms(&self, view: &ServerView) -> f64 {
+        let victims = view.victim_uses + f64::from(view.ordered);
+        view.expected_wait_ms(&self.settings) + victims * self.settings.reload_ms
+    }
 }
 
 fn is_usable(vm: &Arc<str>, view: &ServerView, situation: &Situation<'_>) -> bool {
--- a/crates/magnoliasail-core/src/slots.rs
+++ b/crates/magnoliasail-core/src/slots.rs
@@ -220,6 +220,13 @@
         self.slots.iter().filter_map(|slot| slot.adapter.as_ref())
     }
 
+    /// Returns the recent uses of the adapter that the next load would evict.
+    #[must_use]
+    pub fn victim_uses(&self, now_ms: TimeMs) -> f64 {
+        self.victim(now_ms)
+            .map_or(f64::INFINITY, |slot| self.slots[slot].uses_at(now_ms))
+    }
+
     /// Chooses an empty slot, or the unpinned resident one with the least expected use.
     fn victim(&self, now_ms: TimeMs) -> Option<usize> {
         if let Some(empty) = self.slots.iter().position(|slot| slot.adapter.is_none()) {
