perf: batches are weighed as the deployment's row says

Change: a server costs its expected wait, the emptiness of its batch by batch_weight and the reloads of its eviction by stall_weight; a new copy goes to one of eight servers by rendezvous, of sixteen before.

--- a/crates/magnoliasail-core/src/router.rs
+++ b/crates/magnoliasail-core/src/router.rs
@@ -30,6 +30,8 @@
     pub spread: usize,
     /// Cost of each recent use of an adapter that a load evicts, in milliseconds.
     pub reload_ms: f64,
+    /// Cost of a request that runs alone against one in a full batch, in milliseconds.
+    pub empty_batch_ms: f64,
 }
 
 impl Default for RouterSettings {
@@ -37,8 +39,9 @@
         Self {
             service_ms: 1_000.0,
             load_ms: 250.0,
-            spread: 16,
+            spread: 8,
             reload_ms: 250.0,
+            empty_batch_ms: 100.0,
         }
     }
 }
@@ -265,14 +268,26 @@
         ranked.truncate(spread);
         ranked
             .into_iter()
-            .map(|(_, vm, view)| (Arc::clone(vm), self.load_cost_ms(view)))
+            .map(|(_, vm, view)| {
+                (
+                    Arc::clone(vm),
+                    self.load_cost_ms(view, situation.deployment),
+                )
+            })
             .collect()
     }
 
-    /// Returns what a load on a server costs: the wait there, and the reloads that it brings about.
-    fn load_cost_ms(&self, view: &ServerView) -> f64 {
+    /// Returns what a request on a server costs: the wait there and a batch that is not full.
+    fn run_cost_ms(&self, view: &ServerView, deployment: &Deployment) -> f64 {
+        let emptiness_ms = (1.0 - view.fill()) * self.settings.empty_batch_ms;
+        view.expected_wait_ms(&self.settings) + deployment.batch_weight * emptiness_ms
+    }
+
+    /// Returns what a load on a server costs besides: the reloads that its eviction brings about.
+    fn load_cost_ms(&self, view: &ServerView, deployment: &Deployment) -> f64 {
         let victims = view.victim_uses + f64::from(view.ordered);
-        view.expected_wait_ms(&self.settings) + victims * self.settings.reload_ms
+        let reloads_ms = victims * self.settings.reload_ms;
+        self.run_cost_ms(view, deployment) + deployment.stall_weight * reloads_ms
     }
 }
 
@@ -294,17 +309,19 @@
         adapter: &AdapterRef,
         situation: Situation<'_>,
     ) -> Option<Choice> {
-        let resident = least(
-            situation
-                .servers
-                .holders(adapter)
-                .iter()
-                .filter_map(|vm| Some((vm, situation.servers.get(vm)?)))
-                .filter(|(vm, view)| is_usable(vm, view, &situation))
-                .map(|(vm, view)| (Arc::clone(vm), view.expected_wait_ms(&self.settings))),
-        );
+        let settings = &self.settings;
+        let deployment = situation.deployment;
+        let holders = situation.servers.holders(adapter).iter();
+        let usable = holders
+            .filter_map(|vm| Some((vm, situation.servers.get(vm)?)))
+            .filter(|(vm, view)| is_usable(vm, view, &situation));
+        let resident = usable.min_by(|(_, a), (_, b)| {
+            let a = self.run_cost_ms(a, deployment);
+            a.total_cmp(&self.run_cost_ms(b, deployment))
+        });
+        let resident = resident.map(|(vm, view)| (Arc::clone(vm), view.expected_wait_ms(settings)));
         if let Some((vm, wait_ms)) = &resident
-            && *wait_ms <= self.settings.load_ms
+            && *wait_ms <= settings.load_ms
         {
             return Some(Choice::Resident(Arc::clone(vm)));
         }
