perf: a load in reserve for urgent requests

Cause: under a full budget the permission for a load is taken the moment it accrues, so that an urgent request waits for the next one, 0.9 s at an entry.

Change: an entry saves up two loads and keeps one of them for priority 7 and above.

--- a/crates/magnoliasail-core/src/entry/mod.rs
+++ b/crates/magnoliasail-core/src/entry/mod.rs
@@ -167,7 +167,7 @@
     /// Returns where a request for a model would go now.
     pub fn explain(&mut self, now_ms: TimeMs, model: &str) -> Option<crate::Choice> {
         let adapter = self.adoption.table().resolve(model)?;
-        self.choose(now_ms, &adapter, &[])
+        self.choose(now_ms, &adapter, 0, &[])
     }
 
     fn table_offered(&mut self, now_ms: TimeMs, offer: Offer, actions: &mut Vec<EntryAction>) {
--- a/crates/magnoliasail-core/src/entry/placing.rs
+++ b/crates/magnoliasail-core/src/entry/placing.rs
@@ -51,6 +51,7 @@
         }
         let target = request.target.clone();
         let excluded = request.excluded.clone();
+        let priority = request.priority;
         let is_suspect = verdict == Verdict::Suspect;
         if let Some(reason) = self.unanswerable(now_ms, &target) {
             self.fail(id, reason, Outcome::Unknown, 0, actions);
@@ -58,7 +59,7 @@
         }
         let route = match &target {
             Target::Model { .. } if is_suspect => self.suspect_route(id),
-            Target::Model { adapter } => self.model_route(now_ms, adapter, &excluded),
+            Target::Model { adapter } => self.model_route(now_ms, adapter, priority, &excluded),
             Target::Call {
                 service,
                 key: Some(key),
@@ -84,13 +85,14 @@
         &mut self,
         now_ms: TimeMs,
         adapter: &AdapterRef,
+        priority: u32,
         excluded: &[Arc<str>],
     ) -> Option<Choice> {
         let situation = Situation {
             servers: &self.servers,
             excluded,
             deployment: &self.adoption.table().deployment,
-            budget_wait_ms: self.load_budget.wait_ms(now_ms),
+            budget_wait_ms: self.load_budget.wait_ms(now_ms, priority),
         };
         self.policy.choose(now_ms, adapter, situation)
     }
@@ -99,11 +101,12 @@
         &mut self,
         now_ms: TimeMs,
         adapter: &AdapterRef,
+        priority: u32,
         excluded: &[Arc<str>],
     ) -> Option<Route> {
-        match self.choose(now_ms, adapter, excluded)? {
+        match self.choose(now_ms, adapter, priority, excluded)? {
             Choice::Resident(vm) => Some(Route::to(vm)),
-            Choice::Load(vm) => self.load_budget.take(now_ms).then(|| {
+            Choice::Load(vm) => self.load_budget.take(now_ms, priority).then(|| {
                 self.servers.insert_resident(&vm, adapter);
                 self.servers.entry(&vm).ordered += 1;
                 Route {
@@ -243,7 +246,10 @@
             self.place(now_ms, id, actions);
         }
         for id in self.waiting.first(MAX_TRIED) {
-            if self.load_budget.wait_ms(now_ms) > 0 {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            if self.load_budget.wait_ms(now_ms, request.priority) > 0 {
                 return;
             }
             self.place(now_ms, id, actions);
--- a/crates/magnoliasail-core/src/load_budget.rs
+++ b/crates/magnoliasail-core/src/load_budget.rs
@@ -9,8 +9,9 @@
 //!
 //! let mut budget = LoadBudget::new(7.0, 0);
 //! budget.set_peers(7, 0);
-//! assert!(budget.take(0));
-//! assert!(!budget.take(0));
+//! assert!(budget.take(0, 5));
+//! assert!(!budget.take(0, 5), "the last load is kept for urgent requests");
+//! assert!(budget.take(0, 9));
 //! ```
 
 use {
@@ -22,7 +23,9 @@
 const LENT_SHARE: f64 = 0.5;
 const REFUSAL_HOLD_MS: u64 = 1_000;
 const SHARE_AFTER_REFUSAL: f64 = 0.9;
-const BURST_LOADS: f64 = 1.0;
+const BURST_LOADS: f64 = 2.0;
+const URGENT_RESERVE_LOADS: f64 = 1.0;
+const URGENT_PRIORITY: u32 = 7;
 
 /// One process's claim on the weight store.
 #[derive(Clone, Debug)]
@@ -61,16 +64,16 @@
         self.update(now_ms);
     }
 
-    /// Takes the permission for one load.
-    pub fn take(&mut self, now_ms: TimeMs) -> bool {
+    /// Takes the permission for one load on behalf of a request of this priority.
+    pub fn take(&mut self, now_ms: TimeMs, priority: u32) -> bool {
         self.update(now_ms);
-        self.bucket.take(now_ms)
+        self.bucket.take_above(now_ms, reserve(priority))
     }
 
-    /// Returns the milliseconds until the next permission.
+    /// Returns the milliseconds until the next permission for a request of this priority.
     #[must_use]
-    pub fn wait_ms(&self, now_ms: TimeMs) -> u64 {
-        self.bucket.wait_ms(now_ms)
+    pub fn wait_ms(&self, now_ms: TimeMs, priority: u32) -> u64 {
+        self.bucket.wait_above_ms(now_ms, reserve(priority))
     }
 
     /// Records that some process of the fleet has loaded an adapter.
@@ -114,3 +117,12 @@
         self.bucket.set_rate(self.rate_per_s, BURST_LOADS, now_ms);
     }
 }
+
+/// Returns the loads that a request of this priority must leave for urgent ones.
+const fn reserve(priority: u32) -> f64 {
+    if priority >= URGENT_PRIORITY {
+        0.0
+    } else {
+        URGENT_RESERVE_LOADS
+    }
+}
--- a/crates/magnoliasail-core/src/token_bucket.rs
+++ b/crates/magnoliasail-core/src/token_bucket.rs
@@ -33,8 +33,13 @@
 
     /// Takes one token if there is one.
     pub fn take(&mut self, now_ms: TimeMs) -> bool {
+        self.take_above(now_ms, 0.0)
+    }
+
+    /// Takes one token if `reserve` tokens are left afterwards.
+    pub fn take_above(&mut self, now_ms: TimeMs, reserve: f64) -> bool {
         self.refill(now_ms);
-        if self.tokens < 1.0 {
+        if self.tokens < 1.0 + reserve {
             return false;
         }
         self.tokens -= 1.0;
@@ -44,11 +49,17 @@
     /// Returns the milliseconds until the next token.
     #[must_use]
     pub fn wait_ms(&self, now_ms: TimeMs) -> u64 {
-        let tokens = self.tokens_at(now_ms);
-        if tokens >= 1.0 || self.rate_per_s <= 0.0 {
+        self.wait_above_ms(now_ms, 0.0)
+    }
+
+    /// Returns the milliseconds until a token can be taken that leaves `reserve` tokens.
+    #[must_use]
+    pub fn wait_above_ms(&self, now_ms: TimeMs, reserve: f64) -> u64 {
+        let missing = 1.0 + reserve - self.tokens_at(now_ms);
+        if missing <= 0.0 || self.rate_per_s <= 0.0 {
             return 0;
         }
-        ((1.0 - tokens) / self.rate_per_s * 1_000.0).ceil() as u64
+        (missing / self.rate_per_s * 1_000.0).ceil() as u64
     }
 
     fn refill(&mut self, now_ms: TimeMs) {
