perf: a loaded adapter brings its past uses to its slot

Cause: a slot counts uses from its load on, so that an adapter which was asked for ten times in ten minutes and evicted once counts like one that was asked for the first time.

Change: an entry keeps a decaying count of its own requests per adapter and tells it, times the number of entries, with each attempt; a new slot starts with it.

--- a/crates/magnoliasail-core/src/agent/mod.rs
+++ b/crates/magnoliasail-core/src/agent/mod.rs
@@ -350,7 +350,8 @@
         }
         let is_suspect = self.check_admission(now_ms, &submit)?;
         let adapter = AdapterRef::from(adapter);
-        let slot = match self.slots.pin(&adapter, now_ms) {
+        let past_uses = f64::from(part.past_milli_uses) / 1_000.0;
+        let slot = match self.slots.pin(&adapter, past_uses, now_ms) {
             Lookup::Ready { slot } | Lookup::Loading { slot } => slot,
             Lookup::Load { slot, evicted } => {
                 self.order_load(slot, &adapter, evicted, actions);
--- a/crates/magnoliasail-core/src/entry/mod.rs
+++ b/crates/magnoliasail-core/src/entry/mod.rs
@@ -39,6 +39,7 @@
     crate::{
         Admission, LoadBudget, Membership, Outcome, Placement, RefusalReason, RetryBudget, Servers,
         Suspects, TimeMs, VmList, VmRole,
+        demand::Demand,
         message::{Cancel, EntryMessage, HolderNotice},
         table::{Adoption, Offer, Pages},
     },
@@ -60,6 +61,7 @@
     admission: Admission,
     retry_budget: RetryBudget,
     load_budget: LoadBudget,
+    demand: Demand,
     suspects: Suspects,
     requests: BTreeMap<u64, Request>,
     waiting: Waiting,
@@ -88,6 +90,7 @@
             admission: Admission::new(settings.admission),
             retry_budget: RetryBudget::new(settings.retry_share, settings.retry_cap),
             load_budget: LoadBudget::new(deployment.loads_per_s, now_ms),
+            demand: Demand::default(),
             suspects: Suspects::default(),
             requests: BTreeMap::new(),
             waiting: Waiting::default(),
--- a/crates/magnoliasail-core/src/entry/placing.rs
+++ b/crates/magnoliasail-core/src/entry/placing.rs
@@ -212,7 +212,7 @@
             budget_ms: request.deadline_ms.saturating_sub(now_ms),
             priority: request.priority,
             body: request.body.clone(),
-            work: Some(work(&request, route.grant)),
+            work: Some(self.work(now_ms, &request, route.grant)),
         };
         self.by_attempt.insert(number, id);
         let view = self.servers.entry(&route.vm);
@@ -290,29 +290,36 @@
         self.place(now_ms, id, actions);
         true
     }
-}
 
-fn work(request: &Request, grant: LoadGrant) -> Work {
-    match &request.target {
-        Target::Model { adapter } => Work::Model(ModelPart {
-            adapter: Some(Adapter::from(adapter)),
-            grant: grant.into(),
-        }),
-        Target::Call {
-            service,
-            method,
-            path,
-            content_type,
-            key,
-        } => Work::Job(JobPart {
-            service: service.to_string(),
-            method: method.to_string(),
-            path: path.to_string(),
-            content_type: content_type.to_string(),
-            key: key
-                .as_ref()
-                .map_or_else(String::new, |key| key.text().to_string()),
-            epoch: request.epoch,
-        }),
+    /// Returns the uses of an adapter in the whole fleet, judged by this entry's part of them.
+    fn past_milli_uses(&self, now_ms: TimeMs, adapter: &AdapterRef) -> u32 {
+        let own = self.demand.count(adapter, now_ms);
+        (own * self.membership.entries() as f64 * 1_000.0) as u32
+    }
+
+    fn work(&self, now_ms: TimeMs, request: &Request, grant: LoadGrant) -> Work {
+        match &request.target {
+            Target::Model { adapter } => Work::Model(ModelPart {
+                adapter: Some(Adapter::from(adapter)),
+                grant: grant.into(),
+                past_milli_uses: self.past_milli_uses(now_ms, adapter),
+            }),
+            Target::Call {
+                service,
+                method,
+                path,
+                content_type,
+                key,
+            } => Work::Job(JobPart {
+                service: service.to_string(),
+                method: method.to_string(),
+                path: path.to_string(),
+                content_type: content_type.to_string(),
+                key: key
+                    .as_ref()
+                    .map_or_else(String::new, |key| key.text().to_string()),
+                epoch: request.epoch,
+            }),
+        }
     }
 }
--- a/crates/magnoliasail-core/src/entry/submit.rs
+++ b/crates/magnoliasail-core/src/entry/submit.rs
@@ -91,6 +91,9 @@
             });
             return;
         }
+        if let Target::Model { adapter } = &request.target {
+            self.demand.observe(adapter, now_ms);
+        }
         self.deadlines.insert((request.deadline_ms, id));
         self.requests.insert(id, request);
         self.retry_budget.deposit();
--- a/crates/magnoliasail-core/src/lib.rs
+++ b/crates/magnoliasail-core/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod adapter;
 mod admission;
+mod demand;
 mod liveness;
 mod load_budget;
 mod membership;
--- a/crates/magnoliasail-core/src/message/from_entry.rs
+++ b/crates/magnoliasail-core/src/message/from_entry.rs
@@ -131,6 +131,9 @@
     /// Permission to load the adapter, if it is not resident.
     #[prost(enumeration = "LoadGrant", tag = "2")]
     pub grant: i32,
+    /// Recent uses of the adapter in the whole fleet as the entry estimates them, in thousandths.
+    #[prost(uint32, tag = "3")]
+    pub past_milli_uses: u32,
 }
 
 /// Whether the entry has spent its load budget for an attempt.
--- a/crates/magnoliasail-core/src/slots.rs
+++ b/crates/magnoliasail-core/src/slots.rs
@@ -8,15 +8,13 @@
 //!
 //! let mut slots = SlotTable::new(1);
 //! let breeds = AdapterRef::new("breeds", "v1", "d");
-//! let Lookup::Load { slot, .. } = slots.pin(&breeds, 0) else { panic!() };
+//! let Lookup::Load { slot, .. } = slots.pin(&breeds, 0.0, 0) else { panic!() };
 //! slots.loaded(slot);
-//! assert!(matches!(slots.pin(&breeds, 1), Lookup::Ready { .. }));
-//! assert!(matches!(slots.pin(&AdapterRef::new("other", "v1", "d"), 2), Lookup::Busy));
+//! assert!(matches!(slots.pin(&breeds, 0.0, 1), Lookup::Ready { .. }));
+//! assert!(matches!(slots.pin(&AdapterRef::new("other", "v1", "d"), 0.0, 2), Lookup::Busy));
 //! ```
 
-use crate::{AdapterRef, TimeMs};
-
-const RATE_DECAY_MS: f64 = 600_000.0;
+use crate::{AdapterRef, TimeMs, demand::decayed};
 
 /// What pinning an adapter found.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,8 +70,7 @@
     }
 
     fn uses_at(&self, now_ms: TimeMs) -> f64 {
-        let idle_ms = now_ms.saturating_sub(self.used_ms) as f64;
-        self.uses * (-idle_ms / RATE_DECAY_MS).exp()
+        decayed(self.uses, self.used_ms, now_ms)
     }
 
     fn touch(&mut self, now_ms: TimeMs) {
@@ -101,7 +98,9 @@
     }
 
     /// Finds or reserves a slot for an adapter and pins it, in one step.
-    pub fn pin(&mut self, adapter: &AdapterRef, now_ms: TimeMs) -> Lookup {
+    ///
+    /// A new slot starts with the uses that the adapter has had elsewhere.
+    pub fn pin(&mut self, adapter: &AdapterRef, past_uses: f64, now_ms: TimeMs) -> Lookup {
         if let Some(slot) = self.find(adapter) {
             self.slots[slot].touch(now_ms);
             return match self.slots[slot].state {
@@ -123,6 +122,7 @@
             ..Slot::empty()
         };
         entry.touch(now_ms);
+        entry.uses = entry.uses.max(past_uses);
         Lookup::Load { slot, evicted }
     }
 
