refactor: admission, runs and deciding loops each in a place of their own

Change: an attempt arrives as one value; admission and the life of a run are modules; one loop serves both deciding duties through a small trait; listeners and the operator duty are shared. A path that does not exist is answered with a reason and the paths that do; found by a test of bad input, which also found that the router's hook sees the answers of handlers.

--- a/crates/magnoliasail-core/src/agent/jobs.rs
+++ b/crates/magnoliasail-core/src/agent/jobs.rs
@@ -1,11 +1,16 @@
 //! Admission of jobs that may run at most once.
 
 use {
-    super::{Agent, AgentAction, LinkId, Refusal, Run, Stage, call_work, send},
+    super::{
+        Agent, AgentAction, Refusal,
+        admission::{Arrival, call_work},
+        run::{Run, Stage},
+        send,
+    },
     crate::{
         RefusalReason, TimeMs,
         job::{JobAnswer, JobKey, JobState, KeySpan, LedgerLookup},
-        message::{Head, JobPart, Submit},
+        message::{Head, JobPart},
     },
     std::sync::Arc,
 };
@@ -14,15 +19,13 @@
     pub(super) fn submit_job(
         &mut self,
         now_ms: TimeMs,
-        link: LinkId,
-        entry: u64,
-        submit: Submit,
+        arrival: Arrival,
         part: &JobPart,
         actions: &mut Vec<AgentAction>,
     ) -> Result<(), Refusal> {
         let key = JobKey::parse(&part.key).ok_or(RefusalReason::BadRequest)?;
         let span = self.key_span(&key, now_ms)?;
-        let fingerprint = submit.fingerprint;
+        let fingerprint = arrival.submit.fingerprint;
         let epoch = match self.ledger.lookup(&key, span, fingerprint) {
             LedgerLookup::Reused => return Err(RefusalReason::KeyReused.into()),
             LedgerLookup::Forgotten => return Err(RefusalReason::JobMayHaveRun.into()),
@@ -31,7 +34,7 @@
                 JobState::Running => return Err(RefusalReason::JobInProgress.into()),
                 JobState::Lost => return Err(RefusalReason::JobMayHaveRun.into()),
                 JobState::Done(answer) => {
-                    self.replay_job(now_ms, link, entry, submit, part, answer, actions);
+                    self.replay_job(now_ms, arrival, part, answer, actions);
                     return Ok(());
                 }
             },
@@ -46,11 +49,11 @@
                 epoch,
             });
         }
-        match self.check_admission(now_ms, &submit) {
+        match self.check_admission(now_ms, &arrival.submit) {
             Ok(is_suspect) => {
                 self.ledger.start(&key, span, fingerprint);
                 let work = call_work(part, Some(key));
-                self.accept(now_ms, link, entry, submit, work, is_suspect, actions);
+                self.accept(now_ms, arrival, work, is_suspect, actions);
                 Ok(())
             }
             Err(reason) => Err(Refusal {
@@ -94,23 +97,18 @@
     }
 
     /// Answers a resent job from the ledger.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one run come from four places"
-    )]
     fn replay_job(
         &mut self,
         now_ms: TimeMs,
-        link: LinkId,
-        entry: u64,
-        submit: Submit,
+        arrival: Arrival,
         part: &JobPart,
         answer: JobAnswer,
         actions: &mut Vec<AgentAction>,
     ) {
-        let attempt = submit.attempt;
+        let link = arrival.link;
+        let attempt = arrival.submit.attempt;
         let work = call_work(part, None);
-        let id = self.add_run(now_ms, link, entry, submit, work, false);
+        let id = self.add_run(now_ms, arrival, work, false);
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
--- a/crates/magnoliasail-core/src/agent/loads.rs
+++ b/crates/magnoliasail-core/src/agent/loads.rs
@@ -1,7 +1,7 @@
 //! Loads of adapters: shared by all who wait, retried with back-off, given up in the end.
 
 use {
-    super::{Agent, AgentAction, RunId, Stage},
+    super::{Agent, AgentAction, RunId, run::Stage},
     crate::{AdapterRef, RefusalReason, TimeMs},
 };
 
--- /dev/null
+++ b/crates/magnoliasail-core/src/agent/runs.rs
@@ -0,0 +1,232 @@
+//! The life of a run from its start to its final answer.
+
+use {
+    super::{
+        Agent, AgentAction, LinkId, Refusal, RunId, RunOrder, RunTarget,
+        run::{Run, Stage, Work},
+        send,
+    },
+    crate::{
+        RefusalReason, TimeMs,
+        message::{AgentMessage, Failed},
+    },
+    std::sync::Arc,
+};
+
+impl Agent {
+    /// Hands waiting requests to the server while it has room, by priority, then by age.
+    pub(super) fn start_runs(&mut self, now_ms: TimeMs, actions: &mut Vec<AgentAction>) {
+        loop {
+            let running = self.runs.values().filter(|run| run.is_running()).count();
+            let is_exclusive = self
+                .runs
+                .values()
+                .any(|run| run.is_running() && run.is_suspect);
+            if running >= self.settings.capacity || is_exclusive {
+                return;
+            }
+            let Some(id) = self.next_to_start() else {
+                return;
+            };
+            if self.runs[&id].is_suspect && running > 0 {
+                return;
+            }
+            self.start_run(now_ms, id, actions);
+        }
+    }
+
+    pub(super) fn next_to_start(&self) -> Option<RunId> {
+        let is_startable = |run: &&Run| {
+            run.stage == Stage::Waiting
+                && run.slot().is_none_or(|(slot, generation)| {
+                    self.slots.is_ready(slot) && self.slots.generation(slot) == generation
+                })
+        };
+        // A suspect goes first, so that it does not starve while others keep the server busy.
+        self.runs
+            .values()
+            .filter(is_startable)
+            .min_by_key(|run| (!run.is_suspect, u32::MAX - run.priority, run.id))
+            .map(|run| run.id)
+    }
+
+    pub(super) fn start_run(&mut self, now_ms: TimeMs, id: RunId, actions: &mut Vec<AgentAction>) {
+        let fencing = self.lease.fencing();
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.stage = Stage::Running;
+        self.report.stalled(run, now_ms);
+        let target = match &run.work {
+            Work::Model { adapter, .. } => RunTarget::Model {
+                adapter: adapter.clone(),
+            },
+            Work::Call {
+                method,
+                path,
+                content_type,
+                key,
+            } => RunTarget::Call {
+                method: Arc::clone(method),
+                path: Arc::clone(path),
+                content_type: Arc::clone(content_type),
+                key: key.as_ref().map_or("".into(), |key| Arc::clone(key.text())),
+                fencing: key.as_ref().map_or(0, |_| fencing),
+            },
+        };
+        let order = RunOrder {
+            target,
+            priority: run.priority,
+            body: run.body.clone(),
+            budget_ms: run.deadline_ms.saturating_sub(now_ms),
+        };
+        actions.push(AgentAction::Run { run: id, order });
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        now_ms: TimeMs,
+        link: LinkId,
+        attempt: u64,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let Some(id) = self.find(link, attempt) else {
+            return;
+        };
+        self.cancel_run(now_ms, id, RefusalReason::CallerGone, actions);
+    }
+
+    /// Takes back a run that waits and cancels one that runs, unless it is a job.
+    pub(super) fn cancel_run(
+        &mut self,
+        now_ms: TimeMs,
+        id: RunId,
+        reason: RefusalReason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        match run.stage {
+            Stage::Waiting => self.refuse_run(now_ms, id, reason, actions),
+            Stage::Running if run.key().is_none() => self.abort_run(id, reason, actions),
+            Stage::Running | Stage::Cancelling => {}
+            Stage::Ended => self.forget(id),
+        }
+    }
+
+    /// Cancels a run at the server; its pin stays until the server has confirmed it.
+    pub(super) fn abort_run(
+        &mut self,
+        id: RunId,
+        reason: RefusalReason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.stage = Stage::Cancelling;
+            run.given_up = Some(reason);
+            actions.push(AgentAction::CancelRun { run: id });
+        }
+    }
+
+    /// Gives up a run that was never handed to the server.
+    pub(super) fn refuse_run(
+        &mut self,
+        now_ms: TimeMs,
+        id: RunId,
+        reason: RefusalReason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        debug_assert!(run.accepted_ms <= now_ms);
+        let attempt = run.attempt;
+        let key = run.key().map(|key| Arc::clone(key.text()));
+        let refusal = Refusal {
+            reason,
+            covers_key: key.is_some(),
+            epoch: key.map_or(0, |key| self.ledger.withdraw(&key)),
+        };
+        actions.push(AgentAction::Refused { reason });
+        let ending = self.refused(attempt, refusal).into();
+        self.end_run(id, ending, actions);
+    }
+
+    /// Gives up a run that may have run.
+    pub(super) fn fail_run(
+        &mut self,
+        id: RunId,
+        reason: RefusalReason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        let attempt = run.attempt;
+        if let Some(key) = run.key() {
+            let key = Arc::clone(key.text());
+            self.ledger.lose(&key);
+        }
+        actions.push(AgentAction::Refused { reason });
+        let reason = reason.code();
+        self.end_run(id, Failed { attempt, reason }.into(), actions);
+    }
+
+    /// Gives a run its final answer and releases its pin.
+    pub(super) fn end_run(
+        &mut self,
+        id: RunId,
+        ending: AgentMessage,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if let Some((slot, generation)) = run.slot() {
+            self.slots.unpin(slot, generation);
+        }
+        run.stage = Stage::Ended;
+        run.body.clear();
+        run.ending = Some(ending.clone());
+        if let Some(link) = run.link {
+            send(actions, link, ending);
+        }
+    }
+
+    pub(super) fn forget(&mut self, id: RunId) {
+        if let Some(run) = self.runs.remove(&id) {
+            self.by_attempt.remove(&(run.entry, run.attempt));
+        }
+    }
+
+    pub(super) fn find(&self, link: LinkId, attempt: u64) -> Option<RunId> {
+        let entry = self.links.get(&link)?.entry?;
+        self.by_attempt.get(&(entry, attempt)).copied()
+    }
+
+    pub(super) fn expire_runs(&mut self, now_ms: TimeMs, actions: &mut Vec<AgentAction>) {
+        let window_ms = self.settings.resume_window_ms;
+        let ids: Vec<RunId> = self.runs.keys().copied().collect();
+        for id in ids {
+            let run = &self.runs[&id];
+            let is_orphan = run
+                .orphaned_ms
+                .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) > window_ms);
+            let is_late = now_ms >= run.deadline_ms;
+            match run.stage {
+                Stage::Ended if is_orphan => self.forget(id),
+                Stage::Waiting if is_late => {
+                    self.refuse_run(now_ms, id, RefusalReason::DeadlineExceeded, actions);
+                }
+                Stage::Waiting | Stage::Running if is_orphan => {
+                    self.cancel_run(now_ms, id, RefusalReason::LinkLost, actions);
+                }
+                Stage::Running if is_late => {
+                    self.cancel_run(now_ms, id, RefusalReason::DeadlineExceeded, actions);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/magnoliasail-core/src/agent/streams.rs
+++ b/crates/magnoliasail-core/src/agent/streams.rs
@@ -1,7 +1,11 @@
 //! Answers on their way from the server to an entry.
 
 use {
-    super::{Agent, AgentAction, LinkId, RunFailure, RunId, Stage, Work, send},
+    super::{
+        Agent, AgentAction, LinkId, RunFailure, RunId,
+        run::{Stage, Work},
+        send,
+    },
     crate::{
         RefusalReason, TimeMs,
         message::{Chunk, Failed, Head, Refused, Resume, SuspectNotice},
--- a/crates/magnoliasail/src/agent/decide.rs
+++ b/crates/magnoliasail/src/agent/decide.rs
@@ -4,30 +4,21 @@
     super::{Input, links::LinkCommand, server::ServerCommand, status},
     crate::{
         clock::Clock,
+        decider::{Decider, decide},
         entry::emit_verdict,
         events::{EventId, emit},
         metrics::Metrics,
         ring::RingReader,
         supervisor::Supervisor,
     },
-    magnoliasail_core::{
-        Agent, AgentAction, AgentEvent, AgentSettings, PauseDetector, RefusalReason,
-    },
-    std::{
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
-        time::Duration,
+    magnoliasail_core::{Agent, AgentAction, AgentEvent, AgentSettings, RefusalReason, TimeMs},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
     },
     tokio::sync::{mpsc, watch as signal},
 };
 
-const TICK: Duration = Duration::from_millis(10);
-const TICK_MS: u64 = 10;
-const PAUSE_LIMIT_MS: u64 = 1_000;
-const MAX_BATCH: usize = 256;
-
 /// What the duties of an agent share.
 #[derive(Clone, Debug)]
 pub(super) struct Shared {
@@ -48,8 +39,6 @@
     server: mpsc::Sender<ServerCommand>,
     actions: Vec<AgentAction>,
     clock: Clock,
-    pauses: PauseDetector,
-    ticked_ms: u64,
 }
 
 impl Decide {
@@ -67,8 +56,6 @@
             server,
             actions: Vec::new(),
             clock,
-            pauses: PauseDetector::new(PAUSE_LIMIT_MS, now_ms),
-            ticked_ms: now_ms,
         }
     }
 
@@ -77,48 +64,8 @@
         // Links of an earlier life of this duty belong to an earlier incarnation.
         self.order_links(LinkCommand::CloseAll);
         self.order_server(ServerCommand::CancelAll);
-        loop {
-            let (input, is_open) = ring.pop(TICK);
-            if !is_open {
-                return;
-            }
-            let now_ms = self.clock.now_ms();
-            self.check_pause(now_ms);
-            if let Some(input) = input {
-                self.take(now_ms, input);
-                for _ in 0..MAX_BATCH {
-                    let Some(input) = ring.try_pop() else { break };
-                    self.take(now_ms, input);
-                }
-            }
-            self.tick(now_ms);
-        }
-    }
-
-    fn check_pause(&mut self, now_ms: u64) {
-        if let Some(pause_ms) = self.pauses.observe(now_ms) {
-            emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
-            self.shared.metrics.pauses.inc();
-        }
-    }
-
-    fn tick(&mut self, now_ms: u64) {
-        if now_ms < self.ticked_ms + TICK_MS {
-            return;
-        }
-        self.ticked_ms = now_ms;
-        self.handle(now_ms, AgentEvent::Tick);
-        self.measure(now_ms);
-    }
-
-    fn take(&mut self, now_ms: u64, input: Input) {
-        match input {
-            Input::Event(event) => self.handle(now_ms, event),
-            // An operator that went away needs no answer.
-            Input::Status(sender) => {
-                let _ = sender.send(status::agent(&self.shared, &self.core, now_ms));
-            }
-        }
+        let mut clock = self.clock;
+        decide(&mut self, ring, &mut clock);
     }
 
     fn handle(&mut self, now_ms: u64, event: AgentEvent) {
@@ -211,3 +158,27 @@
             .set(self.shared.supervisor.restarts() as i64);
     }
 }
+
+impl Decider for Decide {
+    type Input = Input;
+
+    fn take(&mut self, now_ms: TimeMs, input: Input) {
+        match input {
+            Input::Event(event) => self.handle(now_ms, event),
+            // An operator that went away needs no answer.
+            Input::Status(sender) => {
+                let _ = sender.send(status::agent(&self.shared, &self.core, now_ms));
+            }
+        }
+    }
+
+    fn tick(&mut self, now_ms: TimeMs) {
+        self.handle(now_ms, AgentEvent::Tick);
+        self.measure(now_ms);
+    }
+
+    fn paused(&mut self, _now_ms: TimeMs, pause_ms: u64) {
+        emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
+        self.shared.metrics.pauses.inc();
+    }
+}
--- a/crates/magnoliasail/src/agent/links.rs
+++ b/crates/magnoliasail/src/agent/links.rs
@@ -3,8 +3,8 @@
 use {
     super::Input,
     crate::{
-        entry::adopt_listener,
         events::{EventId, emit},
+        http::adopt_listener,
         ring::RingWriter,
         settings::AgentFile,
         supervisor::{Supervisor, run_async},
--- a/crates/magnoliasail/src/agent/mod.rs
+++ b/crates/magnoliasail/src/agent/mod.rs
@@ -19,17 +19,16 @@
         server::ServerCommand,
     },
     crate::{
-        entry::{StartError, adopt_listener, listen, local},
         events::{EventId, emit},
-        http::{OperatorApi, ServeLimits, operator_router, serve},
+        http::{OperatorApi, StartError, listen, local, start_operator},
         metrics::Metrics,
         ring::{RingReader, RingWriter, ring},
         settings::AgentFile,
-        supervisor::{Supervisor, run_async},
+        supervisor::Supervisor,
     },
     magnoliasail_core::AgentEvent,
     std::{
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -119,7 +118,11 @@
         &writer,
         Arc::new(Mutex::new(server_reader)),
     );
-    start_operator(&supervisor, &shared, &writer, operator_listener);
+    let operator = Operator {
+        ring: writer.clone(),
+        shared: shared.clone(),
+    };
+    start_operator(&supervisor, operator, operator_listener);
     emit(
         EventId::Started,
         format_args!(
@@ -152,27 +155,6 @@
     });
 }
 
-fn start_operator(
-    supervisor: &Supervisor,
-    shared: &Shared,
-    ring: &RingWriter<Input>,
-    listener: TcpListener,
-) {
-    let api = Arc::new(Operator {
-        ring: ring.clone(),
-        shared: shared.clone(),
-    });
-    let (_, forever) = signal::channel(false);
-    supervisor.start("operator", move || {
-        let router = operator_router(Arc::clone(&api));
-        run_async(async {
-            let listener = adopt_listener(&listener);
-            let limits = ServeLimits::default();
-            serve(listener, router, limits, forever.clone(), || {}).await;
-        });
-    });
-}
-
 struct Operator {
     ring: RingWriter<Input>,
     shared: Shared,
--- /dev/null
+++ b/crates/magnoliasail/src/decider.rs
@@ -0,0 +1,54 @@
+//! The loop of a deciding duty: takes what its ring brings, ticks, and notices pauses.
+
+use {
+    crate::{clock::Clock, ring::RingReader},
+    magnoliasail_core::{PauseDetector, TimeMs},
+    std::time::Duration,
+};
+
+const TICK: Duration = Duration::from_millis(10);
+const TICK_MS: u64 = 10;
+const PAUSE_LIMIT_MS: u64 = 1_000;
+const MAX_BATCH: usize = 256;
+
+/// A duty that owns a core.
+pub(crate) trait Decider {
+    /// What the ring brings.
+    type Input;
+
+    /// Takes one item.
+    fn take(&mut self, now_ms: TimeMs, input: Self::Input);
+
+    /// Lets the core see that time has passed.
+    fn tick(&mut self, now_ms: TimeMs);
+
+    /// Takes note that the process was paused and has woken.
+    fn paused(&mut self, now_ms: TimeMs, pause_ms: u64);
+}
+
+/// Runs a duty until every writer of its ring is gone.
+pub(crate) fn decide<D: Decider>(duty: &mut D, ring: &RingReader<D::Input>, clock: &mut Clock) {
+    let mut ticked_ms = clock.now_ms();
+    let mut pauses = PauseDetector::new(PAUSE_LIMIT_MS, ticked_ms);
+    loop {
+        let (input, is_open) = ring.pop(TICK);
+        if !is_open {
+            return;
+        }
+        let now_ms = clock.now_ms();
+        if let Some(pause_ms) = pauses.observe(now_ms) {
+            duty.paused(now_ms, pause_ms);
+        }
+        if let Some(input) = input {
+            duty.take(now_ms, input);
+            for _ in 0..MAX_BATCH {
+                let Some(input) = ring.try_pop() else { break };
+                duty.take(now_ms, input);
+            }
+        }
+        if now_ms >= ticked_ms + TICK_MS {
+            ticked_ms = now_ms;
+            duty.tick(now_ms);
+        }
+    }
+}
--- a/crates/magnoliasail/src/entry/decide.rs
+++ b/crates/magnoliasail/src/entry/decide.rs
@@ -4,6 +4,7 @@
     super::{Input, links::LinkCommand, status},
     crate::{
         clock::Clock,
+        decider::{Decider, decide},
         events::{EventId, emit},
         http::{ReplyPart, ReplyWriter},
         metrics::Metrics,
@@ -11,22 +12,16 @@
         supervisor::Supervisor,
     },
     magnoliasail_core::{
-        Choice, Entry, EntryAction, EntryEvent, EntrySettings, PauseDetector, RefusalReason,
-        Router, Verdict, table::Table,
+        Choice, Entry, EntryAction, EntryEvent, EntrySettings, RefusalReason, Router, TimeMs,
+        Verdict, table::Table,
     },
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, PoisonError, atomic::AtomicBool},
-        time::Duration,
     },
     tokio::sync::mpsc::{self, error::TrySendError},
 };
 
-const TICK: Duration = Duration::from_millis(10);
-const TICK_MS: u64 = 10;
-const PAUSE_LIMIT_MS: u64 = 1_000;
-const MAX_BATCH: usize = 256;
-
 /// What the duties of an entry share.
 #[derive(Clone, Debug)]
 pub(super) struct Shared {
@@ -48,8 +43,6 @@
     replies: HashMap<u64, ReplyWriter>,
     actions: Vec<EntryAction>,
     clock: Clock,
-    pauses: PauseDetector,
-    ticked_ms: u64,
 }
 
 impl Decide {
@@ -65,68 +58,13 @@
             replies: HashMap::new(),
             actions: Vec::new(),
             clock,
-            pauses: PauseDetector::new(PAUSE_LIMIT_MS, now_ms),
-            ticked_ms: now_ms,
         }
     }
 
     /// Runs until every writer of the ring is gone.
     pub(super) fn run(mut self, ring: &RingReader<Input>) {
-        loop {
-            let (input, is_open) = ring.pop(TICK);
-            if !is_open {
-                return;
-            }
-            let now_ms = self.clock.now_ms();
-            self.check_pause(now_ms);
-            if let Some(input) = input {
-                self.take(now_ms, input);
-                for _ in 0..MAX_BATCH {
-                    let Some(input) = ring.try_pop() else { break };
-                    self.take(now_ms, input);
-                }
-            }
-            self.tick(now_ms);
-        }
-    }
-
-    fn check_pause(&mut self, now_ms: u64) {
-        if let Some(pause_ms) = self.pauses.observe(now_ms) {
-            emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
-            self.shared.metrics.pauses.inc();
-            self.handle(now_ms, EntryEvent::Paused);
-        }
-    }
-
-    fn tick(&mut self, now_ms: u64) {
-        if now_ms < self.ticked_ms + TICK_MS {
-            return;
-        }
-        self.ticked_ms = now_ms;
-        self.handle(now_ms, EntryEvent::Tick);
-        self.measure(now_ms);
-    }
-
-    fn take(&mut self, now_ms: u64, input: Input) {
-        match input {
-            Input::Event(event) => {
-                if let EntryEvent::CallerGone { request } = &event {
-                    self.replies.remove(request);
-                }
-                self.handle(now_ms, event);
-            }
-            Input::Submit(submission, reply) => {
-                self.replies.insert(submission.request, reply);
-                self.handle(now_ms, EntryEvent::Submit(submission));
-            }
-            // An operator that went away needs no answer.
-            Input::Status(sender) => {
-                let _ = sender.send(status::entry(&self.shared, &self.core, now_ms));
-            }
-            Input::Explain(model, sender) => {
-                let _ = sender.send(self.explain(now_ms, &model));
-            }
-        }
+        let mut clock = self.clock;
+        decide(&mut self, ring, &mut clock);
     }
 
     fn explain(&mut self, now_ms: u64, model: &str) -> String {
@@ -245,6 +183,43 @@
     }
 }
 
+impl Decider for Decide {
+    type Input = Input;
+
+    fn take(&mut self, now_ms: TimeMs, input: Input) {
+        match input {
+            Input::Event(event) => {
+                if let EntryEvent::CallerGone { request } = &event {
+                    self.replies.remove(request);
+                }
+                self.handle(now_ms, event);
+            }
+            Input::Submit(submission, reply) => {
+                self.replies.insert(submission.request, reply);
+                self.handle(now_ms, EntryEvent::Submit(submission));
+            }
+            // An operator that went away needs no answer.
+            Input::Status(sender) => {
+                let _ = sender.send(status::entry(&self.shared, &self.core, now_ms));
+            }
+            Input::Explain(model, sender) => {
+                let _ = sender.send(self.explain(now_ms, &model));
+            }
+        }
+    }
+
+    fn tick(&mut self, now_ms: TimeMs) {
+        self.handle(now_ms, EntryEvent::Tick);
+        self.measure(now_ms);
+    }
+
+    fn paused(&mut self, now_ms: TimeMs, pause_ms: u64) {
+        emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
+        self.shared.metrics.pauses.inc();
+        self.handle(now_ms, EntryEvent::Paused);
+    }
+}
+
 /// Logs a change of what is known of a request.
 pub(crate) fn emit_verdict(fingerprint: u64, verdict: Verdict) {
     let event = match verdict {
--- a/crates/magnoliasail/src/entry/mod.rs
+++ b/crates/magnoliasail/src/entry/mod.rs
@@ -23,7 +23,8 @@
     crate::{
         events::{EventId, emit},
         http::{
-            CallerApi, CallerLimits, OperatorApi, ReplyWriter, ServeLimits, operator_router, serve,
+            CallerApi, CallerLimits, OperatorApi, ReplyWriter, ServeLimits, StartError,
+            adopt_listener, listen, local, serve, start_operator,
         },
         metrics::Metrics,
         ring::{RingReader, RingWriter, ring},
@@ -31,7 +32,6 @@
         supervisor::{Supervisor, run_async},
     },
     magnoliasail_core::entry::{EntryEvent, Submission},
-    snafu::{ResultExt, Snafu},
     std::{
         net::{SocketAddr, TcpListener},
         sync::{
@@ -46,14 +46,6 @@
 const RING_ITEMS: usize = 65_536;
 const COMMANDS: usize = 65_536;
 
-/// Why a daemon could not start.
-#[derive(Debug, Snafu)]
-#[snafu(display("{address} cannot be listened on: {source}; choose a free address"))]
-pub(crate) struct StartError {
-    address: String,
-    source: std::io::Error,
-}
-
 /// An item for the deciding duty.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -138,7 +130,11 @@
         stop,
         done,
     );
-    start_operator(&supervisor, &shared, &writer, operator_listener);
+    let operator = Operator {
+        ring: writer.clone(),
+        shared: shared.clone(),
+    };
+    start_operator(&supervisor, operator, operator_listener);
     emit(
         EventId::Started,
         format_args!(
@@ -157,38 +153,6 @@
     })
 }
 
-/// Binds a listener that a duty can take over, also after a restart.
-///
-/// # Errors
-///
-/// Returns an error if the address cannot be listened on.
-pub(crate) fn listen(address: &str) -> Result<TcpListener, StartError> {
-    let listener = TcpListener::bind(address).context(StartSnafu { address })?;
-    listener
-        .set_nonblocking(true)
-        .context(StartSnafu { address })?;
-    Ok(listener)
-}
-
-/// Returns the address that a listener got.
-///
-/// # Errors
-///
-/// Returns an error if the system cannot tell.
-pub(crate) fn local(listener: &TcpListener, address: &str) -> Result<SocketAddr, StartError> {
-    listener.local_addr().context(StartSnafu { address })
-}
-
-/// Hands a copy of a listener to the runtime of this thread.
-///
-/// # Panics
-///
-/// Panics if the system gives no further descriptor.
-pub(crate) fn adopt_listener(listener: &TcpListener) -> tokio::net::TcpListener {
-    let copy = listener.try_clone().expect("a listener can be copied");
-    tokio::net::TcpListener::from_std(copy).expect("a runtime takes a listener")
-}
-
 fn start_decide(
     supervisor: &Supervisor,
     shared: &Shared,
@@ -241,27 +205,6 @@
     });
 }
 
-fn start_operator(
-    supervisor: &Supervisor,
-    shared: &Shared,
-    ring: &RingWriter<Input>,
-    listener: TcpListener,
-) {
-    let api = Arc::new(Operator {
-        ring: ring.clone(),
-        shared: shared.clone(),
-    });
-    let (_, forever) = signal::channel(false);
-    supervisor.start("operator", move || {
-        let router = operator_router(Arc::clone(&api));
-        run_async(async {
-            let listener = adopt_listener(&listener);
-            let limits = ServeLimits::default();
-            serve(listener, router, limits, forever.clone(), || {}).await;
-        });
-    });
-}
-
 struct Operator {
     ring: RingWriter<Input>,
     shared: Shared,
--- a/crates/magnoliasail/src/http/caller.rs
+++ b/crates/magnoliasail/src/http/caller.rs
@@ -16,6 +16,7 @@
         router::{
             Router,
             builder::{DefineSingleRoute, DrawRoutes, build_router},
+            response::ResponseExtender,
         },
         state::{FromState, State, StateData},
     },
@@ -84,6 +85,22 @@
     }
 }
 
+/// Gives a path or method that does not exist an answer that names the remedy.
+struct UnknownPath {}
+
+impl ResponseExtender<Body> for UnknownPath {
+    fn extend(&self, _state: &mut State, response: &mut Response<Body>) {
+        // The answers of handlers pass here too; only those of the router are empty.
+        if response.headers().contains_key(CONTENT_TYPE) {
+            return;
+        }
+        let detail = "the paths are /v1/chat/completions, /v1/models and /v1/services/SERVICE/PATH";
+        let status = response.status();
+        *response = refusal(RefusalReason::BadRequest, detail);
+        *response.status_mut() = status;
+    }
+}
+
 /// Tells the deciding duty when the caller of an unanswered request goes away.
 struct Guard<I: CallerInput> {
     request: u64,
@@ -141,6 +158,8 @@
             ]
         };
         build_router(chain, pipelines, |route| {
+            route.add_response_extender(StatusCode::NOT_FOUND, UnknownPath {});
+            route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, UnknownPath {});
             route.post("/v1/chat/completions").to_async(chat::<I>);
             route.get("/v1/models").to_async(models::<I>);
             route
--- a/crates/magnoliasail/src/http/mod.rs
+++ b/crates/magnoliasail/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod chat_head;
 mod client;
 mod failure;
+mod listener;
 mod operator;
 mod reply;
 mod server;
@@ -12,7 +13,8 @@
     caller::{CallerApi, CallerInput, CallerLimits},
     chat_head::ModelEcho,
     client::{HttpClient, HttpError},
-    operator::{OperatorApi, operator_router},
+    listener::{StartError, adopt_listener, listen, local},
+    operator::{OperatorApi, start_operator},
     reply::{ReplyPart, ReplyWriter},
     server::{ServeLimits, serve},
 };
--- a/crates/magnoliasail/src/http/operator.rs
+++ b/crates/magnoliasail/src/http/operator.rs
@@ -1,7 +1,12 @@
 //! The operators' interface of a process: state, metrics, health and readiness.
 
 use {
-    super::failure::text_response,
+    super::{
+        failure::text_response,
+        listener::adopt_listener,
+        server::{ServeLimits, serve},
+    },
+    crate::supervisor::{Supervisor, run_async},
     gotham::{
         handler::HandlerResult,
         middleware::state::StateMiddleware,
@@ -13,8 +18,8 @@
         state::{FromState, State, StateData},
     },
     hyper::{StatusCode, Uri},
-    std::{panic::AssertUnwindSafe, sync::Arc},
-    tokio::sync::oneshot,
+    std::{net::TcpListener, panic::AssertUnwindSafe, sync::Arc},
+    tokio::sync::{oneshot, watch},
 };
 
 const UNANSWERED: &str = "the deciding duty did not answer; see the logs";
@@ -44,8 +49,26 @@
     }
 }
 
+/// Starts the duty that serves the interface.
+pub(crate) fn start_operator<A: OperatorApi>(
+    supervisor: &Supervisor,
+    api: A,
+    listener: TcpListener,
+) {
+    let api = Arc::new(api);
+    let (_, forever) = watch::channel(false);
+    supervisor.start("operator", move || {
+        let router = operator_router(Arc::clone(&api));
+        run_async(async {
+            let listener = adopt_listener(&listener);
+            let limits = ServeLimits::default();
+            serve(listener, router, limits, forever.clone(), || {}).await;
+        });
+    });
+}
+
 /// Builds the routes of the interface.
-pub(crate) fn operator_router<A: OperatorApi>(api: Arc<A>) -> Router {
+fn operator_router<A: OperatorApi>(api: Arc<A>) -> Router {
     let middleware = StateMiddleware::new(Shared(AssertUnwindSafe(api)));
     let (chain, pipelines) = single_pipeline(new_pipeline().add(middleware).build());
     build_router(chain, pipelines, |route| {
--- a/crates/magnoliasail/src/lib.rs
+++ b/crates/magnoliasail/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod agent;
 mod clock;
+mod decider;
 mod entry;
 mod events;
 mod http;
--- a/crates/magnoliasail/tests/processes/main.rs
+++ b/crates/magnoliasail/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Failures of real processes over loopback, for what the core alone cannot show.
 
+mod callers;
 mod configuration;
 mod fleet;
 mod jobs;
