fix: a population that waits earns its turn

Cause: found by a new test of shares. Weighted fair queueing compared the populations' starts at the moment of choice, so that the start of one that waited moved on with the virtual time of the one that was served: with shares 4, 2 and 9 the third got 3,999 of 3,999 turns.

Change: the start of the request at the head of a queue is set when the queue fills and when the one before it starts, and stays.

--- a/crates/magnoliasail-core/src/admission.rs
+++ b/crates/magnoliasail-core/src/admission.rs
@@ -60,6 +60,12 @@
     max_in_flight: usize,
     bucket: TokenBucket,
     in_flight: usize,
+    /// Virtual time at which the request at the head of the queue starts.
+    ///
+    /// It is set when the queue fills and does not move with the virtual time of others, so that
+    /// waiting earns a population its turn.
+    start: f64,
+    /// Virtual time at which the last request that was started is done.
     finish: f64,
     queue: VecDeque<u64>,
 }
@@ -72,6 +78,10 @@
     fn is_ready(&self) -> bool {
         !self.queue.is_empty() && self.has_room()
     }
+
+    fn cost(&self) -> f64 {
+        1.0 / self.share
+    }
 }
 
 /// The requests of all populations that are in flight or wait.
@@ -118,6 +128,7 @@
                 max_in_flight,
                 bucket: TokenBucket::new(rate_per_s, burst, now_ms),
                 in_flight: 0,
+                start: 0.0,
                 finish: 0.0,
                 queue: VecDeque::new(),
             });
@@ -144,6 +155,9 @@
         if population.queue.len() >= max_queue {
             return refused(RefusalReason::Overloaded, overload_wait_ms(max_queue));
         }
+        if population.queue.is_empty() {
+            population.start = population.finish.max(self.virtual_time);
+        }
         population.queue.push_back(request);
         Admitted::Queued
     }
@@ -168,19 +182,16 @@
         if self.in_flight >= self.settings.max_in_flight {
             return None;
         }
-        let virtual_time = self.virtual_time;
         let name = self
             .populations
             .iter()
             .filter(|(_, population)| population.is_ready())
-            .min_by(|(_, a), (_, b)| {
-                let a = a.finish.max(virtual_time) + 1.0 / a.share;
-                let b = b.finish.max(virtual_time) + 1.0 / b.share;
-                a.total_cmp(&b)
-            })
+            .min_by(|(_, a), (_, b)| (a.start + a.cost()).total_cmp(&(b.start + b.cost())))
             .map(|(name, _)| Arc::clone(name))?;
-        let request = self.populations.get_mut(&name)?.queue.pop_front();
-        self.start(&name);
+        let population = self.populations.get_mut(&name)?;
+        let request = population.queue.pop_front();
+        let start = population.start;
+        self.run(&name, start);
         request
     }
 
@@ -202,12 +213,24 @@
         self.populations.values().any(Population::is_ready)
     }
 
+    /// Starts a request that did not have to wait.
     fn start(&mut self, name: &str) {
+        let virtual_time = self.virtual_time;
+        let start = self
+            .populations
+            .get(name)
+            .map_or(virtual_time, |population| {
+                population.finish.max(virtual_time)
+            });
+        self.run(name, start);
+    }
+
+    fn run(&mut self, name: &str, start: f64) {
         self.in_flight += 1;
+        self.virtual_time = self.virtual_time.max(start);
         if let Some(population) = self.populations.get_mut(name) {
-            let start = population.finish.max(self.virtual_time);
-            self.virtual_time = start;
-            population.finish = start + 1.0 / population.share;
+            population.finish = start + population.cost();
+            population.start = population.finish;
             population.in_flight += 1;
         }
     }
--- /dev/null
+++ b/crates/magnoliasail-core/tests/shares.rs
@@ -0,0 +1,144 @@
+//! Shares, budgets and limits hold against any mix of demand.
+
+use {
+    arbtest::arbtest,
+    magnoliasail_core::{Admission, AdmissionSettings, Admitted, LoadBudget, RetryBudget},
+    std::collections::HashMap,
+};
+
+const SEEDS: u64 = 200;
+const BYTES: u64 = 4_096;
+
+fn for_each_seed<P>(mut property: P)
+where
+    P: FnMut(&mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<()>,
+{
+    for seed in 1..=SEEDS {
+        arbtest(&mut property).seed(seed << 32 | BYTES).run();
+    }
+}
+
+#[test]
+fn no_population_with_demand_falls_more_than_a_twentieth_below_its_share() {
+    const ROUNDS: u64 = 4_000;
+    for_each_seed(|choices| {
+        let shares: [u32; 3] = [
+            choices.int_in_range(1..=9)?,
+            choices.int_in_range(1..=9)?,
+            choices.int_in_range(1..=9)?,
+        ];
+        let names = ["a", "b", "c"];
+        let mut admission = Admission::new(AdmissionSettings {
+            max_in_flight: 8,
+            max_queue: 10_000,
+        });
+        for (name, share) in names.iter().zip(shares) {
+            admission.set_population(name, share, 1_000, 1e9, 0);
+        }
+        let mut owners = HashMap::new();
+        let mut running = Vec::new();
+        let mut served = [0_u64; 3];
+        // Every population always has more waiting; the first floods.
+        for number in 0..ROUNDS {
+            for (index, name) in names.iter().enumerate() {
+                let copies = if index == 0 { 3 } else { 1 };
+                for copy in 0..copies {
+                    let id = number * 100 + (index * 10 + copy) as u64;
+                    owners.insert(id, index);
+                    if admission.offer(0, name, id) == Admitted::Now {
+                        running.push(index);
+                    }
+                }
+            }
+            if let Some(index) = running.pop() {
+                admission.release(names[index]);
+            }
+            while let Some(id) = admission.next_request() {
+                let index = owners[&id];
+                served[index] += 1;
+                running.insert(0, index);
+            }
+        }
+        let sum: u64 = served.iter().sum();
+        let all: u32 = shares.iter().sum();
+        for (index, share) in shares.iter().enumerate() {
+            let due = sum as f64 * f64::from(*share) / f64::from(all);
+            // A population that has all it asks for is not under its share.
+            let demand = ROUNDS as f64;
+            let least = 0.95 * due.min(demand) - 8.0;
+            let got = served[index] as f64;
+            assert!(got >= least, "{shares:?}: {served:?}, {index} is due {due}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_flood_is_refused_early_and_told_when_to_come_back() {
+    let mut admission = Admission::new(AdmissionSettings {
+        max_in_flight: 1,
+        max_queue: 2,
+    });
+    admission.set_population("flood", 1, 100, 1e9, 0);
+    let answers: Vec<Admitted> = (0..5).map(|id| admission.offer(0, "flood", id)).collect();
+    assert_eq!(
+        answers[..3],
+        [Admitted::Now, Admitted::Queued, Admitted::Queued]
+    );
+    for answer in &answers[3..] {
+        let is_told =
+            matches!(answer, Admitted::Refused { retry_after_ms, .. } if *retry_after_ms > 0);
+        assert!(is_told, "{answer:?}");
+    }
+}
+
+#[test]
+fn equal_shares_of_the_load_budget_exceed_the_allowance_by_one_burst_per_process_at_most() {
+    const PROCESSES: usize = 6;
+    const RATE_PER_S: f64 = 7.0;
+    const BURST_LOADS: f64 = 2.0;
+    const SECONDS: u64 = 20;
+    let mut budgets = vec![LoadBudget::new(RATE_PER_S, 0); PROCESSES];
+    for budget in &mut budgets {
+        budget.set_peers(PROCESSES, 0);
+    }
+    let mut loads = 0.0;
+    for now_ms in (0..SECONDS * 1_000).step_by(10) {
+        for process in 0..PROCESSES {
+            if budgets[process].take(now_ms, 9) {
+                loads += 1.0;
+                for budget in &mut budgets {
+                    budget.loaded(now_ms);
+                }
+            }
+        }
+    }
+    let allowed = RATE_PER_S * SECONDS as f64 + BURST_LOADS * PROCESSES as f64;
+    assert!(loads <= 1.1 * allowed, "{loads} loads, {allowed} allowed");
+    assert!(
+        loads >= 0.9 * RATE_PER_S * SECONDS as f64,
+        "{loads} loads only"
+    );
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    for_each_seed(|choices| {
+        let mut budget = RetryBudget::new(0.1, 5.0);
+        let (mut first, mut retries) = (0_u32, 0_u32);
+        for _ in 0..1_000 {
+            if choices.arbitrary()? {
+                budget.deposit();
+                first += 1;
+            } else if budget.withdraw() {
+                retries += 1;
+            }
+        }
+        let most = 0.1 * f64::from(first) + 5.0;
+        assert!(
+            f64::from(retries) <= most,
+            "{retries} retries, {first} first"
+        );
+        Ok(())
+    });
+}
