refactor: what was read and not used is used or gone

The histogram of load stalls and the counter of loads were registered and never fed; load_concurrency was a cell of the table that nothing read; a grant travelled with each attempt and no agent looked at it; several functions took a time that they did not use.

Change: an agent tells its daemon the stall of each run and each load, and the two metrics follow; the cell, the grant and the parameters are gone.

--- a/crates/magnoliasail-core/src/agent/action.rs
+++ b/crates/magnoliasail-core/src/agent/action.rs
@@ -59,6 +59,8 @@
         run: RunId,
         /// The request.
         order: RunOrder,
+        /// Time for which the request has waited for its adapter, in milliseconds.
+        stall_ms: u64,
     },
     /// Cancels a run at the server; its end is awaited.
     CancelRun {
@@ -76,6 +78,8 @@
         /// Adapter to unload first.
         evicted: Option<AdapterRef>,
     },
+    /// A load has completed.
+    Loaded,
     /// A table version came into force.
     TableAdopted {
         /// Version of the table.
--- a/crates/magnoliasail-core/src/agent/admission.rs
+++ b/crates/magnoliasail-core/src/agent/admission.rs
@@ -165,6 +165,10 @@
         } = arrival;
         let id = self.next_run;
         self.next_run += 1;
+        let waits_for_load = match &work {
+            Work::Model { slot, .. } => !self.slots.is_ready(*slot),
+            Work::Call { .. } => false,
+        };
         let run = Run {
             id,
             entry,
@@ -176,6 +180,7 @@
             given_up: None,
             fingerprint: submit.fingerprint,
             is_suspect,
+            waits_for_load,
             priority: submit.priority,
             body: submit.body,
             accepted_ms: now_ms,
--- a/crates/magnoliasail-core/src/agent/loads.rs
+++ b/crates/magnoliasail-core/src/agent/loads.rs
@@ -46,13 +46,14 @@
             .is_some_and(|pending| pending.generation == generation)
     }
 
-    pub(super) fn loaded(&mut self, now_ms: TimeMs, slot: usize, generation: u64) {
+    pub(super) fn loaded(&mut self, slot: usize, generation: u64, actions: &mut Vec<AgentAction>) {
         if !self.is_pending(slot, generation) {
             return;
         }
         self.pending_loads.remove(&slot);
         self.slots.loaded(slot);
-        self.report.load_completed(now_ms);
+        self.report.load_completed();
+        actions.push(AgentAction::Loaded);
     }
 
     pub(super) fn load_failed(
@@ -77,7 +78,7 @@
             return;
         };
         if pending.attempts >= max_attempts {
-            self.give_up_load(now_ms, slot, generation, actions);
+            self.give_up_load(slot, generation, actions);
             return;
         }
         let doublings = (pending.attempts - 1).min(16);
@@ -96,16 +97,10 @@
     }
 
     /// Refuses every request that waits for a load and empties the slot.
-    fn give_up_load(
-        &mut self,
-        now_ms: TimeMs,
-        slot: usize,
-        generation: u64,
-        actions: &mut Vec<AgentAction>,
-    ) {
+    fn give_up_load(&mut self, slot: usize, generation: u64, actions: &mut Vec<AgentAction>) {
         self.pending_loads.remove(&slot);
         for id in self.waiting_for(slot, generation) {
-            self.refuse_run(now_ms, id, RefusalReason::LoadFailed, actions);
+            self.refuse_run(id, RefusalReason::LoadFailed, actions);
         }
         self.slots.clear(slot);
     }
--- a/crates/magnoliasail-core/src/agent/mod.rs
+++ b/crates/magnoliasail-core/src/agent/mod.rs
@@ -144,10 +144,10 @@
             AgentEvent::Chunk { run, data } => self.chunk(run, data, actions),
             AgentEvent::End { run } => self.run_ended(now_ms, run, actions),
             AgentEvent::RunFailed { run, failure } => {
-                self.run_failed(now_ms, run, failure, actions);
+                self.run_failed(run, failure, actions);
             }
             AgentEvent::Loaded { slot, generation } => {
-                self.loaded(now_ms, slot, generation);
+                self.loaded(slot, generation, actions);
             }
             AgentEvent::LoadFailed {
                 slot,
@@ -261,7 +261,7 @@
         match message.kind {
             Some(Kind::Hello(hello)) => self.entry_hello(link, &hello, actions),
             Some(Kind::Submit(submit)) => self.submit(now_ms, link, submit, actions),
-            Some(Kind::Cancel(cancel)) => self.cancel(now_ms, link, cancel.attempt, actions),
+            Some(Kind::Cancel(cancel)) => self.cancel(link, cancel.attempt, actions),
             Some(Kind::Resume(resume)) => self.resume(link, &resume, actions),
             Some(Kind::Acknowledge(ack)) => self.acknowledge(link, ack.attempt),
             Some(Kind::Holder(notice)) => self.holder(&notice, actions),
--- a/crates/magnoliasail-core/src/agent/reports.rs
+++ b/crates/magnoliasail-core/src/agent/reports.rs
@@ -1,7 +1,7 @@
 //! Load reports.
 
 use {
-    super::{Agent, AgentAction, run::Run},
+    super::{Agent, AgentAction},
     crate::{
         AdapterRef, TimeMs,
         message::{Adapter, LoadReport},
@@ -19,7 +19,6 @@
     loads: u32,
     stalled_ms: u64,
     is_cold: bool,
-    loaded_ms: TimeMs,
 }
 
 impl ReportState {
@@ -27,15 +26,12 @@
         self.store_refusals += 1;
     }
 
-    pub(super) fn load_completed(&mut self, now_ms: TimeMs) {
+    pub(super) const fn load_completed(&mut self) {
         self.loads += 1;
-        self.loaded_ms = now_ms;
     }
 
-    pub(super) fn stalled(&mut self, run: &Run, now_ms: TimeMs) {
-        if run.slot().is_some() {
-            self.stalled_ms += now_ms.saturating_sub(run.accepted_ms);
-        }
+    pub(super) const fn stalled(&mut self, stall_ms: u64) {
+        self.stalled_ms += stall_ms;
     }
 
     pub(super) fn server_restarted(&mut self) {
@@ -105,7 +101,6 @@
             sent_ms: now_ms,
             sent: brief,
             residents,
-            loaded_ms: self.report.loaded_ms,
             ..ReportState::default()
         };
     }
--- a/crates/magnoliasail-core/src/agent/run.rs
+++ b/crates/magnoliasail-core/src/agent/run.rs
@@ -53,6 +53,7 @@
     pub(super) given_up: Option<RefusalReason>,
     pub(super) fingerprint: u64,
     pub(super) is_suspect: bool,
+    pub(super) waits_for_load: bool,
     pub(super) priority: u32,
     pub(super) body: Bytes,
     pub(super) accepted_ms: TimeMs,
@@ -73,6 +74,15 @@
         }
     }
 
+    /// Returns the time for which the run has waited for its adapter, in milliseconds.
+    pub(super) const fn stall_ms(&self, now_ms: TimeMs) -> u64 {
+        if self.waits_for_load {
+            now_ms.saturating_sub(self.accepted_ms)
+        } else {
+            0
+        }
+    }
+
     pub(super) fn key(&self) -> Option<&JobKey> {
         match &self.work {
             Work::Call { key, .. } => key.as_ref(),
--- a/crates/magnoliasail-core/src/agent/runs.rs
+++ b/crates/magnoliasail-core/src/agent/runs.rs
@@ -56,7 +56,8 @@
             return;
         };
         run.stage = Stage::Running;
-        self.report.stalled(run, now_ms);
+        let stall_ms = run.stall_ms(now_ms);
+        self.report.stalled(stall_ms);
         let target = match &run.work {
             Work::Model { adapter, .. } => RunTarget::Model {
                 adapter: adapter.clone(),
@@ -80,26 +81,23 @@
             body: run.body.clone(),
             budget_ms: run.deadline_ms.saturating_sub(now_ms),
         };
-        actions.push(AgentAction::Run { run: id, order });
+        actions.push(AgentAction::Run {
+            run: id,
+            order,
+            stall_ms,
+        });
     }
 
-    pub(super) fn cancel(
-        &mut self,
-        now_ms: TimeMs,
-        link: LinkId,
-        attempt: u64,
-        actions: &mut Vec<AgentAction>,
-    ) {
+    pub(super) fn cancel(&mut self, link: LinkId, attempt: u64, actions: &mut Vec<AgentAction>) {
         let Some(id) = self.find(link, attempt) else {
             return;
         };
-        self.cancel_run(now_ms, id, RefusalReason::CallerGone, actions);
+        self.cancel_run(id, RefusalReason::CallerGone, actions);
     }
 
     /// Takes back a run that waits and cancels one that runs, unless it is a job.
     pub(super) fn cancel_run(
         &mut self,
-        now_ms: TimeMs,
         id: RunId,
         reason: RefusalReason,
         actions: &mut Vec<AgentAction>,
@@ -108,7 +106,7 @@
             return;
         };
         match run.stage {
-            Stage::Waiting => self.refuse_run(now_ms, id, reason, actions),
+            Stage::Waiting => self.refuse_run(id, reason, actions),
             Stage::Running if run.key().is_none() => self.abort_run(id, reason, actions),
             Stage::Running | Stage::Cancelling => {}
             Stage::Ended => self.forget(id),
@@ -132,7 +130,6 @@
     /// Gives up a run that was never handed to the server.
     pub(super) fn refuse_run(
         &mut self,
-        now_ms: TimeMs,
         id: RunId,
         reason: RefusalReason,
         actions: &mut Vec<AgentAction>,
@@ -140,7 +137,6 @@
         let Some(run) = self.runs.get(&id) else {
             return;
         };
-        debug_assert!(run.accepted_ms <= now_ms);
         let attempt = run.attempt;
         let key = run.key().map(|key| Arc::clone(key.text()));
         let refusal = Refusal {
@@ -217,13 +213,13 @@
             match run.stage {
                 Stage::Ended if is_orphan => self.forget(id),
                 Stage::Waiting if is_late => {
-                    self.refuse_run(now_ms, id, RefusalReason::DeadlineExceeded, actions);
+                    self.refuse_run(id, RefusalReason::DeadlineExceeded, actions);
                 }
                 Stage::Waiting | Stage::Running if is_orphan => {
-                    self.cancel_run(now_ms, id, RefusalReason::LinkLost, actions);
+                    self.cancel_run(id, RefusalReason::LinkLost, actions);
                 }
                 Stage::Running if is_late => {
-                    self.cancel_run(now_ms, id, RefusalReason::DeadlineExceeded, actions);
+                    self.cancel_run(id, RefusalReason::DeadlineExceeded, actions);
                 }
                 _ => {}
             }
--- a/crates/magnoliasail-core/src/agent/streams.rs
+++ b/crates/magnoliasail-core/src/agent/streams.rs
@@ -121,7 +121,6 @@
 
     pub(super) fn run_failed(
         &mut self,
-        now_ms: TimeMs,
         id: RunId,
         failure: RunFailure,
         actions: &mut Vec<AgentAction>,
@@ -138,7 +137,7 @@
         }
         match failure {
             RunFailure::NotSent => {
-                self.refuse_run(now_ms, id, RefusalReason::EngineError, actions);
+                self.refuse_run(id, RefusalReason::EngineError, actions);
             }
             RunFailure::NotResident => {
                 let slot = run.slot();
@@ -176,7 +175,7 @@
             .map(|run| run.id)
             .collect();
         for id in waiting {
-            self.refuse_run(now_ms, id, RefusalReason::EngineError, actions);
+            self.refuse_run(id, RefusalReason::EngineError, actions);
         }
         self.pending_loads.clear();
         self.slots.clear_all();
--- a/crates/magnoliasail-core/src/entry/mod.rs
+++ b/crates/magnoliasail-core/src/entry/mod.rs
@@ -219,7 +219,7 @@
     }
 
     fn update_links(&mut self, now_ms: TimeMs, actions: &mut Vec<EntryAction>) {
-        for (vm, address) in self.membership.wanted(now_ms) {
+        for (vm, address) in self.membership.wanted() {
             if self.connected.get(&vm) == Some(&address) {
                 continue;
             }
--- a/crates/magnoliasail-core/src/entry/placing.rs
+++ b/crates/magnoliasail-core/src/entry/placing.rs
@@ -10,7 +10,7 @@
         AdapterRef, Choice, Outcome, Placement, RefusalReason, RetryReason, Situation, TimeMs,
         Verdict, VmRole,
         job::{JobKey, KeySpan},
-        message::{Adapter, JobPart, LoadGrant, ModelPart, Submit, submit::Work},
+        message::{Adapter, JobPart, ModelPart, Submit, submit::Work},
         rendezvous,
     },
     std::sync::Arc,
@@ -19,18 +19,15 @@
 /// Requests that are tried for one load, should the first find no slot.
 const MAX_TRIED: usize = 8;
 
-/// Where an attempt goes and what it may do there.
+/// Where an attempt goes, and whether it brings a load about there.
 struct Route {
     vm: Arc<str>,
-    grant: LoadGrant,
+    loads: bool,
 }
 
 impl Route {
     const fn to(vm: Arc<str>) -> Self {
-        Self {
-            vm,
-            grant: LoadGrant::Resident,
-        }
+        Self { vm, loads: false }
     }
 }
 
@@ -70,7 +67,7 @@
         match route {
             Some(route) => {
                 self.send_attempt(now_ms, id, &route, actions);
-                if route.grant == LoadGrant::Granted
+                if route.loads
                     && let Target::Model { adapter } = &target
                 {
                     self.place_for_adapter(now_ms, adapter, actions);
@@ -109,10 +106,7 @@
             Choice::Load(vm) => self.load_budget.take(now_ms, priority).then(|| {
                 self.servers.insert_resident(&vm, adapter);
                 self.servers.entry(&vm).ordered += 1;
-                Route {
-                    vm,
-                    grant: LoadGrant::Granted,
-                }
+                Route { vm, loads: true }
             }),
         }
     }
@@ -212,7 +206,7 @@
             budget_ms: request.deadline_ms.saturating_sub(now_ms),
             priority: request.priority,
             body: request.body.clone(),
-            work: Some(self.work(now_ms, &request, route.grant)),
+            work: Some(self.work(now_ms, &request)),
         };
         self.by_attempt.insert(number, id);
         let view = self.servers.entry(&route.vm);
@@ -297,11 +291,10 @@
         (own * self.membership.entries() as f64 * 1_000.0) as u32
     }
 
-    fn work(&self, now_ms: TimeMs, request: &Request, grant: LoadGrant) -> Work {
+    fn work(&self, now_ms: TimeMs, request: &Request) -> Work {
         match &request.target {
             Target::Model { adapter } => Work::Model(ModelPart {
                 adapter: Some(Adapter::from(adapter)),
-                grant: grant.into(),
                 past_milli_uses: self.past_milli_uses(now_ms, adapter),
             }),
             Target::Call {
--- a/crates/magnoliasail-core/src/membership.rs
+++ b/crates/magnoliasail-core/src/membership.rs
@@ -182,12 +182,7 @@
 
     /// Returns the servers to which a link is wanted, with their addresses.
     #[must_use]
-    pub fn wanted(&self, now_ms: TimeMs) -> Vec<(Arc<str>, Arc<str>)> {
-        debug_assert!(
-            self.unlisted_since_ms
-                .values()
-                .all(|&since| since <= now_ms)
-        );
+    pub fn wanted(&self) -> Vec<(Arc<str>, Arc<str>)> {
         self.listed
             .values()
             .map(|vm| (Arc::clone(&vm.vm), Arc::clone(&vm.address)))
--- a/crates/magnoliasail-core/src/message/from_entry.rs
+++ b/crates/magnoliasail-core/src/message/from_entry.rs
@@ -128,24 +128,11 @@
     /// The exact adapter and version.
     #[prost(message, optional, tag = "1")]
     pub adapter: Option<Adapter>,
-    /// Permission to load the adapter, if it is not resident.
-    #[prost(enumeration = "LoadGrant", tag = "2")]
-    pub grant: i32,
     /// Recent uses of the adapter in the whole fleet as the entry estimates them, in thousandths.
     #[prost(uint32, tag = "3")]
     pub past_milli_uses: u32,
 }
 
-/// Whether the entry has spent its load budget for an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
-#[repr(i32)]
-pub enum LoadGrant {
-    /// The adapter is expected to be resident; the agent may still load it from its own reserve.
-    Resident = 0,
-    /// The entry has spent its budget for one load.
-    Granted = 1,
-}
-
 /// The part of an attempt that is for a plain service.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct JobPart {
--- a/crates/magnoliasail-core/src/message/mod.rs
+++ b/crates/magnoliasail-core/src/message/mod.rs
@@ -22,8 +22,8 @@
         Refused, agent_message,
     },
     from_entry::{
-        Acknowledge, Cancel, EntryHello, EntryMessage, HolderNotice, JobPart, LoadGrant, ModelPart,
-        Resume, Submit, entry_message, submit,
+        Acknowledge, Cancel, EntryHello, EntryMessage, HolderNotice, JobPart, ModelPart, Resume,
+        Submit, entry_message, submit,
     },
     shared::{Adapter, SuspectNotice, TablePage, TablePages, TableQuery},
 };
--- a/crates/magnoliasail-core/src/table/deployment.rs
+++ b/crates/magnoliasail-core/src/table/deployment.rs
@@ -9,8 +9,6 @@
     pub batch_weight: f64,
     /// Loads that the weight store allows per second.
     pub loads_per_s: f64,
-    /// Loads that the weight store serves at full speed at once.
-    pub load_concurrency: u32,
 }
 
 impl Default for Deployment {
@@ -19,7 +17,6 @@
             stall_weight: 1.0,
             batch_weight: 1.0,
             loads_per_s: 7.0,
-            load_concurrency: 3,
         }
     }
 }
--- a/crates/magnoliasail-core/src/table/parse.rs
+++ b/crates/magnoliasail-core/src/table/parse.rs
@@ -477,13 +477,9 @@
             "loads_per_s" => {
                 deployment.loads_per_s = page.number(&place, &record, "value", None, (0.01, 1e6));
             }
-            "load_concurrency" => {
-                deployment.load_concurrency =
-                    page.number(&place, &record, "value", None, (1, 1_000_000));
-            }
             other => {
                 let message = format!(
-                    "`{other}` is unknown; the keys are stall_weight, batch_weight, loads_per_s, load_concurrency"
+                    "`{other}` is unknown; the keys are stall_weight, batch_weight, loads_per_s"
                 );
                 page.report(&place, "key", &message);
             }
--- a/crates/magnoliasail-core/tests/histories/fleet.rs
+++ b/crates/magnoliasail-core/tests/histories/fleet.rs
@@ -337,7 +337,7 @@
         };
         match action {
             AgentAction::Send { link, message } => self.agent_sends(name, link, message),
-            AgentAction::Run { run, order } => {
+            AgentAction::Run { run, order, .. } => {
                 let events = node.server.run(run, &order, self.tamper, &mut self.record);
                 for event in events {
                     self.agent_event(name, event);
@@ -358,7 +358,8 @@
                 node.server
                     .load(slot, generation, model, evicted, &mut self.record);
             }
-            AgentAction::TableAdopted { .. }
+            AgentAction::Loaded
+            | AgentAction::TableAdopted { .. }
             | AgentAction::TableRejected { .. }
             | AgentAction::Refused { .. }
             | AgentAction::Verdict { .. }
--- a/crates/magnoliasail-model/src/simulation.rs
+++ b/crates/magnoliasail-model/src/simulation.rs
@@ -412,7 +412,7 @@
                 let event = Event::ToEntry(agent, link as usize, message);
                 self.at(self.now_ms + delay_ms, event);
             }
-            AgentAction::Run { run, order } => self.start_run(agent, run, &order),
+            AgentAction::Run { run, order, .. } => self.start_run(agent, run, &order),
             AgentAction::CancelRun { run } => {
                 self.engines[agent].cancel(run);
                 let failure = magnoliasail_core::agent::RunFailure::Cancelled;
--- a/crates/magnoliasail/src/agent/decide.rs
+++ b/crates/magnoliasail/src/agent/decide.rs
@@ -82,8 +82,17 @@
             AgentAction::Send { link, message } => {
                 self.order_links(LinkCommand::Send { link, message });
             }
-            AgentAction::Run { run, order } => {
+            AgentAction::Run {
+                run,
+                order,
+                stall_ms,
+            } => {
+                let stall_seconds = stall_ms as f64 / 1_000.0;
                 self.shared.metrics.requests.inc();
+                self.shared
+                    .metrics
+                    .load_stall_seconds
+                    .observe(stall_seconds);
                 self.order_server(ServerCommand::Run { run, order });
             }
             AgentAction::CancelRun { run } => self.order_server(ServerCommand::Cancel { run }),
@@ -99,6 +108,9 @@
                 evicted,
                 fencing: self.core.incarnation(),
             }),
+            AgentAction::Loaded => {
+                self.shared.metrics.loads.inc();
+            }
             AgentAction::TableAdopted { version } => {
                 self.shared.is_ready.store(true, Ordering::SeqCst);
                 emit(EventId::TableAdopted, format_args!("version={version}"));
--- a/crates/magnoliasail/src/command/load/client.rs
+++ b/crates/magnoliasail/src/command/load/client.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{LoadCommand, report::Report, verify::Expected},
-    crate::http::HttpClient,
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
     hyper::{Request, StatusCode},
@@ -11,10 +10,7 @@
         rt::TokioExecutor,
     },
     serde_json::{Value, json},
-    std::{
-        sync::atomic::{AtomicU64, Ordering},
-        time::Duration,
-    },
+    std::time::Duration,
     tokio::time::{Instant, timeout},
     uuid::Uuid,
 };
@@ -52,16 +48,14 @@
     client: Client<HttpConnector, Full<Bytes>>,
     tokens: u64,
     service: String,
-    next_key: AtomicU64,
 }
 
 impl Caller {
-    pub(super) fn new(_platform: HttpClient, command: &LoadCommand) -> Self {
+    pub(super) fn new(command: &LoadCommand) -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
             tokens: command.tokens,
             service: command.service.clone(),
-            next_key: AtomicU64::new(0),
         }
     }
 
@@ -129,7 +123,6 @@
         number: u64,
         resend: Option<&str>,
     ) -> Outcome {
-        self.next_key.fetch_add(1, Ordering::Relaxed);
         let job_key = Uuid::now_v7().to_string();
         let first = self.send_job(url, key, &job_key, number).await;
         let Some(resend) = resend else { return first };
--- a/crates/magnoliasail/src/command/load/mod.rs
+++ b/crates/magnoliasail/src/command/load/mod.rs
@@ -10,7 +10,7 @@
         report::Report,
     },
     super::failed,
-    crate::{http::HttpClient, supervisor::run_async},
+    crate::supervisor::run_async,
     bpaf::Bpaf,
     rand::{Rng, SeedableRng, rngs::StdRng},
     rand_distr::{Distribution, Zipf},
@@ -93,7 +93,7 @@
     }
 
     async fn send(&self) -> Result<Report, String> {
-        let caller = Arc::new(Caller::new(HttpClient::new(), self));
+        let caller = Arc::new(Caller::new(self));
         let models = caller.models(&self.url[0], &self.key[0]).await?;
         let popularity =
             Zipf::new(models.len() as f64, self.zipf).map_err(|error| error.to_string())?;
