fix: a request that every server has refused is answered at once

Cause: found on reading. A request whose servers had all refused it stayed among those that wait for a load until its deadline, up to a minute, because some server was alive.

Change: a server that has refused a request is no candidate for it; without one the request is given up at once, with when to come back.

--- a/crates/magnoliasail-core/src/entry/placing.rs
+++ b/crates/magnoliasail-core/src/entry/placing.rs
@@ -215,19 +215,23 @@
         send(actions, &route.vm, submit);
     }
 
-    /// Refuses a request for which no server has appeared in time.
+    /// Refuses a request for which no server is left, or none has appeared in time.
     fn give_up_placing(&mut self, now_ms: TimeMs, id: u64, actions: &mut Vec<EntryAction>) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let waited_ms = now_ms.saturating_sub(request.placing_since_ms);
-        let has_model_server = matches!(request.target, Target::Model { .. })
+        let is_model = matches!(request.target, Target::Model { .. });
+        let has_candidate = is_model
             && self
                 .servers
                 .iter()
-                .any(|(_, view)| view.is_live && view.slots > 0);
-        // With servers alive, the request waits for the load budget until its deadline.
-        if has_model_server || waited_ms < self.settings.placement_window_ms {
+                .any(|(vm, view)| view.is_live && view.slots > 0 && !request.excluded.contains(vm));
+        let is_exhausted =
+            request.key().is_none() && !request.excluded.is_empty() && !has_candidate;
+        let waited_ms = now_ms.saturating_sub(request.placing_since_ms);
+        let may_wait = !is_exhausted && waited_ms < self.settings.placement_window_ms;
+        // With a candidate, the request waits for the load budget or a slot until its deadline.
+        if has_candidate || may_wait {
             return;
         }
         let outcome = request.outcome();
