refactor: one place for the text of a key's hash and for the crash marker

Cause: read once more. The hexadecimal form in which a key's hash is published was written six times, and the two stand-ins that crash on a marked request each matched the marker by themselves.

Change: Table::key_hash_text and Faults::crash_on serve all of them. Looked at and left: refuse_run and fail_run, which tell the ledger different things, and the signatures of placement policies.

--- a/crates/magnoliasail-core/src/table/mod.rs
+++ b/crates/magnoliasail-core/src/table/mod.rs
@@ -80,6 +80,15 @@
         Sha256::digest(key.as_bytes()).into()
     }
 
+    /// Returns the hash of a bearer key as the populations page gives it, in hexadecimal digits.
+    #[must_use]
+    pub fn key_hash_text(key: &str) -> String {
+        Self::key_hash(key)
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect()
+    }
+
     /// Returns the index of the population that a bearer key belongs to.
     #[must_use]
     pub fn population(&self, key: &str) -> Option<usize> {
--- a/crates/magnoliasail-core/tests/histories/platform.rs
+++ b/crates/magnoliasail-core/tests/histories/platform.rs
@@ -130,10 +130,7 @@
                 );
             }
         }
-        let hash: String = magnoliasail_core::table::Table::key_hash(KEY)
-            .iter()
-            .map(|byte| format!("{byte:02x}"))
-            .collect();
+        let hash = magnoliasail_core::table::Table::key_hash_text(KEY);
         let mut roster = "service,slot,lease_ms,opaque_horizon_ms\n".to_owned();
         for index in 0..self.slots {
             let _ = writeln!(
--- a/crates/magnoliasail-core/tests/refusals.rs
+++ b/crates/magnoliasail-core/tests/refusals.rs
@@ -1,14 +1,11 @@
 //! A request that is given up gets its final answer at once, with when to come back.
 
-use {
-    magnoliasail_core::{
-        Entry, EntryAction, EntryEvent, EntrySettings, Outcome, RefusalReason, Router, VmEntry,
-        VmList, VmRole, VmState,
-        entry::{Ask, Failure, Submission},
-        message::{AgentHello, AgentMessage, Failed, LoadReport, Refused, entry_message},
-        table::{Offer, Pages, Table},
-    },
-    std::fmt::Write,
+use magnoliasail_core::{
+    Entry, EntryAction, EntryEvent, EntrySettings, Outcome, RefusalReason, Router, VmEntry, VmList,
+    VmRole, VmState,
+    entry::{Ask, Failure, Submission},
+    message::{AgentHello, AgentMessage, Failed, LoadReport, Refused, entry_message},
+    table::{Offer, Pages, Table},
 };
 
 const KEY: &str = "key";
@@ -17,10 +14,7 @@
 const LOAD_INTERVAL_MS: u64 = 1_000;
 
 fn offer() -> Offer {
-    let mut hash = String::new();
-    for byte in Table::key_hash(KEY) {
-        let _ = write!(hash, "{byte:02x}");
-    }
+    let hash = Table::key_hash_text(KEY);
     let mut pages = Pages::default();
     pages.insert(
         "adapters",
--- a/crates/magnoliasail-model/src/simulation.rs
+++ b/crates/magnoliasail-model/src/simulation.rs
@@ -170,10 +170,7 @@
         let mut populations =
             "population,key_sha256,share,priority,max_in_flight,rate_per_s\n".to_owned();
         for (name, share, priority) in POPULATIONS {
-            let hash: String = Table::key_hash(name)
-                .iter()
-                .map(|byte| format!("{byte:02x}"))
-                .collect();
+            let hash = Table::key_hash_text(name);
             let _ = writeln!(
                 populations,
                 "{name},{hash},{share},{priority},100000,100000"
--- a/crates/magnoliasail-standin/src/engine.rs
+++ b/crates/magnoliasail-standin/src/engine.rs
@@ -176,7 +176,7 @@
         }
         let running = Running::join(&self);
         self.served.fetch_add(1, Ordering::SeqCst);
-        if contains(request.body(), &faults.crash_marker) {
+        if faults.crash_on(request.body()) {
             self.crash(faults.restart_ms);
             std::future::pending::<()>().await;
         }
@@ -348,13 +348,6 @@
     Bytes::from(format!("data: {event}\n\n"))
 }
 
-fn contains(body: &[u8], marker: &str) -> bool {
-    !marker.is_empty()
-        && body
-            .windows(marker.len())
-            .any(|part| part == marker.as_bytes())
-}
-
 fn error(status: StatusCode, code: &str) -> Response<Body> {
     json(status, &json!({ "error": { "code": code } }))
 }
--- a/crates/magnoliasail-standin/src/faults.rs
+++ b/crates/magnoliasail-standin/src/faults.rs
@@ -33,6 +33,15 @@
     pub check_fencing: bool,
 }
 
+impl Faults {
+    /// Tells whether a request carries the text that makes the server crash.
+    #[must_use]
+    pub fn crash_on(&self, body: &[u8]) -> bool {
+        let marker = self.crash_marker.as_bytes();
+        !marker.is_empty() && body.windows(marker.len()).any(|part| part == marker)
+    }
+}
+
 /// The faults in force, which an admin call may change at any time.
 #[derive(Debug, Default)]
 pub struct FaultSwitch {
--- a/crates/magnoliasail-standin/src/service.rs
+++ b/crates/magnoliasail-standin/src/service.rs
@@ -103,13 +103,6 @@
         .unwrap_or("")
 }
 
-fn contains(body: &[u8], marker: &str) -> bool {
-    !marker.is_empty()
-        && body
-            .windows(marker.len())
-            .any(|part| part == marker.as_bytes())
-}
-
 impl Server for ServiceStandin {
     fn faults(&self) -> &FaultSwitch {
         &self.faults
@@ -146,7 +139,7 @@
         }
         let key = header(&request, "idempotency-key").to_owned();
         let run = self.count(&key);
-        if contains(request.body(), &faults.crash_marker) {
+        if faults.crash_on(request.body()) {
             self.crash(faults.restart_ms);
             std::future::pending::<()>().await;
         }
--- a/crates/magnoliasail/src/command/demo.rs
+++ b/crates/magnoliasail/src/command/demo.rs
@@ -272,7 +272,7 @@
                 populations,
                 "{},{},{},{},2000,5000",
                 population.name,
-                key_hash(population.key),
+                Table::key_hash_text(population.key),
                 population.share,
                 population.priority,
             );
@@ -425,11 +425,3 @@
         .map(|row| row.adapter.model())
         .collect())
 }
-
-/// Returns the hash by which a table knows a key.
-fn key_hash(key: &str) -> String {
-    Table::key_hash(key)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
-}
--- a/crates/magnoliasail/tests/processes/fleet.rs
+++ b/crates/magnoliasail/tests/processes/fleet.rs
@@ -512,10 +512,7 @@
 }
 
 fn config_toml(services: usize) -> String {
-    let hash: String = magnoliasail_core::table::Table::key_hash(KEY)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
+    let hash = magnoliasail_core::table::Table::key_hash_text(KEY);
     let populations = format!(
         "population,key_sha256,share,priority,max_in_flight,rate_per_s\ntesters,{hash},1,5,1000,1000\n"
     );
--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -132,10 +132,7 @@
         }
         pages.insert(format!("adapters-{page}"), csv);
     }
-    let hash: String = Table::key_hash(KEY)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
+    let hash = Table::key_hash_text(KEY);
     pages.insert(
         "populations",
         format!(
