--- /dev/null
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -0,0 +1,155 @@
+//! The messages on a link between an entry and the agent beside a model engine.
+
+use prost::{Message, Oneof, bytes::Bytes};
+
+/// A message from an entry.
+#[derive(Clone, PartialEq, Message)]
+pub struct ToAgent {
+    /// The message itself.
+    #[prost(oneof = "ToAgentKind", tags = "1, 2")]
+    pub kind: Option<ToAgentKind>,
+}
+
+/// The kinds of [`ToAgent`].
+#[derive(Clone, PartialEq, Oneof)]
+pub enum ToAgentKind {
+    /// Asks for a request to be run.
+    #[prost(message, tag = "1")]
+    Submit(Submit),
+    /// Withdraws a request.
+    #[prost(uint64, tag = "2")]
+    Cancel(u64),
+}
+
+/// A request for the engine beside an agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct Submit {
+    /// Names the attempt on its link.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// The id of the one server that may run it.
+    #[prost(string, tag = "2")]
+    pub server_id: String,
+    /// Time until the first event has lost its full worth, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub objective_ms: u64,
+    /// Time that is left, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub deadline_ms: u64,
+    /// The rank, 0 first.
+    #[prost(uint32, tag = "5")]
+    pub rank: u32,
+    /// The last event that the caller has, if the stream is resumed here.
+    #[prost(uint64, optional, tag = "6")]
+    pub resume_after: Option<u64>,
+    /// The method.
+    #[prost(string, tag = "7")]
+    pub method: String,
+    /// The path and query.
+    #[prost(string, tag = "8")]
+    pub target: String,
+    /// The headers that go on to the engine.
+    #[prost(message, repeated, tag = "9")]
+    pub headers: Vec<Header>,
+    /// The body.
+    #[prost(bytes = "bytes", tag = "10")]
+    pub body: Bytes,
+}
+
+/// A header.
+#[derive(Clone, PartialEq, Message)]
+pub struct Header {
+    /// The name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+}
+
+/// A message from an agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct ToEntry {
+    /// The message itself.
+    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6")]
+    pub kind: Option<ToEntryKind>,
+}
+
+/// The kinds of [`ToEntry`].
+#[derive(Clone, PartialEq, Oneof)]
+pub enum ToEntryKind {
+    /// Refuses an attempt, which has not run and will not.
+    #[prost(message, tag = "1")]
+    Refused(Refused),
+    /// Starts an answer.
+    #[prost(message, tag = "2")]
+    Head(Head),
+    /// Carries a part of an answer.
+    #[prost(message, tag = "3")]
+    Part(Part),
+    /// Ends an answer that is whole.
+    #[prost(uint64, tag = "4")]
+    End(u64),
+    /// Gives up an attempt that may have run.
+    #[prost(uint64, tag = "5")]
+    Broken(u64),
+    /// Reports the engine's state.
+    #[prost(message, tag = "6")]
+    State(EngineState),
+}
+
+/// Refuses an attempt.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Refused {
+    /// The attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// The reason, as the code of an `EngineRefusal`.
+    #[prost(uint32, tag = "2")]
+    pub reason: u32,
+    /// When a place is expected, in milliseconds from now.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+}
+
+/// Starts an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Head {
+    /// The attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// The status.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// The headers that go on to the caller.
+    #[prost(message, repeated, tag = "3")]
+    pub headers: Vec<Header>,
+}
+
+/// A part of an answer.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Part {
+    /// The attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// The bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub bytes: Bytes,
+}
+
+/// The state of the engine beside an agent.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct EngineState {
+    /// Requests that run or wait at the agent.
+    #[prost(uint32, tag = "1")]
+    pub load: u32,
+    /// Whether new requests are taken.
+    #[prost(bool, tag = "2")]
+    pub is_serving: bool,
+    /// The number of entries that are linked to the agent.
+    #[prost(uint32, tag = "3")]
+    pub entries: u32,
+    /// Requests that the engine runs at once.
+    #[prost(uint32, tag = "4")]
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -0,0 +1,47 @@
+//! Decisions of the path on the users' platform.
+//!
+//! An entry matches a caller's request to a route ([`RouteTable`]), picks a backend server
+//! ([`Placement`]) from those it knows ([`Directory`]) and decides what may be sent once more
+//! ([`RetryWindow`]). An agent decides for the one model engine beside it which request starts,
+//! which adapter is loaded and what is refused ([`EngineScheduler`]).
+//!
+//! Nothing here reads a clock or a socket, and nothing knows the platform's names.
+
+pub mod message;
+
+mod adapter_slots;
+mod adapter_version;
+mod configuration;
+mod directory;
+mod engine_report;
+mod engine_request;
+mod engine_scheduler;
+mod event_stream;
+mod order;
+mod placement;
+mod request_facts;
+mod retry_window;
+mod route_table;
+mod server_entry;
+mod server_health;
+
+pub use self::{
+    adapter_slots::{AdapterSlots, SlotState},
+    adapter_version::{AdapterVersion, AdapterVersions},
+    configuration::{
+        CallerLimits, Configuration, EngineLimits, ModelLimits, RequestKind, Route, ServiceLimits,
+        Split,
+    },
+    directory::{Directory, ServerView},
+    engine_report::{EngineReport, HeldModel, VersionedAdapter},
+    engine_request::{EngineRefusal, EngineRequest},
+    engine_scheduler::{EngineAction, EngineScheduler, SchedulerSettings},
+    event_stream::{EventSplitter, StreamEvent},
+    order::{Order, OrderKind, OrderOutcome},
+    placement::{Candidate, Placement, PlacementCosts},
+    request_facts::RequestFacts,
+    retry_window::RetryWindow,
+    route_table::{RouteMatch, RouteTable},
+    server_entry::{ServerEntry, ServerLoad},
+    server_health::ServerHealth,
+};
--- a/crates/magnoliasail-core/src/lib.rs
+++ b/crates/magnoliasail-core/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod gateway;
 pub mod job;
 pub mod message;
 pub mod table;
--- a/crates/magnoliasail/src/command/mod.rs
+++ b/crates/magnoliasail/src/command/mod.rs
@@ -23,6 +23,7 @@
         check::CheckCommand, demo::DemoCommand, explain::ExplainCommand, load::LoadCommand,
         standin::StandinCommand, status::StatusCommand,
     },
+    crate::gateway,
     bpaf::{Args, Bpaf, Parser},
     std::{fmt::Display, path::PathBuf, process::ExitCode},
 };
@@ -47,6 +48,20 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Runs an entry on the users' platform
+    #[bpaf(command)]
+    PlatformEntry {
+        /// Settings file as the platform writes it; found through the environment by default
+        #[bpaf(argument("FILE"))]
+        settings: Option<PathBuf>,
+    },
+    /// Runs an agent on the users' platform
+    #[bpaf(command)]
+    PlatformAgent {
+        /// Settings file as the platform writes it; found through the environment by default
+        #[bpaf(argument("FILE"))]
+        settings: Option<PathBuf>,
+    },
     /// Runs a stand-in of an outside system
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin_command))] StandinCommand),
@@ -92,6 +107,8 @@
         match self {
             Self::Entry { settings } => daemon::entry(&settings),
             Self::Agent { settings } => daemon::agent(&settings),
+            Self::PlatformEntry { settings } => gateway::run_platform_entry(settings),
+            Self::PlatformAgent { settings } => gateway::run_platform_agent(settings),
             Self::Standin(command) => command.run(),
             Self::Demo(command) => command.run(),
             Self::Check(command) => command.run(),
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -1,6 +1,7 @@
 //! Numbered log events; `docs/EVENTS.md` lists each with its cause and what the operator does.
 
 use {
+    crate::line_ring::LineRing,
     log::Level,
     logforth::{
         append::Stderr,
@@ -60,6 +61,50 @@
     RequestCondemned = 411,
     /// A request was cleared of suspicion.
     RequestCleared = 412,
+    /// The settings may have changed.
+    Reloaded = 104,
+    /// Lines were not written because standard output was read too slowly.
+    LogLinesDropped = 130,
+    /// A connection could not be accepted.
+    AcceptFailed = 220,
+    /// The platform's store cannot be read.
+    StoreLost = 310,
+    /// The platform's store can be read again.
+    StoreRegained = 311,
+    /// A configuration came into force.
+    ConfigurationAdopted = 320,
+    /// Something that the operator published cannot be read.
+    ConfigurationRejected = 321,
+    /// A backend server's entry was written.
+    ServerListed = 330,
+    /// A backend server's entry was removed.
+    ServerRemoved = 331,
+    /// A backend server's entry cannot be read.
+    ServerUnreadable = 332,
+    /// A version of an adapter was announced.
+    VersionAnnounced = 340,
+    /// An engine began or ceased to take requests.
+    EngineState = 420,
+    /// An engine does not report.
+    EngineLost = 421,
+    /// An engine reports again.
+    EngineRegained = 422,
+    /// An engine was told to load or unload.
+    OrderGiven = 430,
+    /// An order has no answer.
+    OrderLost = 431,
+    /// An agent refused an attempt.
+    AttemptRefused = 500,
+    /// An attempt at a server came to nothing.
+    AttemptFailed = 501,
+    /// An engine broke off an answer.
+    AnswerBrokenOff = 502,
+    /// A request was answered with a failure of the entry's own.
+    RequestRefused = 510,
+    /// A stream went on at another server.
+    StreamResumed = 511,
+    /// A stream was broken off.
+    StreamBrokenOff = 512,
 }
 
 impl EventId {
@@ -73,7 +118,10 @@
     #[must_use]
     pub const fn level(self) -> Level {
         match self {
-            Self::DutyFailed | Self::TableRejected | Self::WrongModel => Level::Error,
+            Self::DutyFailed
+            | Self::TableRejected
+            | Self::WrongModel
+            | Self::ConfigurationRejected => Level::Error,
             Self::DrainHurried
             | Self::DutyRestarted
             | Self::Paused
@@ -86,13 +134,34 @@
             | Self::LoadFailed
             | Self::OrderFenced
             | Self::RequestSuspected
-            | Self::RequestCondemned => Level::Warn,
+            | Self::RequestCondemned
+            | Self::LogLinesDropped
+            | Self::AcceptFailed
+            | Self::StoreLost
+            | Self::ServerUnreadable
+            | Self::EngineLost
+            | Self::OrderLost => Level::Warn,
             Self::Started
             | Self::DrainStarted
             | Self::DrainFinished
             | Self::LinkUp
             | Self::TableAdopted
-            | Self::RequestCleared => Level::Info,
+            | Self::RequestCleared
+            | Self::Reloaded
+            | Self::StoreRegained
+            | Self::ConfigurationAdopted
+            | Self::ServerListed
+            | Self::ServerRemoved
+            | Self::VersionAnnounced
+            | Self::EngineState
+            | Self::EngineRegained
+            | Self::OrderGiven
+            | Self::AttemptRefused
+            | Self::AttemptFailed
+            | Self::AnswerBrokenOff
+            | Self::RequestRefused
+            | Self::StreamResumed
+            | Self::StreamBrokenOff => Level::Info,
         }
     }
 }
@@ -115,6 +184,23 @@
     Json,
 }
 
+/// Starts logging to stdout from a thread of its own; a line that does not fit its ring is counted
+/// and dropped.
+pub fn start_stdout_logging(format: LogFormat) {
+    let filter = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            let dispatch = dispatch.filter(filter);
+            match format {
+                LogFormat::Text => {
+                    dispatch.append(LineRing::start(TextLayout::default().no_color()))
+                }
+                LogFormat::Json => dispatch.append(LineRing::start(JsonLayout::default())),
+            }
+        })
+        .apply();
+}
+
 /// Starts logging to stderr.
 pub fn start_logging(format: LogFormat, level: &str) {
     let filter = match Level::from_str(level) {
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -0,0 +1,187 @@
+//! Requests, orders and reports of the engine beside the agent.
+
+use {
+    super::state::AgentState,
+    crate::{
+        events::{EventId, emit},
+        gateway::pool::{Answer, SendError},
+    },
+    bytes::Bytes,
+    hyper::{Method, Request, StatusCode, Uri},
+    magnoliasail_core::gateway::{
+        EngineRefusal, Order, OrderOutcome,
+        message::{Head, Header, Part, ToEntryKind},
+    },
+    magnoliasail_platform::{
+        headers::{self, Stamp},
+        orders, report,
+    },
+    std::{rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between reports while loads are under way.
+const LOADING_POLL: Duration = Duration::from_millis(20);
+/// Time between reports otherwise.
+const IDLE_POLL: Duration = Duration::from_millis(250);
+/// Reports that fail in a row before the engine counts as down.
+const MAX_FAILED_REPORTS: u32 = 2;
+
+/// Asks the engine for reports for as long as the process lives.
+pub(super) async fn watch_engine(state: Rc<AgentState>) {
+    let mut failed = 0;
+    loop {
+        let ticket = state.scheduler.borrow().report_ticket();
+        match ask_report(&state).await {
+            Ok(report) => {
+                if failed >= MAX_FAILED_REPORTS {
+                    emit(EventId::EngineRegained, "the engine reports again");
+                }
+                failed = 0;
+                state.reported(&report, ticket);
+            }
+            Err(error) => {
+                failed += 1;
+                if failed == MAX_FAILED_REPORTS {
+                    emit(EventId::EngineLost, error);
+                    state.unreachable();
+                }
+            }
+        }
+        let poll = if state.scheduler.borrow().awaits_load() {
+            LOADING_POLL
+        } else {
+            IDLE_POLL
+        };
+        let _ = timeout(poll, state.report_wanted.notified()).await;
+        if poll == IDLE_POLL {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+async fn ask_report(
+    state: &AgentState,
+) -> Result<magnoliasail_core::gateway::EngineReport, String> {
+    let request = report::request(&state.engine_address.to_string());
+    let (status, body) = state
+        .control
+        .call(request, REPORT_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!(
+            "the engine answered {status} to a request for its report"
+        ));
+    }
+    report::decode(&body).map_err(|error| error.to_string())
+}
+
+/// Gives an order and tells the scheduler what became of it.
+pub(super) async fn give_order(state: Rc<AgentState>, order: Order) {
+    let host = state.engine_address.to_string();
+    let request = orders::request(&host, &state.settings.name, &order);
+    let outcome = match state.control.call(request, ORDER_TIMEOUT).await {
+        Ok((status, _)) => orders::outcome(status),
+        Err(error) => {
+            emit(EventId::OrderLost, error);
+            OrderOutcome::Unknown
+        }
+    };
+    state.ordered(&order, outcome);
+}
+
+/// Runs a request at the engine and passes its answer on.
+pub(super) async fn run_request(state: Rc<AgentState>, key: u64) {
+    let Some((link, attempt)) = state.with_held(key, |held| (held.link, held.submit.attempt))
+    else {
+        return;
+    };
+    let end = match build(&state, key) {
+        Some((request, id)) => match state.requests.send(request, id.as_deref(), false).await {
+            Ok(answer) => pass_on(&state, link, attempt, answer).await,
+            Err(error) => sent_in_vain(&state, &error),
+        },
+        None => End::Refused(EngineRefusal::EngineRefused),
+    };
+    match end {
+        End::Complete => state.send(link, ToEntryKind::End(attempt)),
+        End::Broken => state.send(link, ToEntryKind::Broken(attempt)),
+        End::Refused(reason) => state.refuse(link, attempt, reason, 0),
+    }
+    state.ended(key, matches!(end, End::Complete));
+    state.tell(link);
+}
+
+enum End {
+    Complete,
+    Broken,
+    Refused(EngineRefusal),
+}
+
+fn build(state: &AgentState, key: u64) -> Option<(Request<Bytes>, Option<std::sync::Arc<str>>)> {
+    state.with_held(key, |held| {
+        let version = held
+            .adapter
+            .as_ref()
+            .and_then(|adapter| state.scheduler.borrow().expected_version(adapter));
+        let stamp = Stamp {
+            deadline_ms: held.deadline_ms.saturating_sub(state.clock.now_ms()),
+            server_id: Some(held.submit.server_id.as_str().into()),
+            version,
+            rank: Some(held.submit.rank),
+            resume_after: held.submit.resume_after,
+        };
+        let mut request = Request::new(held.submit.body.clone());
+        *request.method_mut() = Method::from_bytes(held.submit.method.as_bytes()).ok()?;
+        *request.uri_mut() = held.submit.target.parse::<Uri>().ok()?;
+        *request.headers_mut() = held.headers.clone();
+        headers::stamp(request.headers_mut(), &stamp);
+        Some((request, held.facts.id.clone()))
+    })?
+}
+
+async fn pass_on(state: &AgentState, link: u64, attempt: u64, mut answer: Answer) -> End {
+    if headers::proves_not_run(answer.status, &answer.headers) {
+        state.report_wanted.notify_one();
+        return End::Refused(EngineRefusal::EngineRefused);
+    }
+    let head = Head {
+        attempt,
+        status: u32::from(answer.status.as_u16()),
+        headers: headers::returned(&answer.headers)
+            .iter()
+            .map(|(name, value)| Header {
+                name: name.as_str().to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            })
+            .collect(),
+    };
+    state.send(link, ToEntryKind::Head(head));
+    loop {
+        match answer.next_part().await {
+            Ok(Some(bytes)) => state.send(link, ToEntryKind::Part(Part { attempt, bytes })),
+            Ok(None) => {
+                answer.release();
+                return End::Complete;
+            }
+            Err(error) => {
+                state.report_wanted.notify_one();
+                emit(EventId::AnswerBrokenOff, error);
+                return End::Broken;
+            }
+        }
+    }
+}
+
+fn sent_in_vain(state: &AgentState, error: &SendError) -> End {
+    state.report_wanted.notify_one();
+    emit(EventId::AnswerBrokenOff, error);
+    if error.is_unsent() {
+        End::Refused(EngineRefusal::EngineDown)
+    } else {
+        End::Broken
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -0,0 +1,73 @@
+//! Links from entries.
+
+use {
+    super::state::AgentState,
+    crate::{
+        events::{EventId, emit},
+        gateway::sockets::tune,
+    },
+    hyper::{
+        HeaderMap,
+        header::{HeaderName, HeaderValue},
+    },
+    magnoliasail_core::gateway::message::{Header, ToAgent, ToAgentKind},
+    magnoliasail_wire::{Link, LinkSettings},
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
+};
+
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Serves the links of entries for as long as the process lives.
+pub(super) async fn serve_entries(state: Rc<AgentState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_link(Rc::clone(&state), stream));
+            }
+            Err(error) => {
+                emit(EventId::AcceptFailed, error);
+                sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(state: Rc<AgentState>, stream: TcpStream) {
+    if let Err(error) = tune(&stream) {
+        emit(EventId::AcceptFailed, error);
+        return;
+    }
+    let (link, outbox) = Link::new(stream, LinkSettings::default());
+    let id = state.link_up(outbox);
+    emit(EventId::LinkUp, format_args!("link={id}"));
+    let receiver = Rc::clone(&state);
+    let end = link
+        .run(async move |message: ToAgent| match message.kind {
+            Some(ToAgentKind::Submit(submit)) => receiver.submit(id, submit),
+            Some(ToAgentKind::Cancel(attempt)) => receiver.cancel(id, attempt),
+            None => {}
+        })
+        .await;
+    state.link_down(id);
+    let cause = end
+        .err()
+        .map_or_else(|| "closed".to_owned(), |error| error.to_string());
+    emit(EventId::LinkDown, format_args!("link={id}: {cause}"));
+}
+
+/// Returns the headers that a message carries.
+pub(super) fn to_headers(headers: &[Header]) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(headers.len() + 4);
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            map.append(name, value);
+        }
+    }
+    map
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/answer_body.rs
@@ -0,0 +1,55 @@
+//! The body of an answer to a caller.
+
+use {
+    bytes::Bytes,
+    hyper::body::{Body, Frame, SizeHint},
+    snafu::Snafu,
+    std::{
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::sync::mpsc,
+};
+
+/// The answer broke off; the caller's connection is closed so that it does not look complete.
+#[derive(Clone, Copy, Debug, Snafu)]
+#[snafu(display("the answer broke off; send the request again if it may run twice"))]
+pub(super) struct BrokenOff;
+
+/// The body of an answer to a caller.
+pub(super) enum AnswerBody {
+    /// A body that is whole.
+    Whole(Option<Bytes>),
+    /// A body that is relayed as it arrives.
+    Relayed(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+impl AnswerBody {
+    pub(super) const fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Relayed(parts) => parts
+                .poll_recv(context)
+                .map(|part| part.map(|part| part.map(Frame::data))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -0,0 +1,36 @@
+//! The entry: takes requests from callers and sees each to its answer.
+
+mod answer_body;
+mod attempt;
+mod callers;
+mod engine_link;
+mod refusal;
+mod relay;
+mod request;
+mod state;
+mod views;
+
+use {
+    self::{callers::serve_callers, state::EntryState, views::start_views},
+    super::sockets::listen,
+    magnoliasail_platform::settings::NodeSettings,
+    std::rc::Rc,
+    tokio::sync::watch,
+};
+
+/// Serves callers until `draining` holds true and what is in progress is finished.
+pub(super) async fn run(
+    settings: Rc<NodeSettings>,
+    draining: watch::Receiver<bool>,
+) -> Result<(), String> {
+    let missing = || "the settings name no address for callers; give the role `serves`".to_owned();
+    let callers = settings.callers.as_deref().ok_or_else(missing)?;
+    let readiness = settings.readiness.as_deref().ok_or_else(missing)?;
+    let callers = listen(callers).map_err(|error| error.to_string())?;
+    let readiness = listen(readiness).map_err(|error| error.to_string())?;
+    let state = EntryState::new(settings, draining.clone());
+    start_views(&state);
+    tokio::task::spawn_local(callers::serve_readiness(Rc::clone(&state), readiness));
+    serve_callers(state, callers, draining).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -0,0 +1,144 @@
+//! Relays a stream to a caller, event by event, and resumes it where its kind allows.
+
+use {
+    super::{
+        answer_body::{AnswerBody, BrokenOff},
+        attempt::{Attempt, Next},
+        request::{Begun, InFlight, Journey},
+    },
+    crate::events::{EventId, emit},
+    bytes::{Bytes, BytesMut},
+    hyper::Response,
+    magnoliasail_core::gateway::EventSplitter,
+    tokio::{sync::mpsc, time::sleep_until},
+};
+
+/// Parts that may wait for a caller that reads slowly.
+const WAITING_PARTS: usize = 64;
+
+/// Relays one stream.
+pub(super) struct Relay {
+    journey: Journey,
+    attempt: Option<Attempt>,
+    in_flight: InFlight,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    caller: mpsc::Sender<Result<Bytes, BrokenOff>>,
+}
+
+impl Relay {
+    /// Starts to relay an answer that has begun.
+    pub(super) fn start(journey: Journey, begun: Begun) -> Response<AnswerBody> {
+        let (caller, parts) = mpsc::channel(WAITING_PARTS);
+        let mut response = Response::new(AnswerBody::Relayed(parts));
+        *response.status_mut() = begun.status;
+        *response.headers_mut() = begun.headers;
+        let relay = Self {
+            journey,
+            attempt: Some(begun.attempt),
+            in_flight: begun.in_flight,
+            splitter: EventSplitter::default(),
+            last_event: None,
+            caller,
+        };
+        tokio::task::spawn_local(relay.run());
+        response
+    }
+
+    async fn run(mut self) {
+        let deadline = self
+            .journey
+            .state
+            .clock
+            .instant(self.journey.outgoing.deadline_ms);
+        let caller = self.caller.clone();
+        tokio::select! {
+            biased;
+            // The caller has gone: dropping the attempt withdraws the request.
+            () = caller.closed() => {}
+            () = sleep_until(deadline) => self.break_off("expired").await,
+            () = self.relay() => {}
+        }
+    }
+
+    async fn relay(&mut self) {
+        loop {
+            let next = match &mut self.attempt {
+                Some(attempt) => attempt.next().await,
+                None => Next::Broken,
+            };
+            match next {
+                Next::Part(bytes) => self.forward(&bytes).await,
+                Next::End if !self.splitter.is_within_event() => return,
+                Next::End | Next::Broken => {
+                    if !self.resume().await {
+                        self.break_off("broken_off").await;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes whole events on, as one part.
+    async fn forward(&mut self, bytes: &[u8]) {
+        self.splitter.push(bytes);
+        let mut part = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            let is_repeated =
+                matches!((event.id, self.last_event), (Some(id), Some(last)) if id <= last);
+            if is_repeated {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            part.extend_from_slice(&event.bytes);
+        }
+        if !part.is_empty() {
+            // A caller that has gone ends the relay by itself.
+            let _ = self.caller.send(Ok(part.freeze())).await;
+        }
+    }
+
+    /// Goes on at another server after the last event that the caller has.
+    async fn resume(&mut self) -> bool {
+        self.attempt = None;
+        self.splitter.reset();
+        self.journey.count_failure(self.in_flight.server());
+        if !self.journey.may_send_again() {
+            return false;
+        }
+        let Ok(begun) = self.journey.begin(self.last_event).await else {
+            return false;
+        };
+        if !begun.status.is_success() {
+            return false;
+        }
+        emit(
+            EventId::StreamResumed,
+            format_args!(
+                "request={} server={} after={:?} left_ms={}",
+                self.journey.id(),
+                begun.in_flight.server(),
+                self.last_event,
+                self.journey.left_ms()
+            ),
+        );
+        self.attempt = Some(begun.attempt);
+        self.in_flight = begun.in_flight;
+        true
+    }
+
+    async fn break_off(&mut self, cause: &'static str) {
+        emit(
+            EventId::StreamBrokenOff,
+            format_args!(
+                "request={} server={} cause={cause} after={:?} left_ms={}",
+                self.journey.id(),
+                self.in_flight.server(),
+                self.last_event,
+                self.journey.left_ms()
+            ),
+        );
+        let _ = self.caller.send(Err(BrokenOff)).await;
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -0,0 +1,397 @@
+//! A request's way from its arrival to the beginning of its answer.
+
+use {
+    super::{
+        answer_body::AnswerBody,
+        attempt::{Attempt, Next, Outgoing, Start, start},
+        refusal::{RefusalCause, refuse},
+        relay::Relay,
+        state::{EntryState, Pick},
+    },
+    crate::events::{EventId, emit},
+    bytes::{Bytes, BytesMut},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{
+        HeaderMap, Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONNECTION, HOST, HeaderValue},
+    },
+    magnoliasail_core::gateway::RouteMatch,
+    magnoliasail_platform::headers,
+    std::{convert::Infallible, rc::Rc, sync::Arc},
+    tokio::time::timeout_at,
+};
+
+/// When to come back while an entry does not know its work, in milliseconds.
+const STARTING_RETRY_MS: u64 = 500;
+/// When to come back where no server is known to get a place sooner, in milliseconds.
+const NO_SERVER_RETRY_MS: u64 = 500;
+/// Agents that are asked before a request is refused.
+const MAX_PLACEMENTS: usize = 4;
+
+/// Counts a request as under way at a server for as long as it lives.
+pub(super) struct InFlight {
+    state: Rc<EntryState>,
+    server: Arc<str>,
+}
+
+impl InFlight {
+    pub(super) fn new(state: &Rc<EntryState>, server: &Arc<str>) -> Self {
+        if let Some(server) = state.directory.borrow_mut().get_mut(server) {
+            server.in_flight += 1;
+        }
+        Self {
+            state: Rc::clone(state),
+            server: Arc::clone(server),
+        }
+    }
+}
+
+impl InFlight {
+    pub(super) const fn server(&self) -> &Arc<str> {
+        &self.server
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(server) = self.state.directory.borrow_mut().get_mut(&self.server) {
+            server.in_flight = server.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// A request on its way to an answer.
+pub(super) struct Journey {
+    pub(super) state: Rc<EntryState>,
+    pub(super) route: RouteMatch,
+    pub(super) outgoing: Outgoing,
+    affinity: String,
+    /// Servers and agents that were asked.
+    tried: Vec<Arc<str>>,
+    /// Servers to which the request was sent.
+    servers_sent: u32,
+    /// Whether an attempt is under way that may run the request.
+    may_run: bool,
+}
+
+/// An answer that has begun.
+pub(super) struct Begun {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) attempt: Attempt,
+    pub(super) in_flight: InFlight,
+}
+
+/// Why a journey ended without an answer of a server.
+pub(super) struct Refused {
+    pub(super) cause: RefusalCause,
+    pub(super) retry_after_ms: Option<u64>,
+}
+
+/// Answers a caller's request.
+pub(super) async fn answer(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let draining = state.draining.clone();
+    let id = headers::facts(request.headers()).id;
+    let mut response = match prepare(&state, request).await {
+        Ok(journey) => journey.finish().await,
+        Err(cause) => {
+            let retry_after_ms =
+                (cause == RefusalCause::NoConfiguration).then_some(STARTING_RETRY_MS);
+            log_refusal(id.as_deref(), cause, retry_after_ms, 0);
+            refuse(cause, retry_after_ms)
+        }
+    };
+    if *draining.borrow() {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+/// Reads a request whole and finds its route.
+async fn prepare(
+    state: &Rc<EntryState>,
+    request: Request<Incoming>,
+) -> Result<Journey, RefusalCause> {
+    let now_ms = state.clock.now_ms();
+    if !state.knows_its_work() {
+        return Err(RefusalCause::NoConfiguration);
+    }
+    let (head, body) = request.into_parts();
+    let facts = headers::facts(&head.headers);
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let id = facts.id.as_deref().unwrap_or_default();
+    let (route, max_body_bytes) = {
+        let table = state.table.borrow();
+        let route = table.find(host, head.uri.path(), id);
+        (
+            route.ok_or(RefusalCause::NoRoute)?,
+            table.limits().max_body_bytes,
+        )
+    };
+    let timeout_ms = facts
+        .deadline_ms
+        .unwrap_or(route.timeout_ms)
+        .min(route.timeout_ms);
+    let body = collect(body, max_body_bytes).await?;
+    let adapter = facts.adapter.as_deref().unwrap_or_default();
+    let model = facts.model.as_deref().unwrap_or_default();
+    let affinity = format!("{model}/{adapter}");
+    let outgoing = Outgoing {
+        kind: route.kind,
+        rank: route.rank,
+        method: head.method,
+        uri: head.uri,
+        headers: headers::forwarded(&head.headers),
+        body,
+        objective_ms: now_ms + route.objective_ms,
+        deadline_ms: now_ms + timeout_ms,
+        facts,
+    };
+    Ok(Journey {
+        state: Rc::clone(state),
+        route,
+        outgoing,
+        affinity,
+        tried: Vec::new(),
+        servers_sent: 0,
+        may_run: false,
+    })
+}
+
+async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, RefusalCause> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(RefusalCause::BodyTooLong),
+        Err(_) => Err(RefusalCause::BodyBroken),
+    }
+}
+
+impl Journey {
+    /// Sees the request to its answer.
+    async fn finish(mut self) -> Response<AnswerBody> {
+        self.state.count_request(&self.route.service);
+        let deadline = self.state.clock.instant(self.outgoing.deadline_ms);
+        let outcome = timeout_at(deadline, self.answer()).await;
+        let refused = match outcome {
+            Ok(Ok(Answered::Whole(response))) => return response,
+            Ok(Ok(Answered::Begun(begun))) => return Relay::start(self, begun),
+            Ok(Err(refused)) => refused,
+            Err(_) => Refused {
+                cause: if self.may_run {
+                    RefusalCause::ExpiredRunning
+                } else {
+                    RefusalCause::ExpiredUnrun
+                },
+                retry_after_ms: None,
+            },
+        };
+        self.log(&refused);
+        refuse(refused.cause, refused.retry_after_ms)
+    }
+
+    async fn answer(&mut self) -> Result<Answered, Refused> {
+        loop {
+            let begun = self.begin(None).await?;
+            let is_good = begun.status.is_success();
+            if is_good && self.outgoing.kind.is_stream() {
+                return Ok(Answered::Begun(begun));
+            }
+            let is_failed = begun.status.is_server_error();
+            let server = Arc::clone(&begun.in_flight.server);
+            let whole = read_whole(begun).await;
+            if is_failed || whole.is_none() {
+                self.count_failure(&server);
+            }
+            if (is_failed || whole.is_none()) && self.may_send_again() {
+                continue;
+            }
+            return whole.map(Answered::Whole).ok_or(Refused {
+                cause: RefusalCause::BrokenOff,
+                retry_after_ms: None,
+            });
+        }
+    }
+
+    /// Sends the request to servers until one begins an answer.
+    pub(super) async fn begin(&mut self, resume_after: Option<u64>) -> Result<Begun, Refused> {
+        let mut placements = 0;
+        let mut retry_after_ms = NO_SERVER_RETRY_MS;
+        let mut cause = RefusalCause::NoServer;
+        loop {
+            let pick = self
+                .state
+                .pick(&self.route.service, &self.affinity, &self.tried);
+            let Some(pick) = pick.filter(|_| placements < MAX_PLACEMENTS) else {
+                return Err(Refused {
+                    cause,
+                    retry_after_ms: Some(retry_after_ms),
+                });
+            };
+            placements += 1;
+            self.tried.push(Arc::clone(&pick.id));
+            let in_flight = InFlight::new(&self.state, &pick.id);
+            let sent_ms = self.state.clock.now_ms();
+            self.may_run = true;
+            let started = start(&self.state, &pick, &self.outgoing, resume_after).await;
+            match started {
+                Start::Head {
+                    status,
+                    headers,
+                    attempt,
+                } => {
+                    self.servers_sent += 1;
+                    self.count_answer(&pick, status, sent_ms);
+                    return Ok(Begun {
+                        status,
+                        headers,
+                        attempt,
+                        in_flight,
+                    });
+                }
+                Start::Refused {
+                    reason,
+                    retry_after_ms: after_ms,
+                } => {
+                    self.log_attempt(&pick, reason.into());
+                    cause = RefusalCause::Overloaded;
+                    retry_after_ms = retry_after_ms.min(after_ms.max(1));
+                }
+                Start::NotRun => {
+                    self.log_attempt(&pick, "refused_by_server");
+                    self.servers_sent += 1;
+                    cause = RefusalCause::ServersRefused;
+                    if !self.has_server_left() || !self.state.try_retry(&self.route.service) {
+                        self.may_run = false;
+                        return Err(Refused {
+                            cause,
+                            retry_after_ms: Some(retry_after_ms),
+                        });
+                    }
+                }
+                Start::Unsent => {
+                    self.log_attempt(&pick, "unsent");
+                    self.count_failure(&pick.id);
+                }
+                Start::Broken => {
+                    self.log_attempt(&pick, "broken_off");
+                    self.servers_sent += 1;
+                    self.count_failure(&pick.id);
+                    if !self.may_send_again() {
+                        return Err(Refused {
+                            cause: RefusalCause::BrokenOff,
+                            retry_after_ms: None,
+                        });
+                    }
+                }
+            }
+            self.may_run = false;
+        }
+    }
+
+    /// Tells whether a request that may have run may go to a further server, and spends a retry.
+    pub(super) fn may_send_again(&self) -> bool {
+        self.outgoing.kind.is_idempotent()
+            && self.has_server_left()
+            && self.state.try_retry(&self.route.service)
+    }
+
+    const fn has_server_left(&self) -> bool {
+        self.servers_sent < self.route.max_servers
+    }
+
+    fn count_answer(&self, pick: &Pick, status: StatusCode, sent_ms: u64) {
+        let now_ms = self.state.clock.now_ms();
+        if status.is_server_error() {
+            return;
+        }
+        if let Some(server) = self.state.directory.borrow_mut().get_mut(&pick.id) {
+            server
+                .health
+                .succeeded(now_ms.saturating_sub(sent_ms), now_ms);
+        }
+    }
+
+    pub(super) fn count_failure(&self, server: &Arc<str>) {
+        let now_ms = self.state.clock.now_ms();
+        if let Some(server) = self.state.directory.borrow_mut().get_mut(server) {
+            server.health.failed(now_ms);
+        }
+    }
+
+    fn log_attempt(&self, pick: &Pick, outcome: &'static str) {
+        let left_ms = self.left_ms();
+        emit(
+            EventId::AttemptFailed,
+            format_args!(
+                "request={} server={} outcome={outcome} left_ms={left_ms} sent={}",
+                self.id(),
+                pick.id,
+                self.servers_sent
+            ),
+        );
+    }
+
+    fn log(&self, refused: &Refused) {
+        log_refusal(
+            Some(self.id()),
+            refused.cause,
+            refused.retry_after_ms,
+            self.left_ms(),
+        );
+    }
+
+    pub(super) fn id(&self) -> &str {
+        self.outgoing.facts.id.as_deref().unwrap_or("-")
+    }
+
+    pub(super) fn left_ms(&self) -> u64 {
+        self.outgoing
+            .deadline_ms
+            .saturating_sub(self.state.clock.now_ms())
+    }
+}
+
+enum Answered {
+    Whole(Response<AnswerBody>),
+    Begun(Begun),
+}
+
+/// Reads an answer to its end; nothing if it broke off.
+async fn read_whole(begun: Begun) -> Option<Response<AnswerBody>> {
+    let Begun {
+        status,
+        headers,
+        mut attempt,
+        in_flight,
+    } = begun;
+    let mut body = BytesMut::new();
+    loop {
+        match attempt.next().await {
+            Next::Part(bytes) => body.extend_from_slice(&bytes),
+            Next::End => break,
+            Next::Broken => return None,
+        }
+    }
+    drop(in_flight);
+    let mut response = Response::new(AnswerBody::whole(body.freeze()));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Some(response)
+}
+
+fn log_refusal(id: Option<&str>, cause: RefusalCause, retry_after_ms: Option<u64>, left_ms: u64) {
+    let id = id.unwrap_or("-");
+    emit(
+        EventId::RequestRefused,
+        format_args!(
+            "request={id} cause={cause} retry_after_ms={retry_after_ms:?} left_ms={left_ms}"
+        ),
+    );
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -0,0 +1,177 @@
+//! What the tasks of an entry share.
+
+use {
+    super::engine_link::EngineLink,
+    crate::gateway::{pool::Pool, steady_clock::SteadyClock},
+    magnoliasail_core::gateway::{
+        Candidate, Directory, Placement, PlacementCosts, RetryWindow, RouteTable,
+    },
+    magnoliasail_platform::settings::NodeSettings,
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+        sync::Arc,
+    },
+    tokio::sync::watch,
+};
+
+/// Connections of one entry to one plain server, where the configuration names no limit.
+const MAX_CONNECTIONS: usize = 64;
+
+/// What the tasks of an entry share.
+pub(super) struct EntryState {
+    pub(super) settings: Rc<NodeSettings>,
+    pub(super) clock: SteadyClock,
+    pub(super) draining: watch::Receiver<bool>,
+    pub(super) table: RefCell<RouteTable>,
+    pub(super) directory: RefCell<Directory>,
+    /// Links to agents, by the address of their VM.
+    pub(super) links: RefCell<HashMap<IpAddr, Rc<EngineLink>>>,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    retries: RefCell<HashMap<Arc<str>, RetryWindow>>,
+    /// Whether the list of servers has been read once.
+    pub(super) has_servers: Cell<bool>,
+}
+
+/// A server that was picked for a request.
+#[derive(Clone, Debug)]
+pub(super) struct Pick {
+    pub(super) id: Arc<str>,
+    pub(super) address: SocketAddr,
+    /// Whether the server is an engine, which is reached through its agent.
+    pub(super) is_engine: bool,
+}
+
+impl EntryState {
+    pub(super) fn new(settings: Rc<NodeSettings>, draining: watch::Receiver<bool>) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            clock: SteadyClock::new(),
+            draining,
+            table: RefCell::default(),
+            directory: RefCell::default(),
+            links: RefCell::default(),
+            pools: RefCell::default(),
+            retries: RefCell::default(),
+            has_servers: Cell::new(false),
+        })
+    }
+
+    /// Tells whether new connections are welcome.
+    pub(super) fn is_ready(&self) -> bool {
+        !*self.draining.borrow() && self.knows_its_work()
+    }
+
+    /// Tells whether a configuration and the list of servers are known.
+    pub(super) fn knows_its_work(&self) -> bool {
+        self.table.borrow().version().is_some() && self.has_servers.get()
+    }
+
+    /// Returns the pool of connections to a plain server.
+    pub(super) fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools
+            .entry(address)
+            .or_insert_with(|| Pool::new(address, MAX_CONNECTIONS));
+        Rc::clone(pool)
+    }
+
+    /// Picks a server of a service that is not among those tried.
+    pub(super) fn pick(&self, service: &str, affinity: &str, tried: &[Arc<str>]) -> Option<Pick> {
+        let now_ms = self.clock.now_ms();
+        let is_engine = self.table.borrow().engine(service).is_some();
+        let directory = self.directory.borrow();
+        let links = self.links.borrow();
+        let mut picks = Vec::new();
+        let mut candidates = Vec::new();
+        for server in directory.usable(service, now_ms) {
+            if tried.contains(&server.entry.id) {
+                continue;
+            }
+            let mut load = server.load();
+            let mut slots = server.entry.slots;
+            if is_engine {
+                let link = links.get(&server.entry.address.ip());
+                let Some(state) = link.and_then(|link| link.serving()) else {
+                    continue;
+                };
+                load = load.max(state.load);
+                slots = state.slots;
+            }
+            picks.push(Pick {
+                id: Arc::clone(&server.entry.id),
+                address: server.entry.address,
+                is_engine,
+            });
+            candidates.push(Candidate {
+                name: server.entry.address.to_string().into(),
+                is_local: server.entry.data_centre == self.settings.data_centre,
+                load,
+                slots,
+                failure_share: server.health.failure_share(now_ms),
+                first_byte_ms: server.health.first_byte_ms(now_ms),
+                is_suspect: false,
+            });
+        }
+        let costs = if is_engine {
+            PlacementCosts::default()
+        } else {
+            plain_costs()
+        };
+        let index = Placement::new(costs).pick(affinity, &candidates)?;
+        Some(picks.swap_remove(index))
+    }
+
+    /// Counts a request's first attempt at a service.
+    pub(super) fn count_request(&self, service: &Arc<str>) {
+        self.with_retries(service, |window, now_ms| window.count_request(now_ms));
+    }
+
+    /// Spends one retry of a service's budget, if this entry's share leaves room.
+    pub(super) fn try_retry(&self, service: &Arc<str>) -> bool {
+        let entries = self.entries();
+        self.with_retries(service, |window, now_ms| window.try_retry(entries, now_ms))
+    }
+
+    fn with_retries<T>(
+        &self,
+        service: &Arc<str>,
+        act: impl FnOnce(&mut RetryWindow, u64) -> T,
+    ) -> T {
+        let settings = &self.settings;
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(Arc::clone(service)).or_insert_with(|| {
+            RetryWindow::new(
+                settings.retry_ratio,
+                settings.retry_floor,
+                settings.retry_window_ms,
+            )
+        });
+        act(window, self.clock.now_ms())
+    }
+
+    /// Returns the number of entries that share the work, as agents count them.
+    fn entries(&self) -> u32 {
+        /// The number that is assumed until an agent has told it.
+        const ASSUMED_ENTRIES: u32 = 8;
+        let links = self.links.borrow();
+        let told = links
+            .values()
+            .filter_map(|link| link.serving())
+            .map(|state| state.entries);
+        told.max().unwrap_or(ASSUMED_ENTRIES).max(1)
+    }
+}
+
+/// Costs at plain servers, which hold nothing that a request could miss.
+fn plain_costs() -> PlacementCosts {
+    PlacementCosts {
+        sharer_ms: 5.0,
+        queued_ms: 15.0,
+        miss_ms: 0.0,
+        remote_ms: 12.0,
+        ..PlacementCosts::default()
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/views.rs
@@ -0,0 +1,167 @@
+//! What an entry learns from the platform's store: the configuration and the servers.
+
+use {
+    super::{engine_link::EngineLink, state::EntryState},
+    crate::{
+        events::{EventId, emit},
+        gateway::{
+            follower::{Followed, Follower},
+            pool::Pool,
+        },
+    },
+    magnoliasail_platform::{configuration, registry, store::Change},
+    std::{
+        collections::HashSet,
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Connections to the store: one for each follower and one to spare.
+const STORE_CONNECTIONS: usize = 2;
+/// Time between changes of the configuration that are taken, well within the time for one to be in
+/// force.
+const CONFIGURATION_GAP: Duration = Duration::from_millis(250);
+/// Time between changes of the list that are taken: it changes whenever an engine loads an adapter.
+const SERVERS_GAP: Duration = Duration::from_millis(700);
+/// Time between looks for links to open or close.
+const LINK_REVIEW: Duration = Duration::from_millis(100);
+
+/// Takes the operator's configuration.
+struct ConfigurationView(Rc<EntryState>);
+
+/// Takes the list of servers.
+struct ServersView(Rc<EntryState>);
+
+/// Follows the store for as long as the process lives.
+pub(super) fn start_views(state: &Rc<EntryState>) {
+    let Ok(address) = state.settings.store.parse::<SocketAddr>() else {
+        emit(
+            EventId::StoreLost,
+            "the store's address is not IP:PORT; correct the settings",
+        );
+        return;
+    };
+    let host = &state.settings.store;
+    let configuration = Follower::new(
+        Pool::new(address, STORE_CONNECTIONS),
+        host,
+        configuration::KEY,
+        CONFIGURATION_GAP,
+        Rc::new(ConfigurationView(Rc::clone(state))),
+    );
+    let servers = Follower::new(
+        Pool::new(address, STORE_CONNECTIONS),
+        host,
+        registry::SERVERS,
+        SERVERS_GAP,
+        Rc::new(ServersView(Rc::clone(state))),
+    );
+    tokio::task::spawn_local(configuration.run());
+    tokio::task::spawn_local(servers.run());
+    tokio::task::spawn_local(review_links(Rc::clone(state)));
+}
+
+impl Followed for ConfigurationView {
+    fn changed(&self, change: &Change) {
+        let Some(value) = &change.value else { return };
+        match configuration::decode(value) {
+            Ok(configuration) => {
+                let version = configuration.version;
+                if self.0.table.borrow_mut().adopt(configuration) {
+                    emit(
+                        EventId::ConfigurationAdopted,
+                        format_args!("version={version} revision={}", change.revision),
+                    );
+                }
+            }
+            Err(error) => emit(
+                EventId::ConfigurationRejected,
+                format_args!("revision={}: {error}", change.revision),
+            ),
+        }
+    }
+
+    fn troubled(&self) {}
+
+    fn caught_up(&self) {}
+}
+
+impl Followed for ServersView {
+    fn changed(&self, change: &Change) {
+        let Some(id) = registry::server_id(&change.key) else {
+            return;
+        };
+        let now_ms = self.0.clock.now_ms();
+        let mut directory = self.0.directory.borrow_mut();
+        let Some(value) = change.value.as_ref().filter(|_| !change.is_removed) else {
+            emit(
+                EventId::ServerRemoved,
+                format_args!("server={id} revision={}", change.revision),
+            );
+            directory.remove(&id, now_ms);
+            return;
+        };
+        match registry::decode_server(id, value) {
+            Ok(entry) => {
+                emit(
+                    EventId::ServerListed,
+                    format_args!(
+                        "server={} address={} draining={} revision={}",
+                        entry.id, entry.address, entry.is_draining, change.revision
+                    ),
+                );
+                directory.insert(entry);
+            }
+            Err(error) => emit(
+                EventId::ServerUnreadable,
+                format_args!("key={} revision={}: {error}", change.key, change.revision),
+            ),
+        }
+    }
+
+    fn troubled(&self) {
+        let now_ms = self.0.clock.now_ms();
+        self.0.directory.borrow_mut().trouble(now_ms);
+    }
+
+    fn caught_up(&self) {
+        self.0.has_servers.set(true);
+    }
+}
+
+/// Keeps a link to the agent beside each engine.
+async fn review_links(state: Rc<EntryState>) {
+    loop {
+        open_and_close_links(&state);
+        sleep(LINK_REVIEW).await;
+    }
+}
+
+fn open_and_close_links(state: &Rc<EntryState>) {
+    let now_ms = state.clock.now_ms();
+    let mut directory = state.directory.borrow_mut();
+    directory.prune(now_ms);
+    let table = state.table.borrow();
+    let engines: HashSet<IpAddr> = directory
+        .all()
+        .filter(|server| table.engine(&server.entry.service).is_some())
+        .map(|server| server.entry.address.ip())
+        .collect();
+    let mut links = state.links.borrow_mut();
+    links.retain(|address, link| {
+        let is_needed = engines.contains(address) || !link.is_idle();
+        if !is_needed {
+            link.close();
+        }
+        is_needed
+    });
+    let port = state.settings.first_internal_port;
+    for address in engines {
+        links
+            .entry(address)
+            .or_insert_with(|| EngineLink::open(SocketAddr::new(address, port)));
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/process.rs
@@ -0,0 +1,120 @@
+//! Starts and stops the processes of the path.
+
+use {
+    super::{agent, entry},
+    crate::events::{EventId, LogFormat, emit, start_stdout_logging},
+    magnoliasail_platform::settings::{NodeSettings, SETTINGS_VARIABLE},
+    std::{path::PathBuf, process::ExitCode, rc::Rc, time::Duration},
+    tokio::{
+        runtime::Builder,
+        signal::unix::{Signal, SignalKind, signal},
+        sync::watch,
+        task::LocalSet,
+        time::timeout,
+    },
+};
+
+/// Part of the grace period that is left unused, so that the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+
+/// Runs an entry on the platform until a signal ends it.
+pub(crate) fn run_platform_entry(settings: Option<PathBuf>) -> ExitCode {
+    run("entry", settings, entry::run)
+}
+
+/// Runs an agent on the platform until a signal ends it.
+pub(crate) fn run_platform_agent(settings: Option<PathBuf>) -> ExitCode {
+    run("agent", settings, agent::run)
+}
+
+fn run<F, R>(role: &'static str, path: Option<PathBuf>, serve: F) -> ExitCode
+where
+    F: FnOnce(Rc<NodeSettings>, watch::Receiver<bool>) -> R,
+    R: Future<Output = Result<(), String>> + 'static,
+{
+    const FAILED: u8 = 1;
+    const BAD_SETTINGS: u8 = 2;
+    start_stdout_logging(LogFormat::Text);
+    let settings = match read_settings(path) {
+        Ok(settings) => Rc::new(settings),
+        Err(error) => {
+            eprintln!("magnoliasail: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("magnoliasail: no runtime: {error}; raise the process's limits");
+            return ExitCode::from(FAILED);
+        }
+    };
+    let (drain, draining) = watch::channel(false);
+    let grace = Duration::from_millis(settings.grace_ms).saturating_sub(GRACE_MARGIN);
+    let served = serve(Rc::clone(&settings), draining);
+    let local = LocalSet::new();
+    let end = local.block_on(&runtime, async move {
+        emit(
+            EventId::Started,
+            format_args!("role={role} vm={}", settings.name),
+        );
+        let mut served = tokio::task::spawn_local(served);
+        tokio::select! {
+            end = &mut served => return end.unwrap_or_else(|error| Err(error.to_string())),
+            () = until_terminated() => {}
+        }
+        emit(
+            EventId::DrainStarted,
+            format_args!("role={role} grace_ms={}", grace.as_millis()),
+        );
+        drain.send_replace(true);
+        match timeout(grace, served).await {
+            Ok(end) => end.unwrap_or_else(|error| Err(error.to_string())),
+            Err(_) => Ok(()),
+        }
+    });
+    match end {
+        Ok(()) => {
+            emit(EventId::DrainFinished, format_args!("role={role}"));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("magnoliasail: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn read_settings(path: Option<PathBuf>) -> Result<NodeSettings, String> {
+    let path = path
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| format!("no settings file: name it, or set {SETTINGS_VARIABLE}"))?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|error| format!("{} cannot be read: {error}", path.display()))?;
+    NodeSettings::parse(&text).map_err(|error| error.to_string())
+}
+
+/// Waits for a request to end; reloads that are asked for meanwhile change nothing.
+async fn until_terminated() {
+    let listen = |kind| signal(kind).ok();
+    let (Some(mut terminate), Some(mut interrupt), Some(mut hangup)) = (
+        listen(SignalKind::terminate()),
+        listen(SignalKind::interrupt()),
+        listen(SignalKind::hangup()),
+    ) else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            () = received(&mut terminate) => return,
+            () = received(&mut interrupt) => return,
+            () = received(&mut hangup) => {
+                emit(EventId::Reloaded, "the settings hold nothing that changes at run time");
+            }
+        }
+    }
+}
+
+async fn received(signal: &mut Signal) {
+    let _ = signal.recv().await;
+}
--- a/crates/magnoliasail/src/lib.rs
+++ b/crates/magnoliasail/src/lib.rs
@@ -17,13 +17,15 @@
 mod decider;
 mod entry;
 mod events;
+mod gateway;
 mod http;
+mod line_ring;
 mod metrics;
 mod ring;
 mod settings;
 mod supervisor;
 
 pub use self::{
-    events::{EventId, LogFormat, emit, start_logging},
+    events::{EventId, LogFormat, emit, start_logging, start_stdout_logging},
     settings::{AgentFile, EntryFile, LinkSection, SettingsError},
 };
