feat: one place in the fleet for rare adapters, one in each data centre for popular ones

A request that crosses data centres costs about a tenth of a fetch. An engine that drains gives its queue back.

--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -24,6 +24,8 @@
 /// What an entry knows of a backend server.
 #[derive(Clone, Debug)]
 pub struct ServerView {
+    /// Its address as text, the stable name that is hashed: its host keeps copies over restarts.
+    pub name: Arc<str>,
     /// Its entry in the platform's list.
     pub entry: ServerEntry,
     /// The entry's own requests that are under way there.
@@ -71,6 +73,7 @@
             }
             None => {
                 let view = ServerView {
+                    name: entry.address.to_string().into(),
                     entry,
                     in_flight: 0,
                     others: 0,
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -343,12 +343,13 @@
     fn expire(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         /// The least time in which an answer could still be of use, in milliseconds.
         const LEAST_RUN_MS: u64 = 30;
-        let is_down = self.is_down;
+        let (is_down, is_draining) = (self.is_down, self.is_draining);
         self.waiting.retain(|request| {
             let is_late = now_ms + LEAST_RUN_MS >= request.deadline_ms;
-            let reason = match (is_down, is_late) {
-                (true, _) => EngineRefusal::EngineDown,
-                (_, true) => EngineRefusal::Expired,
+            let reason = match (is_down, is_draining, is_late) {
+                (true, _, _) => EngineRefusal::EngineDown,
+                (_, true, _) => EngineRefusal::Draining,
+                (_, _, true) => EngineRefusal::Expired,
                 _ => return true,
             };
             actions.push(EngineAction::Refuse {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod event_stream;
 mod order;
 mod placement;
+mod popularity;
 mod request_facts;
 mod retry_window;
 mod route_table;
@@ -38,7 +39,8 @@
     engine_scheduler::{EngineAction, EngineScheduler, SchedulerSettings},
     event_stream::{EventSplitter, StreamEvent},
     order::{Order, OrderKind, OrderOutcome},
-    placement::{Candidate, Placement, PlacementCosts},
+    placement::{Affinity, Candidate, Placement, PlacementCosts},
+    popularity::Popularity,
     request_facts::RequestFacts,
     retry_window::RetryWindow,
     route_table::{RouteMatch, RouteTable},
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -1,10 +1,10 @@
 //! Picks a backend server for a request.
 //!
 //! Each candidate has a cost in milliseconds: the time for which a request is expected to wait
-//! there, what a miss of its adapter costs, the distance, and what recent outcomes say. Servers of
-//! the entry's own data centre are ranked by rendezvous hashing of the adapter, so that all entries
-//! of a data centre agree without messages which servers keep a copy of it. A popular adapter
-//! spills over to the next server in that order once the wait outweighs the miss.
+//! there, what a miss of its adapter costs, the distance, and what recent outcomes say. Rendezvous
+//! hashing of the adapter ranks the candidates, so that all entries agree without messages which
+//! engine keeps a copy of it: a rare adapter has one place in the whole fleet, a popular one a place
+//! in each data centre, from which it spills over once the wait outweighs a miss.
 
 use {
     crate::score,
@@ -30,6 +30,15 @@
     pub is_suspect: bool,
 }
 
+/// What ties a request to servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Affinity<'a> {
+    /// What is hashed: the adapter's full name.
+    pub key: &'a str,
+    /// Whether requests like it are frequent at this entry.
+    pub is_popular: bool,
+}
+
 /// What the parts of a placement cost, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementCosts {
@@ -37,12 +46,16 @@
     pub sharer_ms: f64,
     /// Each request that waits for a place.
     pub queued_ms: f64,
-    /// Each step down the ranking of the adapter.
-    pub miss_ms: f64,
-    /// The largest cost of a miss.
-    pub max_miss_ms: f64,
-    /// A server in another data centre.
+    /// A server that is not the first in the ranking of a popular adapter.
+    pub popular_miss_ms: f64,
+    /// A server that is not the first in the ranking of a rare adapter.
+    pub rare_miss_ms: f64,
+    /// Each further step down the ranking.
+    pub step_ms: f64,
+    /// A server in another data centre, for a request whose like are frequent.
     pub remote_ms: f64,
+    /// A server in another data centre, for a request whose like are rare.
+    pub rare_remote_ms: f64,
     /// A server of which every request failed lately.
     pub failure_ms: f64,
 }
@@ -52,9 +65,11 @@
         Self {
             sharer_ms: 3.0,
             queued_ms: 20.0,
-            miss_ms: 25.0,
-            max_miss_ms: 75.0,
+            popular_miss_ms: 25.0,
+            rare_miss_ms: 120.0,
+            step_ms: 10.0,
             remote_ms: 60.0,
+            rare_remote_ms: 8.0,
             failure_ms: 600.0,
         }
     }
@@ -75,28 +90,38 @@
 
     /// Returns the index of the candidate with the least cost for a request with this affinity.
     #[must_use]
-    pub fn pick(&self, affinity: &str, candidates: &[Candidate]) -> Option<usize> {
+    pub fn pick(&self, affinity: Affinity<'_>, candidates: &[Candidate]) -> Option<usize> {
         let ranks = ranks(affinity, candidates);
         let typical = Typical::of(candidates);
         (0..candidates.len()).min_by(|&a, &b| {
-            let cost_a = self.cost_ms(&candidates[a], ranks[a], typical);
-            let cost_b = self.cost_ms(&candidates[b], ranks[b], typical);
+            let cost_a = self.cost_ms(affinity, &candidates[a], ranks[a], typical);
+            let cost_b = self.cost_ms(affinity, &candidates[b], ranks[b], typical);
             cost_a.partial_cmp(&cost_b).unwrap_or(Ordering::Equal)
         })
     }
 
-    fn cost_ms(&self, candidate: &Candidate, rank: usize, typical: Typical) -> f64 {
+    fn cost_ms(
+        &self,
+        affinity: Affinity<'_>,
+        candidate: &Candidate,
+        rank: usize,
+        typical: Typical,
+    ) -> f64 {
         let costs = &self.costs;
         let queued = candidate
             .load
             .saturating_sub(candidate.slots.saturating_sub(1));
         let sharers = candidate.load - queued;
-        let miss_ms = (rank as f64 * costs.miss_ms).min(costs.max_miss_ms);
-        let remote_ms = if candidate.is_local {
-            0.0
+        let (first_miss_ms, distance_ms) = if affinity.is_popular {
+            (costs.popular_miss_ms, costs.remote_ms)
         } else {
-            costs.remote_ms
+            (costs.rare_miss_ms, costs.rare_remote_ms)
+        };
+        let miss_ms = match rank {
+            0 => 0.0,
+            further => first_miss_ms + further as f64 * costs.step_ms,
         };
+        let remote_ms = if candidate.is_local { 0.0 } else { distance_ms };
         let suspect_ms = if candidate.is_suspect {
             costs.failure_ms
         } else {
@@ -114,18 +139,20 @@
     }
 }
 
-/// Returns each candidate's place in the order of the affinity, within its own or other data
-/// centres.
-fn ranks(affinity: &str, candidates: &[Candidate]) -> Vec<usize> {
+/// Returns each candidate's place in the order of the affinity: among all servers for a rare one,
+/// within its own or other data centres for a popular one.
+fn ranks(affinity: Affinity<'_>, candidates: &[Candidate]) -> Vec<usize> {
     let scores: Vec<u64> = candidates
         .iter()
-        .map(|candidate| score(affinity, &candidate.name))
+        .map(|candidate| score(affinity.key, &candidate.name))
         .collect();
+    let is_rival = |a: usize, b: usize| {
+        !affinity.is_popular || candidates[a].is_local == candidates[b].is_local
+    };
     (0..candidates.len())
         .map(|index| {
             (0..candidates.len())
-                .filter(|&other| candidates[other].is_local == candidates[index].is_local)
-                .filter(|&other| scores[other] > scores[index])
+                .filter(|&other| is_rival(index, other) && scores[other] > scores[index])
                 .count()
         })
         .collect()
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -0,0 +1,103 @@
+//! Which servers may get new work while the platform's list is sound, lags or lapses.
+
+use magnoliasail_core::gateway::{Directory, ServerEntry, ServerLoad};
+
+fn entry(id: &str, port: u16) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: "a".into(),
+        slots: 4,
+        is_draining: false,
+        born_ms: Some(1_000),
+        models: Vec::new(),
+    }
+}
+
+fn usable(directory: &Directory, now_ms: u64) -> Vec<String> {
+    directory
+        .usable("s", now_ms)
+        .map(|server| server.entry.id.to_string())
+        .collect()
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new_whatever_it_is_leaving_by() {
+    let mut directory = Directory::default();
+    for (id, port) in [("drains", 1), ("removed", 2), ("says", 3), ("stays", 4)] {
+        directory.insert(entry(id, port));
+    }
+    directory.insert(ServerEntry {
+        is_draining: true,
+        ..entry("drains", 1)
+    });
+    directory.remove("removed", 10_000);
+    directory.leave("says");
+    assert_eq!(usable(&directory, 10_000), ["stays"]);
+}
+
+#[test]
+fn entries_that_lapsed_with_the_store_have_two_seconds_to_come_back() {
+    let mut directory = Directory::default();
+    directory.insert(entry("back", 1));
+    directory.insert(entry("gone", 2));
+    directory.trouble(50_000);
+    directory.remove("back", 50_100);
+    directory.remove("gone", 50_100);
+    assert_eq!(usable(&directory, 51_000), ["back", "gone"]);
+    directory.insert(entry("back", 1));
+    assert_eq!(usable(&directory, 52_000), ["back"]);
+}
+
+#[test]
+fn an_address_that_is_used_again_belongs_to_the_newer_server_alone() {
+    let mut directory = Directory::default();
+    directory.insert(entry("old", 1));
+    directory.insert(ServerEntry {
+        born_ms: Some(2_000),
+        ..entry("new", 1)
+    });
+    assert_eq!(usable(&directory, 0), ["new"]);
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_id_is_judged_anew() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1));
+    directory.get_mut("a").expect("known").health.failed(1_000);
+    directory.leave("a");
+    directory.insert(ServerEntry {
+        born_ms: Some(9_000),
+        ..entry("a", 1)
+    });
+    let server = directory.usable("s", 1_000).next().expect("usable again");
+    assert!(server.health.failure_share(1_000).abs() < f64::EPSILON);
+}
+
+#[test]
+fn reported_load_does_not_count_the_entrys_own_requests_twice() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1));
+    let server = directory.get_mut("a").expect("known");
+    server.in_flight = 3;
+    server.report(ServerLoad {
+        running: 4,
+        waiting: 1,
+        slots: 4,
+    });
+    assert_eq!(server.load(), 5);
+}
+
+#[test]
+fn a_removed_server_is_forgotten_only_when_its_last_request_has_ended() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1));
+    directory.get_mut("a").expect("known").in_flight = 1;
+    directory.remove("a", 1_000);
+    directory.prune(2_000);
+    assert_eq!(directory.len(), 1);
+    directory.get_mut("a").expect("known").in_flight = 0;
+    directory.prune(2_000);
+    assert!(directory.is_empty());
+}
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/engine.rs
@@ -0,0 +1,118 @@
+//! A small model engine for tests of the scheduler: it crashes where a real one would.
+
+use {
+    magnoliasail_core::gateway::{
+        EngineLimits, EngineReport, HeldModel, ModelLimits, Order, OrderKind, OrderOutcome,
+        VersionedAdapter,
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// The base model that the engine offers.
+pub(crate) const MODEL: &str = "m";
+
+/// Limits of the engine.
+pub(crate) fn limits() -> EngineLimits {
+    EngineLimits {
+        batch_slots: 8,
+        kv_tokens: 10_000,
+        weights_mb: 1_000.0,
+        adapter_slots: 4,
+        loads_per_s: 5.0,
+        models: vec![ModelLimits {
+            name: MODEL.into(),
+            weights_mb: 900.0,
+            adapter_mb: 10.0,
+            load_ms: 2_000,
+        }],
+    }
+}
+
+/// What an engine holds and does.
+#[derive(Default)]
+pub(crate) struct FakeEngine {
+    pub(crate) has_model: bool,
+    pub(crate) sequence: u64,
+    pub(crate) born_ms: u64,
+    pub(crate) loaded: BTreeMap<Arc<str>, u64>,
+    pub(crate) arriving: BTreeMap<Arc<str>, u64>,
+    pub(crate) newest: BTreeMap<Arc<str>, u64>,
+    pub(crate) has_crashed: bool,
+}
+
+impl FakeEngine {
+    /// An engine that holds its base model.
+    pub(crate) fn ready() -> Self {
+        Self {
+            has_model: true,
+            born_ms: 1,
+            ..Self::default()
+        }
+    }
+
+    /// Carries out an order, and crashes when told to hold more than it can.
+    pub(crate) fn order(&mut self, order: &Order) -> OrderOutcome {
+        if order.expected_sequence != self.sequence {
+            return OrderOutcome::Conflict;
+        }
+        self.sequence += 1;
+        let Some(adapter) = &order.adapter else {
+            self.has_model = true;
+            return OrderOutcome::Accepted;
+        };
+        match order.kind {
+            OrderKind::Load => {
+                let newest = self.newest.get(adapter).copied().unwrap_or(1);
+                self.arriving
+                    .insert(Arc::clone(adapter), order.version.unwrap_or(newest));
+                let mut held: Vec<_> = self.loaded.keys().chain(self.arriving.keys()).collect();
+                held.sort();
+                held.dedup();
+                self.has_crashed |= held.len() > limits().adapter_slots as usize;
+                OrderOutcome::Accepted
+            }
+            OrderKind::Unload => {
+                self.loaded.remove(adapter);
+                OrderOutcome::Done
+            }
+        }
+    }
+
+    /// Completes the loads that are under way.
+    pub(crate) fn arrive(&mut self) {
+        let arrived = std::mem::take(&mut self.arriving);
+        self.loaded.extend(arrived);
+    }
+
+    /// Starts anew, with nothing.
+    pub(crate) fn restart(&mut self) {
+        *self = Self {
+            born_ms: self.born_ms + 1,
+            newest: std::mem::take(&mut self.newest),
+            has_crashed: self.has_crashed,
+            ..Self::default()
+        };
+    }
+
+    pub(crate) fn report(&self) -> EngineReport {
+        let versioned = |(adapter, &version): (&Arc<str>, &u64)| VersionedAdapter {
+            adapter: Arc::clone(adapter),
+            version,
+        };
+        let held = HeldModel {
+            name: MODEL.into(),
+            adapters: self.loaded.iter().map(versioned).collect(),
+        };
+        EngineReport {
+            models: self.has_model.then_some(held).into_iter().collect(),
+            arriving: self
+                .arriving
+                .iter()
+                .map(|entry| (Arc::from(MODEL), versioned(entry)))
+                .collect(),
+            sequence: self.sequence,
+            born_ms: Some(self.born_ms),
+            ..EngineReport::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! The decisions of the path on the users' platform, under the loads and faults they answer.
+
+mod directory;
+mod engine;
+mod placement;
+mod retries;
+mod routes;
+mod scheduler;
+mod streams;
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/placement.rs
@@ -0,0 +1,120 @@
+//! Where requests go: agreement without messages, spill under load, grey and slow servers.
+
+use magnoliasail_core::gateway::{Affinity, Candidate, Placement, Popularity};
+
+fn candidate(name: &str, is_local: bool, load: u32) -> Candidate {
+    Candidate {
+        name: name.into(),
+        is_local,
+        load,
+        slots: 32,
+        failure_share: 0.0,
+        first_byte_ms: 50.0,
+        is_suspect: false,
+    }
+}
+
+fn fleet(load: u32) -> Vec<Candidate> {
+    (0..18)
+        .map(|index| candidate(&format!("10.0.0.{index}:80"), index < 6, load))
+        .collect()
+}
+
+const fn rare(key: &str) -> Affinity<'_> {
+    Affinity {
+        key,
+        is_popular: false,
+    }
+}
+
+const fn popular(key: &str) -> Affinity<'_> {
+    Affinity {
+        key,
+        is_popular: true,
+    }
+}
+
+#[test]
+fn rare_adapters_have_one_place_whatever_data_centre_asks() {
+    let here = fleet(3);
+    let mut there = fleet(3);
+    for candidate in &mut there {
+        candidate.is_local = !candidate.is_local;
+    }
+    let placement = Placement::default();
+    for adapter in 0..200 {
+        let key = format!("m/a{adapter}");
+        assert_eq!(
+            placement.pick(rare(&key), &here),
+            placement.pick(rare(&key), &there)
+        );
+    }
+}
+
+#[test]
+fn popular_adapters_are_served_in_the_callers_data_centre() {
+    let placement = Placement::default();
+    for adapter in 0..200 {
+        let key = format!("m/a{adapter}");
+        let picked = placement.pick(popular(&key), &fleet(3)).expect("a server");
+        assert!(picked < 6, "{key} went to server {picked}");
+    }
+}
+
+#[test]
+fn a_burst_for_one_adapter_spills_over_before_its_server_is_full() {
+    let placement = Placement::default();
+    let mut fleet = fleet(0);
+    let mut used = [0_u32; 18];
+    for _ in 0..60 {
+        let picked = placement.pick(popular("m/hot"), &fleet).expect("a server");
+        fleet[picked].load += 1;
+        used[picked] += 1;
+    }
+    let most = used.iter().max().copied().unwrap_or(0);
+    assert!(most < 32, "{used:?}");
+    assert!(
+        used.iter().filter(|&&count| count > 0).count() >= 3,
+        "{used:?}"
+    );
+}
+
+#[test]
+fn a_server_that_fails_more_than_its_peers_is_avoided() {
+    let placement = Placement::default();
+    let mut fleet = fleet(3);
+    let first = placement.pick(popular("m/a"), &fleet).expect("a server");
+    fleet[first].failure_share = 0.4;
+    assert_ne!(placement.pick(popular("m/a"), &fleet), Some(first));
+}
+
+#[test]
+fn failures_that_all_servers_share_turn_none_away() {
+    let placement = Placement::default();
+    let mut fleet = fleet(3);
+    let first = placement.pick(popular("m/a"), &fleet);
+    for candidate in &mut fleet {
+        candidate.failure_share = 0.45;
+    }
+    assert_eq!(placement.pick(popular("m/a"), &fleet), first);
+}
+
+#[test]
+fn a_server_that_has_turned_slow_is_avoided() {
+    let placement = Placement::default();
+    let mut fleet = fleet(3);
+    let first = placement.pick(popular("m/a"), &fleet).expect("a server");
+    fleet[first].first_byte_ms = 400.0;
+    assert_ne!(placement.pick(popular("m/a"), &fleet), Some(first));
+}
+
+#[test]
+fn an_adapter_is_popular_only_for_as_long_as_it_is_asked_for() {
+    let mut popularity = Popularity::default();
+    let mut recent = 0.0;
+    for _ in 0..10 {
+        recent = popularity.count("m/a", 1_000);
+    }
+    assert!(recent > 9.0);
+    assert!(popularity.count("m/a", 121_000) < 2.0);
+}
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/routes.rs
@@ -0,0 +1,91 @@
+//! Routes: the longest prefix, weights and versions that only grow.
+
+use {
+    magnoliasail_core::gateway::{Configuration, RequestKind, Route, RouteTable, Split},
+    std::collections::HashMap,
+};
+
+fn route(prefix: &str, splits: &[(&str, f64)]) -> Route {
+    Route {
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        kind: RequestKind::Safe,
+        splits: splits
+            .iter()
+            .map(|&(service, weight)| Split {
+                service: service.into(),
+                weight,
+            })
+            .collect(),
+        timeout_ms: 1_000,
+        objective_ms: 300,
+        rank: 0,
+        max_servers: 1,
+    }
+}
+
+fn table(version: u64, routes: Vec<Route>) -> RouteTable {
+    let mut table = RouteTable::default();
+    assert!(table.adopt(Configuration {
+        version,
+        routes,
+        ..Configuration::default()
+    }));
+    table
+}
+
+fn service(table: &RouteTable, path: &str) -> Option<String> {
+    table
+        .find("a.example", path, "id")
+        .map(|found| found.service.to_string())
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table(
+        1,
+        vec![
+            route("/a/", &[("short", 1.0)]),
+            route("/a/b/", &[("long", 1.0)]),
+        ],
+    );
+    assert_eq!(service(&table, "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(service(&table, "/a/c").as_deref(), Some("short"));
+    assert_eq!(service(&table, "/a"), None);
+    assert!(table.find("b.example", "/a/c", "id").is_none());
+}
+
+#[test]
+fn an_older_configuration_is_never_adopted() {
+    let mut table = table(7, vec![route("/new/", &[("s", 1.0)])]);
+    for version in [6, 7] {
+        let older = Configuration {
+            version,
+            routes: vec![route("/old/", &[("s", 1.0)])],
+            ..Configuration::default()
+        };
+        assert!(!table.adopt(older));
+    }
+    assert_eq!(table.version(), Some(7));
+    assert_eq!(service(&table, "/old/x"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights_and_skips_a_weight_of_zero() {
+    let table = table(
+        1,
+        vec![route(
+            "/a/",
+            &[("big", 90.0), ("none", 0.0), ("small", 10.0)],
+        )],
+    );
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for id in 0..10_000 {
+        let found = table
+            .find("a.example", "/a/x", &id.to_string())
+            .expect("a route");
+        *counts.entry(found.service.to_string()).or_default() += 1;
+    }
+    assert!((8_800..=9_200).contains(&counts["big"]), "{counts:?}");
+    assert!(!counts.contains_key("none"));
+}
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/streams.rs
@@ -0,0 +1,42 @@
+//! Streams that break off in the middle of an event.
+
+use {arbtest::arbtest, magnoliasail_core::gateway::EventSplitter};
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+#[test]
+fn events_are_whole_however_the_bytes_arrive() {
+    arbtest(|source| {
+        let mut splitter = EventSplitter::default();
+        let mut ids = Vec::new();
+        let mut bytes = Vec::new();
+        let mut rest = STREAM;
+        while !rest.is_empty() {
+            let length = source.int_in_range(1..=rest.len()).unwrap_or(rest.len());
+            let (part, left) = rest.split_at(length);
+            rest = left;
+            splitter.push(part);
+            while let Some(event) = splitter.next_event() {
+                ids.extend(event.id);
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        assert_eq!(ids, [1, 2, 3]);
+        assert_eq!(bytes, STREAM);
+        assert!(!splitter.is_within_event());
+        Ok(())
+    });
+}
+
+#[test]
+fn an_event_that_broke_off_is_never_passed_on() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(1));
+    assert_eq!(splitter.next_event(), None);
+    assert!(splitter.is_within_event());
+    splitter.reset();
+    splitter.push(b"id: 2\ndata: b\n\n");
+    let event = splitter.next_event().expect("a whole event");
+    assert_eq!(&event.bytes[..], b"id: 2\ndata: b\n\n");
+}
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -16,7 +16,7 @@
         body::Incoming,
         header::{CONNECTION, HOST, HeaderValue},
     },
-    magnoliasail_core::gateway::RouteMatch,
+    magnoliasail_core::gateway::{Affinity, RouteMatch},
     magnoliasail_platform::headers,
     std::{convert::Infallible, rc::Rc, sync::Arc},
     tokio::time::timeout_at,
@@ -26,6 +26,8 @@
 const STARTING_RETRY_MS: u64 = 500;
 /// When to come back where no server is known to get a place sooner, in milliseconds.
 const NO_SERVER_RETRY_MS: u64 = 500;
+/// Recent requests at one entry that make an adapter popular.
+const POPULAR_REQUESTS: f64 = 5.0;
 /// Agents that are asked before a request is refused.
 const MAX_PLACEMENTS: usize = 4;
 
@@ -66,7 +68,10 @@
     pub(super) state: Rc<EntryState>,
     pub(super) route: RouteMatch,
     pub(super) outgoing: Outgoing,
+    /// The adapter's full name.
     affinity: String,
+    /// Whether the adapter is asked for often here.
+    is_popular: bool,
     /// Servers and agents that were asked.
     tried: Vec<Arc<str>>,
     /// Servers to which the request was sent.
@@ -143,6 +148,10 @@
     let adapter = facts.adapter.as_deref().unwrap_or_default();
     let model = facts.model.as_deref().unwrap_or_default();
     let affinity = format!("{model}/{adapter}");
+    let is_popular = match &facts.model {
+        Some(_) => state.popularity.borrow_mut().count(&affinity, now_ms) > POPULAR_REQUESTS,
+        None => true,
+    };
     let outgoing = Outgoing {
         kind: route.kind,
         rank: route.rank,
@@ -159,6 +168,7 @@
         route,
         outgoing,
         affinity,
+        is_popular,
         tried: Vec::new(),
         servers_sent: 0,
         may_run: false,
@@ -225,9 +235,11 @@
         let mut retry_after_ms = NO_SERVER_RETRY_MS;
         let mut cause = RefusalCause::NoServer;
         loop {
-            let pick = self
-                .state
-                .pick(&self.route.service, &self.affinity, &self.tried);
+            let affinity = Affinity {
+                key: &self.affinity,
+                is_popular: self.is_popular,
+            };
+            let pick = self.state.pick(&self.route.service, affinity, &self.tried);
             let Some(pick) = pick.filter(|_| placements < MAX_PLACEMENTS) else {
                 return Err(Refused {
                     cause,
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -4,7 +4,8 @@
     super::engine_link::EngineLink,
     crate::gateway::{pool::Pool, steady_clock::SteadyClock},
     magnoliasail_core::gateway::{
-        Candidate, Directory, Placement, PlacementCosts, RetryWindow, RouteTable,
+        Affinity, Candidate, Directory, Placement, PlacementCosts, Popularity, RetryWindow,
+        RouteTable,
     },
     magnoliasail_platform::settings::NodeSettings,
     std::{
@@ -31,6 +32,7 @@
     pub(super) links: RefCell<HashMap<IpAddr, Rc<EngineLink>>>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     retries: RefCell<HashMap<Arc<str>, RetryWindow>>,
+    pub(super) popularity: RefCell<Popularity>,
     /// Whether the list of servers has been read once.
     pub(super) has_servers: Cell<bool>,
 }
@@ -55,6 +57,7 @@
             links: RefCell::default(),
             pools: RefCell::default(),
             retries: RefCell::default(),
+            popularity: RefCell::default(),
             has_servers: Cell::new(false),
         })
     }
@@ -79,7 +82,12 @@
     }
 
     /// Picks a server of a service that is not among those tried.
-    pub(super) fn pick(&self, service: &str, affinity: &str, tried: &[Arc<str>]) -> Option<Pick> {
+    pub(super) fn pick(
+        &self,
+        service: &str,
+        affinity: Affinity<'_>,
+        tried: &[Arc<str>],
+    ) -> Option<Pick> {
         let now_ms = self.clock.now_ms();
         let is_engine = self.table.borrow().engine(service).is_some();
         let directory = self.directory.borrow();
@@ -106,7 +114,7 @@
                 is_engine,
             });
             candidates.push(Candidate {
-                name: server.entry.address.to_string().into(),
+                name: Arc::clone(&server.name),
                 is_local: server.entry.data_centre == self.settings.data_centre,
                 load,
                 slots,
@@ -170,7 +178,8 @@
     PlacementCosts {
         sharer_ms: 5.0,
         queued_ms: 15.0,
-        miss_ms: 0.0,
+        popular_miss_ms: 0.0,
+        step_ms: 0.0,
         remote_ms: 12.0,
         ..PlacementCosts::default()
     }
