feat: agents tell what their engines hold, and load what most requests wait for

Change: agents tell entries which adapters are resident or copied on the host; a load is chosen by the requests that wait for it; the wait for a load counts before a request is taken.

--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -29,6 +29,8 @@
     in_use: u32,
     uses: f64,
     used_ms: TimeMs,
+    /// When the load was ordered, until it is complete.
+    ordered_ms: Option<TimeMs>,
 }
 
 /// The adapters of an engine, by full name.
@@ -79,9 +81,11 @@
             in_use: 0,
             uses: 0.0,
             used_ms: now_ms,
+            ordered_ms: None,
         });
         slot.state = SlotState::Loading;
         slot.version = version;
+        slot.ordered_ms = Some(now_ms);
     }
 
     /// Records that an adapter was unloaded or that its load was not taken up.
@@ -123,13 +127,15 @@
             .map(|(name, _)| Arc::clone(name))
     }
 
-    /// Adopts what the engine holds and what is on its way, as of after the last order.
+    /// Adopts what the engine holds and what is on its way, as of after the last order; returns how
+    /// long the loads took that are complete.
     pub fn reconcile(
         &mut self,
         held: &HashMap<Arc<str>, VersionedAdapter>,
         arriving: &HashMap<Arc<str>, VersionedAdapter>,
         now_ms: TimeMs,
-    ) {
+    ) -> Vec<u64> {
+        let mut load_times_ms = Vec::new();
         self.slots.retain(|name, slot| {
             held.contains_key(name) || arriving.contains_key(name) || slot.in_use > 0
         });
@@ -140,10 +146,12 @@
                 in_use: 0,
                 uses: 0.0,
                 used_ms: now_ms,
+                ordered_ms: None,
             });
             if !arriving.contains_key(name) {
                 slot.state = SlotState::Resident;
                 slot.version = adapter.version;
+                load_times_ms.extend(slot.ordered_ms.take().map(|at_ms| now_ms - at_ms));
             }
         }
         for (name, adapter) in arriving {
@@ -154,9 +162,11 @@
                 in_use: 0,
                 uses,
                 used_ms: now_ms,
+                ordered_ms: None,
             });
             slot.state = SlotState::Loading;
         }
+        load_times_ms
     }
 
     /// Forgets everything: the engine started anew.
@@ -164,12 +174,9 @@
         self.slots.clear();
     }
 
-    /// Returns the names of adapters that can serve.
-    pub fn resident(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.slots
-            .iter()
-            .filter(|(_, slot)| slot.state == SlotState::Resident)
-            .map(|(name, _)| name)
+    /// Returns the names of adapters that have a slot.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.slots.keys()
     }
 }
 
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -44,6 +44,8 @@
     pub model_load_gap_ms: u64,
     /// A run's time before any has been seen, in milliseconds.
     pub first_run_ms: f64,
+    /// A load's time before any has been seen, in milliseconds.
+    pub first_load_ms: f64,
     /// Time over which engines take up a new version of an adapter in turn, in milliseconds.
     pub replacement_spread_ms: u64,
     /// Picks this engine's turn within that time.
@@ -56,6 +58,7 @@
             max_loading: 4,
             model_load_gap_ms: 2_500,
             first_run_ms: 450.0,
+            first_load_ms: 100.0,
             replacement_spread_ms: 2_000,
             replacement_seed: 0,
         }
@@ -64,6 +67,12 @@
 
 /// Weight of the newest run in the running average of their times.
 const NEWEST_RUN: f64 = 0.05;
+/// Weight of the newest load in the running average of their times.
+const NEWEST_LOAD: f64 = 0.2;
+/// What a request that can only be late counts among those that wait for an adapter.
+const LATE_WEIGHT: f64 = 0.3;
+/// Waiting time that counts as much as one request more for the same adapter, in milliseconds.
+const AGE_WEIGHT_MS: f64 = 300.0;
 
 #[derive(Clone, Debug)]
 struct Running {
@@ -99,6 +108,7 @@
     is_draining: bool,
     is_down: bool,
     mean_run_ms: f64,
+    mean_load_ms: f64,
 }
 
 impl EngineScheduler {
@@ -124,6 +134,7 @@
             is_draining: false,
             is_down: false,
             mean_run_ms: settings.first_run_ms,
+            mean_load_ms: settings.first_load_ms,
         }
     }
 
@@ -320,7 +331,9 @@
         if !self.models.contains(&request.model) {
             return Some((EngineRefusal::ModelAbsent, MODEL_RETRY_MS));
         }
-        let wait_ms = self.expected_wait_ms(request);
+        let wait_ms = self
+            .expected_wait_ms(request)
+            .max(self.expected_load_ms(request));
         if now_ms + wait_ms > request.deadline_ms {
             return Some((EngineRefusal::Overloaded, wait_ms));
         }
@@ -340,6 +353,22 @@
         (queued as f64 * self.mean_run_ms / slots as f64) as u64
     }
 
+    /// Returns how long a request is expected to wait for its adapter.
+    fn expected_load_ms(&self, request: &EngineRequest) -> u64 {
+        let Some(adapter) = &request.adapter else {
+            return 0;
+        };
+        let loads = match self.adapters.state(adapter) {
+            Some(SlotState::Resident) => 0.0,
+            Some(SlotState::Loading) => 1.0,
+            None => {
+                let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
+                1.0 + ahead / self.settings.max_loading.max(1) as f64
+            }
+        };
+        (loads * self.mean_load_ms) as u64
+    }
+
     fn expire(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         /// The least time in which an answer could still be of use, in milliseconds.
         const LEAST_RUN_MS: u64 = 30;
@@ -416,7 +445,7 @@
         if let Some(pending) = self.replacement(now_ms) {
             return Some(pending);
         }
-        let wanted = self.missing_adapter()?;
+        let wanted = self.missing_adapter(now_ms)?;
         if self.adapters.taken() < self.limits.adapter_slots as usize {
             return Some(self.adapter_load(&wanted, now_ms));
         }
@@ -426,14 +455,35 @@
         Some(self.adapter_unload(&victim))
     }
 
-    /// Returns the first adapter in the queue that has no slot.
-    fn missing_adapter(&self) -> Option<Arc<str>> {
-        self.waiting
-            .iter()
-            .filter(|request| self.models.contains(&request.model))
-            .filter_map(|request| request.adapter.as_ref())
-            .find(|adapter| self.adapters.state(adapter).is_none())
-            .cloned()
+    /// Returns the adapter without a slot that the most, and the longest waiting, requests want.
+    fn missing_adapter(&self, now_ms: TimeMs) -> Option<Arc<str>> {
+        self.missing_adapters(now_ms)
+            .into_iter()
+            .max_by(|(name_a, weight_a), (name_b, weight_b)| {
+                weight_a
+                    .total_cmp(weight_b)
+                    .then_with(|| name_b.cmp(name_a))
+            })
+            .map(|(name, _)| Arc::clone(name))
+    }
+
+    /// Returns the adapters that requests wait for and that have no slot, with their weights.
+    fn missing_adapters(&self, now_ms: TimeMs) -> HashMap<&Arc<str>, f64> {
+        let mut missing = HashMap::new();
+        for request in &self.waiting {
+            let Some(adapter) = &request.adapter else {
+                continue;
+            };
+            let is_missing = self.adapters.state(adapter).is_none();
+            if !is_missing || !self.models.contains(&request.model) {
+                continue;
+            }
+            let is_late = now_ms > request.objective_ms;
+            let weight = if is_late { LATE_WEIGHT } else { 1.0 };
+            let age_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
+            *missing.entry(adapter).or_insert(0.0) += weight + age_ms / AGE_WEIGHT_MS;
+        }
+        missing
     }
 
     fn is_waited_for(&self, name: &str) -> bool {
@@ -546,7 +596,9 @@
             }
         }
         let arriving = arriving(report);
-        self.adapters.reconcile(&held, &arriving, now_ms);
+        for load_ms in self.adapters.reconcile(&held, &arriving, now_ms) {
+            self.mean_load_ms += NEWEST_LOAD * (load_ms as f64 - self.mean_load_ms);
+        }
         self.expect_replacements(&held, now_ms);
     }
 
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -71,7 +71,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToEntry {
     /// The message itself.
-    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<ToEntryKind>,
 }
 
@@ -96,6 +96,9 @@
     /// Reports the engine's state.
     #[prost(message, tag = "6")]
     State(EngineState),
+    /// Tells what the engine holds.
+    #[prost(message, tag = "7")]
+    Holdings(HoldingsNews),
 }
 
 /// Refuses an attempt.
@@ -153,3 +156,20 @@
     #[prost(uint32, tag = "4")]
     pub slots: u32,
 }
+
+/// What an engine holds, or what has changed of it; adapters are named by the hash of their names.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HoldingsNews {
+    /// Whether this is everything, and what was told before is void.
+    #[prost(bool, tag = "1")]
+    pub is_whole: bool,
+    /// Adapters in slots or on their way.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub resident: Vec<u64>,
+    /// Adapters of which the host has a copy.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub copied: Vec<u64>,
+    /// Adapters that are held no more.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub absent: Vec<u64>,
+}
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod engine_request;
 mod engine_scheduler;
 mod event_stream;
+mod holdings;
 mod order;
 mod placement;
 mod popularity;
@@ -38,6 +39,7 @@
     engine_request::{EngineRefusal, EngineRequest},
     engine_scheduler::{EngineAction, EngineScheduler, SchedulerSettings},
     event_stream::{EventSplitter, StreamEvent},
+    holdings::{Holding, Holdings, HoldingsLog, adapter_key},
     order::{Order, OrderKind, OrderOutcome},
     placement::{Affinity, Candidate, Placement, PlacementCosts},
     popularity::Popularity,
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -1,12 +1,13 @@
 //! Picks a backend server for a request.
 //!
 //! Each candidate has a cost in milliseconds: the time for which a request is expected to wait
-//! there, what a miss of its adapter costs, the distance, and what recent outcomes say. Rendezvous
-//! hashing of the adapter ranks the candidates, so that all entries agree without messages which
-//! engine keeps a copy of it: a rare adapter has one place in the whole fleet, a popular one a place
-//! in each data centre, from which it spills over once the wait outweighs a miss.
+//! there, what it costs to load the adapter, the distance, and what recent outcomes say. Where no
+//! engine holds an adapter yet, rendezvous hashing ranks the candidates, so that all entries agree
+//! without messages which engine fetches it: a rare adapter has one place in the whole fleet, a
+//! popular one a place in each data centre, from which it spills over once the wait outweighs a load.
 
 use {
+    super::Holding,
     crate::score,
     std::{cmp::Ordering, sync::Arc},
 };
@@ -26,8 +27,8 @@
     pub failure_share: f64,
     /// Its recent time until the first byte, in milliseconds.
     pub first_byte_ms: f64,
-    /// The number of its connections or links that failed lately.
-    pub is_suspect: bool,
+    /// How it holds the adapter.
+    pub holding: Holding,
 }
 
 /// What ties a request to servers.
@@ -46,11 +47,13 @@
     pub sharer_ms: f64,
     /// Each request that waits for a place.
     pub queued_ms: f64,
-    /// A server that is not the first in the ranking of a popular adapter.
-    pub popular_miss_ms: f64,
-    /// A server that is not the first in the ranking of a rare adapter.
-    pub rare_miss_ms: f64,
-    /// Each further step down the ranking.
+    /// A load of an adapter of which the engine's host has a copy.
+    pub copied_ms: f64,
+    /// A fetch of a popular adapter: it pays for itself.
+    pub popular_fetch_ms: f64,
+    /// A fetch of a rare adapter: it delays the request and costs the store's time.
+    pub rare_fetch_ms: f64,
+    /// Each step down the ranking, for a server that does not hold the adapter.
     pub step_ms: f64,
     /// A server in another data centre, for a request whose like are frequent.
     pub remote_ms: f64,
@@ -65,8 +68,9 @@
         Self {
             sharer_ms: 3.0,
             queued_ms: 20.0,
-            popular_miss_ms: 25.0,
-            rare_miss_ms: 120.0,
+            copied_ms: 20.0,
+            popular_fetch_ms: 40.0,
+            rare_fetch_ms: 150.0,
             step_ms: 10.0,
             remote_ms: 60.0,
             rare_remote_ms: 8.0,
@@ -112,28 +116,23 @@
             .load
             .saturating_sub(candidate.slots.saturating_sub(1));
         let sharers = candidate.load - queued;
-        let (first_miss_ms, distance_ms) = if affinity.is_popular {
-            (costs.popular_miss_ms, costs.remote_ms)
+        let (fetch_ms, distance_ms) = if affinity.is_popular {
+            (costs.popular_fetch_ms, costs.remote_ms)
         } else {
-            (costs.rare_miss_ms, costs.rare_remote_ms)
+            (costs.rare_fetch_ms, costs.rare_remote_ms)
         };
-        let miss_ms = match rank {
-            0 => 0.0,
-            further => first_miss_ms + further as f64 * costs.step_ms,
+        let miss_ms = match candidate.holding {
+            Holding::Resident => 0.0,
+            Holding::Copied => costs.copied_ms,
+            Holding::Absent => fetch_ms + rank as f64 * costs.step_ms,
         };
         let remote_ms = if candidate.is_local { 0.0 } else { distance_ms };
-        let suspect_ms = if candidate.is_suspect {
-            costs.failure_ms
-        } else {
-            0.0
-        };
         let slowness_ms = (candidate.first_byte_ms - 2.0 * typical.first_byte_ms).max(0.0);
         let failures = (candidate.failure_share - typical.failure_share).max(0.0);
         f64::from(sharers) * costs.sharer_ms
             + f64::from(queued) * costs.queued_ms
             + miss_ms
             + remote_ms
-            + suspect_ms
             + slowness_ms
             + failures * costs.failure_ms
     }
--- a/crates/magnoliasail-core/tests/gateway/placement.rs
+++ b/crates/magnoliasail-core/tests/gateway/placement.rs
@@ -1,6 +1,6 @@
 //! Where requests go: agreement without messages, spill under load, grey and slow servers.
 
-use magnoliasail_core::gateway::{Affinity, Candidate, Placement, Popularity};
+use magnoliasail_core::gateway::{Affinity, Candidate, Holding, Placement, Popularity};
 
 fn candidate(name: &str, is_local: bool, load: u32) -> Candidate {
     Candidate {
@@ -10,7 +10,7 @@
         slots: 32,
         failure_share: 0.0,
         first_byte_ms: 50.0,
-        is_suspect: false,
+        holding: Holding::Absent,
     }
 }
 
@@ -51,6 +51,18 @@
     }
 }
 
+#[test]
+fn a_rare_adapter_goes_where_it_is_held_though_its_first_place_is_elsewhere() {
+    let placement = Placement::default();
+    let mut fleet = fleet(3);
+    let first = placement.pick(rare("m/a"), &fleet).expect("a server");
+    let holder = (first + 7) % fleet.len();
+    for holding in [Holding::Copied, Holding::Resident] {
+        fleet[holder].holding = holding;
+        assert_eq!(placement.pick(rare("m/a"), &fleet), Some(holder));
+    }
+}
+
 #[test]
 fn popular_adapters_are_served_in_the_callers_data_centre() {
     let placement = Placement::default();
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -8,7 +8,8 @@
     },
     magnoliasail_core::gateway::{
         AdapterVersion, Configuration, EngineAction, EngineRefusal, EngineReport, EngineRequest,
-        EngineScheduler, Order, OrderOutcome, RequestFacts, SchedulerSettings,
+        EngineScheduler, HoldingsLog, Order, OrderOutcome, RequestFacts, SchedulerSettings,
+        adapter_key,
         message::{EngineState, Refused, Submit, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::{headers, settings::NodeSettings},
@@ -53,6 +54,7 @@
     pub(super) report_wanted: Notify,
     held: RefCell<HashMap<u64, Held>>,
     links: RefCell<HashMap<LinkId, Outbox<ToEntry>>>,
+    holdings: RefCell<HoldingsLog>,
     next_key: Cell<u64>,
     next_link: Cell<LinkId>,
     is_draining: Cell<bool>,
@@ -79,6 +81,7 @@
             report_wanted: Notify::new(),
             held: RefCell::default(),
             links: RefCell::default(),
+            holdings: RefCell::default(),
             next_key: Cell::new(1),
             next_link: Cell::new(1),
             is_draining: Cell::new(false),
@@ -102,6 +105,8 @@
         let link = self.next_link.get();
         self.next_link.set(link + 1);
         self.links.borrow_mut().insert(link, outbox);
+        let holdings = self.holdings.borrow().whole();
+        self.send(link, ToEntryKind::Holdings(holdings));
         self.tell_all();
         link
     }
@@ -240,6 +245,7 @@
         self.decide(|scheduler, now_ms, actions| {
             scheduler.reported(report, ticket, now_ms, actions)
         });
+        self.tell_holdings();
     }
 
     pub(super) fn unreachable(self: &Rc<Self>) {
@@ -360,6 +366,24 @@
         }
     }
 
+    /// Tells the entries what has changed of what the engine holds.
+    fn tell_holdings(&self) {
+        let held = self
+            .scheduler
+            .borrow()
+            .adapters()
+            .names()
+            .map(|name| adapter_key(name))
+            .collect();
+        let Some(news) = self.holdings.borrow_mut().update(&held) else {
+            return;
+        };
+        let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
+        for link in links {
+            self.send(link, ToEntryKind::Holdings(news.clone()));
+        }
+    }
+
     fn is_serving(&self) -> bool {
         !self.is_draining.get() && self.scheduler.borrow().is_serving()
     }
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -6,7 +6,7 @@
         gateway::sockets::connect,
     },
     magnoliasail_core::gateway::{
-        EngineRefusal,
+        EngineRefusal, Holding, Holdings,
         message::{EngineState, Head, Submit, ToAgent, ToAgentKind, ToEntry, ToEntryKind},
     },
     magnoliasail_wire::{Link, LinkSettings, Outbox},
@@ -46,6 +46,7 @@
     address: SocketAddr,
     outbox: RefCell<Option<Outbox<ToAgent>>>,
     state: Cell<EngineState>,
+    holdings: RefCell<Holdings>,
     attempts: RefCell<HashMap<u64, mpsc::Sender<AttemptNews>>>,
     next_attempt: Cell<u64>,
     task: RefCell<Option<AbortHandle>>,
@@ -58,6 +59,7 @@
             address,
             outbox: RefCell::default(),
             state: Cell::default(),
+            holdings: RefCell::default(),
             attempts: RefCell::default(),
             next_attempt: Cell::new(1),
             task: RefCell::default(),
@@ -73,6 +75,11 @@
         Some(self.state.get()).filter(|state| is_up && state.is_serving)
     }
 
+    /// Returns how the engine holds an adapter.
+    pub(super) fn holding(&self, adapter: u64) -> Holding {
+        self.holdings.borrow().holding(adapter)
+    }
+
     /// Tells whether no attempt is under way.
     pub(super) fn is_idle(&self) -> bool {
         self.attempts.borrow().is_empty()
@@ -120,6 +127,7 @@
         let Some(kind) = message.kind else { return };
         match kind {
             ToEntryKind::State(state) => self.state.set(state),
+            ToEntryKind::Holdings(news) => self.holdings.borrow_mut().adopt(&news),
             ToEntryKind::Refused(refused) => {
                 let news = AttemptNews::Refused {
                     reason: EngineRefusal::from_repr(refused.reason)
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -4,8 +4,8 @@
     super::engine_link::EngineLink,
     crate::gateway::{pool::Pool, steady_clock::SteadyClock},
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Placement, PlacementCosts, Popularity, RetryWindow,
-        RouteTable,
+        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, Popularity,
+        RetryWindow, RouteTable, adapter_key,
     },
     magnoliasail_platform::settings::NodeSettings,
     std::{
@@ -90,6 +90,7 @@
     ) -> Option<Pick> {
         let now_ms = self.clock.now_ms();
         let is_engine = self.table.borrow().engine(service).is_some();
+        let adapter = adapter_key(affinity.key);
         let directory = self.directory.borrow();
         let links = self.links.borrow();
         let mut picks = Vec::new();
@@ -100,6 +101,7 @@
             }
             let mut load = server.load();
             let mut slots = server.entry.slots;
+            let mut holding = Holding::Resident;
             if is_engine {
                 let link = links.get(&server.entry.address.ip());
                 let Some(state) = link.and_then(|link| link.serving()) else {
@@ -107,6 +109,7 @@
                 };
                 load = load.max(state.load);
                 slots = state.slots;
+                holding = link.map_or(Holding::Absent, |link| link.holding(adapter));
             }
             picks.push(Pick {
                 id: Arc::clone(&server.entry.id),
@@ -120,7 +123,7 @@
                 slots,
                 failure_share: server.health.failure_share(now_ms),
                 first_byte_ms: server.health.first_byte_ms(now_ms),
-                is_suspect: false,
+                holding,
             });
         }
         let costs = if is_engine {
@@ -178,8 +181,6 @@
     PlacementCosts {
         sharer_ms: 5.0,
         queued_ms: 15.0,
-        popular_miss_ms: 0.0,
-        step_ms: 0.0,
         remote_ms: 12.0,
         ..PlacementCosts::default()
     }
