feat: fewer loads at once when the store is slow, and a true time to come back

Callers were told to come back after 500 ms, before any engine was ready, and their one return was refused again.

Change: the number of loads under way falls with their time; agents tell when their engine will be ready, and entries tell callers to come back then, spread over 600 ms.

--- a/crates/magnoliasail-core/src/gateway/configuration.rs
+++ b/crates/magnoliasail-core/src/gateway/configuration.rs
@@ -111,6 +111,10 @@
     pub adapter_mb: f64,
     /// The time of a load from the weight store, in milliseconds.
     pub load_ms: u64,
+    /// The time of a load from the disk of the engine's host, in milliseconds.
+    pub disk_load_ms: u64,
+    /// The time of a load from the memory of the engine's host, in milliseconds.
+    pub memory_load_ms: u64,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/magnoliasail-core/src/gateway/engine_report.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_report.rs
@@ -9,8 +9,10 @@
     pub models: Vec<HeldModel>,
     /// Adapters that are on their way to it, with their base models.
     pub arriving: Vec<(Arc<str>, VersionedAdapter)>,
-    /// Adapters and models of which its host keeps a copy in memory.
-    pub host_copies: usize,
+    /// Base models of which its host keeps a copy in memory.
+    pub in_memory: Vec<Arc<str>>,
+    /// Base models of which its host keeps a copy on disk.
+    pub on_disk: Vec<Arc<str>>,
     /// Whether an order on a base model is being carried out.
     pub is_busy: bool,
     /// The number of orders that it has accepted since its start.
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -40,6 +40,8 @@
 pub struct SchedulerSettings {
     /// Loads of adapters that may be under way at one engine.
     pub max_loading: usize,
+    /// A fetch of an adapter while the store is not busy, in milliseconds.
+    pub fetch_ms: f64,
     /// Time between loads of base models that this engine may order, in milliseconds.
     pub model_load_gap_ms: u64,
     /// A run's time before any has been seen, in milliseconds.
@@ -56,6 +58,7 @@
     fn default() -> Self {
         Self {
             max_loading: 4,
+            fetch_ms: 250.0,
             model_load_gap_ms: 2_500,
             first_run_ms: 450.0,
             first_load_ms: 100.0,
@@ -98,6 +101,10 @@
     models: Vec<Arc<str>>,
     model_loading: bool,
     model_ordered_ms: Option<TimeMs>,
+    /// When the load of a base model is expected to be complete.
+    model_ready_ms: TimeMs,
+    in_memory: Vec<Arc<str>>,
+    on_disk: Vec<Arc<str>>,
     waiting: Vec<EngineRequest>,
     running: HashMap<u64, Running>,
     order: Option<PendingOrder>,
@@ -124,6 +131,9 @@
             models: Vec::new(),
             model_loading: false,
             model_ordered_ms: None,
+            model_ready_ms: 0,
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
             waiting: Vec::new(),
             running: HashMap::new(),
             order: None,
@@ -161,6 +171,17 @@
         !self.is_draining && !self.is_down && !self.models.is_empty()
     }
 
+    /// Returns when an engine that loads its base model is expected to take requests, in
+    /// milliseconds from now.
+    #[must_use]
+    pub const fn ready_in_ms(&self, now_ms: TimeMs) -> Option<u64> {
+        if self.model_loading && self.model_ready_ms > now_ms {
+            Some(self.model_ready_ms - now_ms)
+        } else {
+            None
+        }
+    }
+
     /// Returns the engine's limits.
     #[must_use]
     pub const fn limits(&self) -> &EngineLimits {
@@ -321,15 +342,17 @@
     }
 
     fn refusal(&self, request: &EngineRequest, now_ms: TimeMs) -> Option<(EngineRefusal, u64)> {
-        const MODEL_RETRY_MS: u64 = 1_000;
+        /// When to come back where nothing tells when the engine is ready.
+        const READY_RETRY_MS: u64 = 1_000;
+        let ready_in_ms = self.ready_in_ms(now_ms).unwrap_or(READY_RETRY_MS);
         if self.is_draining {
             return Some((EngineRefusal::Draining, 0));
         }
         if self.is_down {
-            return Some((EngineRefusal::EngineDown, MODEL_RETRY_MS));
+            return Some((EngineRefusal::EngineDown, READY_RETRY_MS));
         }
         if !self.models.contains(&request.model) {
-            return Some((EngineRefusal::ModelAbsent, MODEL_RETRY_MS));
+            return Some((EngineRefusal::ModelAbsent, ready_in_ms));
         }
         let wait_ms = self
             .expected_wait_ms(request)
@@ -363,7 +386,7 @@
             Some(SlotState::Loading) => 1.0,
             None => {
                 let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
-                1.0 + ahead / self.settings.max_loading.max(1) as f64
+                1.0 + ahead / self.max_loading() as f64
             }
         };
         (loads * self.mean_load_ms) as u64
@@ -439,7 +462,7 @@
         if self.models.is_empty() {
             return self.model_order(now_ms);
         }
-        if self.adapters.loading() >= self.settings.max_loading {
+        if self.adapters.loading() >= self.max_loading() {
             return None;
         }
         if let Some(pending) = self.replacement(now_ms) {
@@ -455,6 +478,14 @@
         Some(self.adapter_unload(&victim))
     }
 
+    /// Returns how many loads may be under way: fewer when loads take longer than they should, as
+    /// engines that share the store only delay each other beyond what it carries.
+    fn max_loading(&self) -> usize {
+        let most = self.settings.max_loading as f64;
+        let share = self.settings.fetch_ms / self.mean_load_ms.max(1.0);
+        (most * share).round().clamp(1.0, most) as usize
+    }
+
     /// Returns the adapter without a slot that the most, and the longest waiting, requests want.
     fn missing_adapter(&self, now_ms: TimeMs) -> Option<Arc<str>> {
         self.missing_adapters(now_ms)
@@ -545,7 +576,16 @@
             .filter(|model| model.weights_mb <= self.limits.weights_mb)
             .collect();
         let index = self.settings.replacement_seed as usize % fitting.len().max(1);
-        let model = Arc::clone(&fitting.get(index)?.name);
+        let limits = *fitting.get(index)?;
+        let model = Arc::clone(&limits.name);
+        let load_ms = if self.in_memory.contains(&model) {
+            limits.memory_load_ms
+        } else if self.on_disk.contains(&model) {
+            limits.disk_load_ms
+        } else {
+            limits.load_ms
+        };
+        self.model_ready_ms = now_ms + load_ms;
         self.model_ordered_ms = Some(now_ms);
         Some(PendingOrder {
             order: self.new_order(OrderKind::Load, model, None, None),
@@ -584,6 +624,8 @@
     fn adopt(&mut self, report: &EngineReport, now_ms: TimeMs) {
         self.sequence = Some(report.sequence);
         self.model_loading = report.is_busy;
+        self.in_memory.clone_from(&report.in_memory);
+        self.on_disk.clone_from(&report.on_disk);
         self.models = report
             .models
             .iter()
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -155,6 +155,9 @@
     /// Requests that the engine runs at once.
     #[prost(uint32, tag = "4")]
     pub slots: u32,
+    /// When an engine that does not take requests is expected to, in milliseconds; 0 if unknown.
+    #[prost(uint64, tag = "5")]
+    pub ready_in_ms: u64,
 }
 
 /// What an engine holds, or what has changed of it; adapters are named by the hash of their names.
--- a/crates/magnoliasail-core/tests/gateway/engine.rs
+++ b/crates/magnoliasail-core/tests/gateway/engine.rs
@@ -24,6 +24,8 @@
             weights_mb: 900.0,
             adapter_mb: 10.0,
             load_ms: 2_000,
+            disk_load_ms: 800,
+            memory_load_ms: 400,
         }],
     }
 }
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -314,6 +314,69 @@
     assert!(actions.is_empty(), "{actions:?}");
 }
 
+/// The load after a whole fleet restarted cold: every request misses, and the store is slow.
+#[test]
+fn in_a_cold_fleet_the_adapter_that_most_requests_want_is_loaded_first() {
+    let mut bench = Bench::new();
+    for adapter in ["a", "b", "c", "d"] {
+        bench.submit(adapter, 1);
+    }
+    // All slots are loading; the rest waits.
+    bench.submit("rare", 1);
+    for _ in 0..3 {
+        bench.submit("hot", 1);
+    }
+    bench.arrive();
+    bench.finish(bench.started[0]);
+    let loads: Vec<_> = bench
+        .orders
+        .iter()
+        .filter(|(kind, _)| *kind == OrderKind::Load)
+        .collect();
+    assert_eq!(loads.last(), Some(&&(OrderKind::Load, Some("hot".into()))));
+}
+
+#[test]
+fn fewer_loads_are_under_way_at_once_when_the_store_is_slow() {
+    let mut bench = Bench::new();
+    for round in 0..40 {
+        let key = bench.submit_within(&round.to_string(), 1, 60_000, 1);
+        bench.now_ms += 1_000;
+        bench.arrive();
+        bench.finish(key);
+    }
+    let before = bench.engine.arriving.len();
+    for adapter in ["p", "q", "r"] {
+        bench.submit_within(adapter, 1, 60_000, 1);
+    }
+    assert_eq!((before, bench.engine.arriving.len()), (0, 1));
+}
+
+#[test]
+fn a_request_whose_adapter_cannot_be_there_in_time_is_refused_at_once() {
+    let mut bench = Bench::new();
+    for round in 0..40 {
+        let key = bench.submit_within(&round.to_string(), 1, 60_000, 1);
+        bench.now_ms += 1_000;
+        bench.arrive();
+        bench.finish(key);
+    }
+    let hopeless = bench.submit_within("cold", 1, 400, 1);
+    let refusal = bench.refused.last().map(|&(key, reason, _)| (key, reason));
+    assert_eq!(refusal, Some((hopeless, EngineRefusal::Overloaded)));
+}
+
+#[test]
+fn callers_of_an_engine_that_loads_its_model_learn_when_it_is_ready() {
+    let mut bench = Bench::new();
+    bench.engine.restart();
+    bench.report();
+    let at_once = bench.submit("a", 1);
+    let (key, reason, retry_after_ms) = *bench.refused.last().expect("a refusal");
+    assert_eq!((key, reason), (at_once, EngineRefusal::ModelAbsent));
+    assert_eq!(retry_after_ms, 2_000);
+}
+
 /// Plays random histories: an engine never crashes from its orders, and nothing starts without its
 /// adapter or beyond the batch.
 #[test]
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -267,6 +267,9 @@
             ),
         );
         self.decide(|scheduler, now_ms, actions| scheduler.ordered(outcome, now_ms, actions));
+        if order.adapter.is_none() {
+            self.tell_all();
+        }
         self.report_wanted.notify_one();
     }
 
@@ -395,6 +398,7 @@
             is_serving: !self.is_draining.get() && scheduler.is_serving(),
             entries: self.links.borrow().len() as u32,
             slots: scheduler.limits().batch_slots,
+            ready_in_ms: scheduler.ready_in_ms(self.clock.now_ms()).unwrap_or(0),
         }
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -75,6 +75,12 @@
         Some(self.state.get()).filter(|state| is_up && state.is_serving)
     }
 
+    /// Returns when an engine that takes no requests yet is expected to, in milliseconds.
+    pub(super) fn ready_in_ms(&self) -> Option<u64> {
+        let state = self.state.get();
+        Some(state.ready_in_ms).filter(|&ready_in_ms| !state.is_serving && ready_in_ms > 0)
+    }
+
     /// Returns how the engine holds an adapter.
     pub(super) fn holding(&self, adapter: u64) -> Holding {
         self.holdings.borrow().holding(adapter)
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -24,8 +24,6 @@
 
 /// When to come back while an entry does not know its work, in milliseconds.
 const STARTING_RETRY_MS: u64 = 500;
-/// When to come back where no server is known to get a place sooner, in milliseconds.
-const NO_SERVER_RETRY_MS: u64 = 500;
 /// Recent requests at one entry that make an adapter popular.
 const POPULAR_REQUESTS: f64 = 5.0;
 /// Agents that are asked before a request is refused.
@@ -232,7 +230,7 @@
     /// Sends the request to servers until one begins an answer.
     pub(super) async fn begin(&mut self, resume_after: Option<u64>) -> Result<Begun, Refused> {
         let mut placements = 0;
-        let mut retry_after_ms = NO_SERVER_RETRY_MS;
+        let mut retry_after_ms = u64::MAX;
         let mut cause = RefusalCause::NoServer;
         loop {
             let affinity = Affinity {
@@ -241,10 +239,7 @@
             };
             let pick = self.state.pick(&self.route.service, affinity, &self.tried);
             let Some(pick) = pick.filter(|_| placements < MAX_PLACEMENTS) else {
-                return Err(Refused {
-                    cause,
-                    retry_after_ms: Some(retry_after_ms),
-                });
+                return Err(self.refused(cause, retry_after_ms));
             };
             placements += 1;
             self.tried.push(Arc::clone(&pick.id));
@@ -273,7 +268,9 @@
                 } => {
                     self.log_attempt(&pick, reason.into());
                     cause = RefusalCause::Overloaded;
-                    retry_after_ms = retry_after_ms.min(after_ms.max(1));
+                    if after_ms > 0 {
+                        retry_after_ms = retry_after_ms.min(after_ms);
+                    }
                 }
                 Start::NotRun => {
                     self.log_attempt(&pick, "refused_by_server");
@@ -281,10 +278,7 @@
                     cause = RefusalCause::ServersRefused;
                     if !self.has_server_left() || !self.state.try_retry(&self.route.service) {
                         self.may_run = false;
-                        return Err(Refused {
-                            cause,
-                            retry_after_ms: Some(retry_after_ms),
-                        });
+                        return Err(self.refused(cause, retry_after_ms));
                     }
                 }
                 Start::Unsent => {
@@ -307,6 +301,18 @@
         }
     }
 
+    /// Builds the refusal of a request that no server took, with the time at which to come back.
+    fn refused(&self, cause: RefusalCause, place_in_ms: u64) -> Refused {
+        let return_in_ms = match place_in_ms {
+            u64::MAX => self.state.return_in_ms(&self.route.service),
+            known_ms => known_ms,
+        };
+        Refused {
+            cause,
+            retry_after_ms: Some(return_in_ms),
+        }
+    }
+
     /// Tells whether a request that may have run may go to a further server, and spends a retry.
     pub(super) fn may_send_again(&self) -> bool {
         self.outgoing.kind.is_idempotent()
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -8,6 +8,7 @@
         RetryWindow, RouteTable, adapter_key,
     },
     magnoliasail_platform::settings::NodeSettings,
+    rand::Rng,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -135,6 +136,22 @@
         Some(picks.swap_remove(index))
     }
 
+    /// Returns when to come back while no server of a service can take a request, in milliseconds;
+    /// callers are spread over the time after a server is expected.
+    pub(super) fn return_in_ms(&self, service: &str) -> u64 {
+        /// Servers that are back in the list or restarted need about this long.
+        const UNKNOWN_MS: u64 = 800;
+        /// Over which callers come back.
+        const SPREAD_MS: u64 = 600;
+        let directory = self.directory.borrow();
+        let links = self.links.borrow();
+        let soonest_ms = directory
+            .usable(service, self.clock.now_ms())
+            .filter_map(|server| links.get(&server.entry.address.ip())?.ready_in_ms())
+            .min();
+        soonest_ms.unwrap_or(UNKNOWN_MS) + rand::rng().random_range(0..SPREAD_MS)
+    }
+
     /// Counts a request's first attempt at a service.
     pub(super) fn count_request(&self, service: &Arc<str>) {
         self.with_retries(service, |window, now_ms| window.count_request(now_ms));
