test: ports of the process tests are never guessed, and a process that ends says why

Cause: free_address bound port 0, let it go and handed the number to a process that bound it later; any connection of a test beside it could take the port meanwhile. The process's complaint went to nowhere. Entries now listen on port 0 and say what they got; agents, which keep their address over a restart, get a probed port below the system's own range. What a process writes to stderr is shown when it does not say where it listens.

--- a/crates/magnoliasail/tests/processes/fleet.rs
+++ b/crates/magnoliasail/tests/processes/fleet.rs
@@ -26,22 +26,30 @@
 const LIMIT: Duration = Duration::from_secs(40);
 const POLL: Duration = Duration::from_millis(50);
 
+/// Any free port; the process says which it got.
+const ANY_ADDRESS: &str = "127.0.0.1:0";
+
 static DIRECTORIES: AtomicU64 = AtomicU64::new(0);
+static PORT_NUMBERS: AtomicU64 = AtomicU64::new(0);
+static STDERR_NUMBERS: AtomicU64 = AtomicU64::new(0);
 
 /// A process of the product or a stand-in; it is killed when dropped.
 pub(crate) struct Process {
     child: Child,
     pub(crate) started: Value,
     arguments: Vec<String>,
+    stderr: PathBuf,
 }
 
 impl Process {
     pub(crate) fn start(arguments: &[&str]) -> Self {
         let arguments: Vec<String> = arguments.iter().map(|&text| text.to_owned()).collect();
+        let stderr = stderr_file();
+        let errors = fs::File::create(&stderr).expect("a file for what the process complains of");
         let mut child = Command::new(env!("CARGO_BIN_EXE_magnoliasail"))
             .args(&arguments)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(errors)
             .spawn()
             .expect("the binary starts");
         let mut line = String::new();
@@ -49,11 +57,15 @@
         BufReader::new(stdout)
             .read_line(&mut line)
             .expect("a line of the process");
-        let started = serde_json::from_str(&line).expect("a line that says where it listens");
+        let started = serde_json::from_str(&line).unwrap_or_else(|error| {
+            let complaint = fs::read_to_string(&stderr).unwrap_or_default();
+            panic!("{arguments:?} did not say where it listens ({error}): {line}{complaint}")
+        });
         Self {
             child,
             started,
             arguments,
+            stderr,
         }
     }
 
@@ -107,6 +119,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = fs::remove_file(&self.stderr);
     }
 }
 
@@ -309,7 +322,7 @@
         lines: &str,
         settings: &FleetSettings,
     ) {
-        let listen = free_address();
+        let listen = kept_address();
         let toml = format!(
             "vm = \"{vm}\"\ndata_centre = \"dc\"\nlisten = \"{listen}\"\n\
              server_url = \"{server_url}\"\nhealth_interval_ms = 100\n{lines}\n\
@@ -339,8 +352,8 @@
              list_interval_ms = 200\nwatch_ms = 1000\ndrain_notice_ms = 300\n\
              deadline_ms = 20000\n\
              [link]\nkey = \"link-key\"\nheartbeat_ms = 100\ntimeout_ms = 500\n",
-            free_address(),
-            free_address(),
+            ANY_ADDRESS,
+            ANY_ADDRESS,
             self.config.url(),
             self.vms.url(),
         );
@@ -483,9 +496,24 @@
         .count()
 }
 
-fn free_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
+/// An address that an agent keeps over a restart.
+///
+/// Its port is below those that the system gives to others, so that nobody takes it meanwhile.
+fn kept_address() -> String {
+    const FIRST_PORT: u64 = 20_000;
+    const PORTS: u64 = 10_000;
+    let start = u64::from(std::process::id()) * 41;
+    (0..PORTS)
+        .map(|_| start + PORT_NUMBERS.fetch_add(1, Ordering::SeqCst))
+        .map(|number| format!("127.0.0.1:{}", FIRST_PORT + number % PORTS))
+        .find(|address| std::net::TcpListener::bind(address).is_ok())
+        .expect("a free port")
+}
+
+fn stderr_file() -> PathBuf {
+    let number = STDERR_NUMBERS.fetch_add(1, Ordering::SeqCst);
+    let name = format!("magnoliasail-stderr-{}-{number}", std::process::id());
+    std::env::temp_dir().join(name)
 }
 
 fn write(directory: &std::path::Path, name: &str, toml: &str) -> String {
