feat: counters and latency histograms of the platform roles

Each refusal and retry reason has a counter from the start; stages of a request have histograms; both roles serve them as text on the last internal port, which the deploy file names.

--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -4,7 +4,10 @@
     super::state::AgentState,
     crate::{
         events::{EventId, emit},
-        gateway::pool::{Answer, SendError},
+        gateway::{
+            metrics::Stage,
+            pool::{Answer, SendError},
+        },
     },
     bytes::Bytes,
     hyper::{Method, Request, StatusCode, Uri},
@@ -99,9 +102,10 @@
     else {
         return;
     };
+    let started_ms = state.clock.now_ms();
     let end = match build(&state, key) {
         Some((request, id)) => match state.requests.send(request, id.as_deref(), false).await {
-            Ok(answer) => pass_on(&state, link, attempt, answer).await,
+            Ok(answer) => pass_on(&state, link, attempt, started_ms, answer).await,
             Err(error) => sent_in_vain(&state, &error),
         },
         None => End::Refused(EngineRefusal::EngineRefused),
@@ -143,7 +147,13 @@
     })?
 }
 
-async fn pass_on(state: &AgentState, link: u64, attempt: u64, mut answer: Answer) -> End {
+async fn pass_on(
+    state: &AgentState,
+    link: u64,
+    attempt: u64,
+    started_ms: u64,
+    mut answer: Answer,
+) -> End {
     if headers::proves_not_run(answer.status, &answer.headers) {
         state.report_wanted.notify_one();
         return End::Refused(EngineRefusal::EngineRefused);
@@ -159,6 +169,8 @@
             })
             .collect(),
     };
+    let took_ms = state.clock.now_ms().saturating_sub(started_ms);
+    state.metrics.took(Stage::EngineHead, took_ms);
     state.send(link, ToEntryKind::Head(head));
     loop {
         match answer.next_part().await {
--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -9,7 +9,7 @@
     self::{
         engine::watch_engine, entry_link::serve_entries, state::AgentState, views::start_views,
     },
-    super::sockets::listen,
+    super::{metrics::serve_metrics, sockets::listen},
     magnoliasail_platform::settings::NodeSettings,
     std::{rc::Rc, time::Duration},
     tokio::{sync::watch, time::sleep},
@@ -28,7 +28,10 @@
     })?;
     let address = format!("{}:{}", settings.ip, settings.first_internal_port);
     let listener = listen(&address).map_err(|error| error.to_string())?;
+    let metrics = format!("{}:{}", settings.ip, settings.last_internal_port);
+    let metrics = listen(&metrics).map_err(|error| error.to_string())?;
     let state = AgentState::new(settings, backend);
+    tokio::task::spawn_local(serve_metrics(Rc::clone(&state.metrics), metrics));
     start_views(&state);
     tokio::task::spawn_local(watch_engine(Rc::clone(&state)));
     let serving = tokio::task::spawn_local(serve_entries(Rc::clone(&state), listener));
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -4,7 +4,11 @@
     super::engine::{give_order, run_request},
     crate::{
         events::{EventId, emit},
-        gateway::{pool::Pool, steady_clock::SteadyClock},
+        gateway::{
+            metrics::{GatewayMetrics, Stage},
+            pool::Pool,
+            steady_clock::SteadyClock,
+        },
     },
     magnoliasail_core::gateway::{
         AdapterVersion, Configuration, EngineAction, EngineRefusal, EngineReport, EngineRequest,
@@ -20,6 +24,7 @@
         net::SocketAddr,
         rc::Rc,
     },
+    strum::IntoEnumIterator,
     tokio::{sync::Notify, task::AbortHandle},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -35,6 +40,7 @@
     pub(super) facts: RequestFacts,
     /// The adapter's full name.
     pub(super) adapter: Option<std::sync::Arc<str>>,
+    pub(super) arrived_ms: u64,
     pub(super) deadline_ms: u64,
     /// The task that runs the request, once it has started.
     task: Option<AbortHandle>,
@@ -44,6 +50,7 @@
 pub(super) struct AgentState {
     pub(super) settings: Rc<NodeSettings>,
     pub(super) clock: SteadyClock,
+    pub(super) metrics: Rc<GatewayMetrics>,
     /// Connections for requests.
     pub(super) requests: Rc<Pool>,
     /// The connection for reports and orders.
@@ -74,6 +81,7 @@
         Rc::new(Self {
             settings,
             clock: SteadyClock::new(),
+            metrics: GatewayMetrics::new(EngineRefusal::iter().map(Into::into)),
             requests: Pool::new(backend, REQUEST_CONNECTIONS),
             control: Pool::new(backend, CONTROL_CONNECTIONS),
             engine_address: backend,
@@ -128,6 +136,7 @@
 
     /// Takes a request of an entry.
     pub(super) fn submit(self: &Rc<Self>, link: LinkId, submit: Submit) {
+        self.metrics.requests.inc();
         if self.is_draining.get() {
             self.refuse(link, submit.attempt, EngineRefusal::Draining, 0);
             return;
@@ -159,6 +168,7 @@
             headers,
             facts,
             adapter,
+            arrived_ms: now_ms,
             deadline_ms,
             task: None,
         };
@@ -193,6 +203,9 @@
     /// Ends a request that has run, or that the engine refused.
     pub(super) fn ended(self: &Rc<Self>, key: u64, is_complete: bool) {
         self.held.borrow_mut().remove(&key);
+        if is_complete {
+            self.metrics.answered.inc();
+        }
         self.decide(|scheduler, now_ms, actions| {
             scheduler.finish(key, is_complete, now_ms, actions);
         });
@@ -267,6 +280,7 @@
             ),
         );
         self.decide(|scheduler, now_ms, actions| scheduler.ordered(outcome, now_ms, actions));
+        self.metrics.orders.inc();
         if order.adapter.is_none() {
             self.tell_all();
         }
@@ -284,6 +298,12 @@
         for action in actions {
             self.carry_out(action);
         }
+        let (waiting, load) = {
+            let scheduler = self.scheduler.borrow();
+            (scheduler.waiting() as i64, i64::from(scheduler.load()))
+        };
+        self.metrics.waiting.set(waiting);
+        self.metrics.running.set(load - waiting);
         let is_serving = self.is_serving();
         if self.was_serving.replace(is_serving) != is_serving {
             emit(EventId::EngineState, format_args!("serving={is_serving}"));
@@ -296,6 +316,8 @@
             EngineAction::Start { key } => {
                 let task = tokio::task::spawn_local(run_request(Rc::clone(self), key));
                 if let Some(held) = self.held.borrow_mut().get_mut(&key) {
+                    let waited_ms = self.clock.now_ms().saturating_sub(held.arrived_ms);
+                    self.metrics.took(Stage::EngineWait, waited_ms);
                     held.task = Some(task.abort_handle());
                 }
             }
@@ -335,6 +357,7 @@
         reason: EngineRefusal,
         retry_after_ms: u64,
     ) {
+        self.metrics.refused(reason.into());
         let refused = Refused {
             attempt,
             reason: reason as u32,
--- a/crates/magnoliasail/src/gateway/agent/views.rs
+++ b/crates/magnoliasail/src/gateway/agent/views.rs
@@ -57,6 +57,8 @@
                     .is_none_or(|version| configuration.version > version);
                 if is_newer {
                     self.version.set(Some(configuration.version));
+                    let version = configuration.version as i64;
+                    self.state.metrics.configuration_version.set(version);
                     emit(
                         EventId::ConfigurationAdopted,
                         format_args!(
@@ -100,7 +102,9 @@
         }
     }
 
-    fn troubled(&self) {}
+    fn troubled(&self) {
+        self.state.metrics.store_troubles.inc();
+    }
 
     fn caught_up(&self) {}
 }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -12,7 +12,7 @@
 
 use {
     self::{callers::serve_callers, state::EntryState, views::start_views},
-    super::sockets::listen,
+    super::{metrics::serve_metrics, sockets::listen},
     magnoliasail_platform::settings::NodeSettings,
     std::rc::Rc,
     tokio::sync::watch,
@@ -28,7 +28,10 @@
     let readiness = settings.readiness.as_deref().ok_or_else(missing)?;
     let callers = listen(callers).map_err(|error| error.to_string())?;
     let readiness = listen(readiness).map_err(|error| error.to_string())?;
+    let metrics = format!("{}:{}", settings.ip, settings.last_internal_port);
+    let metrics = listen(&metrics).map_err(|error| error.to_string())?;
     let state = EntryState::new(settings, draining.clone());
+    tokio::task::spawn_local(serve_metrics(Rc::clone(&state.metrics), metrics));
     start_views(&state);
     tokio::task::spawn_local(callers::serve_readiness(Rc::clone(&state), readiness));
     serve_callers(state, callers, draining).await;
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -6,7 +6,10 @@
         attempt::{Attempt, Next},
         request::{Begun, InFlight, Journey},
     },
-    crate::events::{EventId, emit},
+    crate::{
+        events::{EventId, emit},
+        gateway::metrics::{RetryCause, Stage},
+    },
     bytes::{Bytes, BytesMut},
     hyper::Response,
     magnoliasail_core::gateway::EventSplitter,
@@ -69,7 +72,11 @@
             };
             match next {
                 Next::Part(bytes) => self.forward(&bytes).await,
-                Next::End if !self.splitter.is_within_event() => return,
+                Next::End if !self.splitter.is_within_event() => {
+                    self.journey.took(Stage::StreamWhole);
+                    self.journey.state.metrics.answered.inc();
+                    return;
+                }
                 Next::End | Next::Broken => {
                     if !self.resume().await {
                         self.break_off("broken_off").await;
@@ -113,6 +120,7 @@
         if !begun.status.is_success() {
             return false;
         }
+        self.journey.state.metrics.retried(RetryCause::Resumed);
         emit(
             EventId::StreamResumed,
             format_args!(
@@ -139,6 +147,7 @@
                 self.journey.left_ms()
             ),
         );
+        self.journey.state.metrics.streams_broken.inc();
         let _ = self.caller.send(Err(BrokenOff)).await;
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -8,7 +8,10 @@
         relay::Relay,
         state::{EntryState, Pick},
     },
-    crate::events::{EventId, emit},
+    crate::{
+        events::{EventId, emit},
+        gateway::metrics::{GatewayMetrics, RetryCause, Stage},
+    },
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
@@ -66,6 +69,7 @@
     pub(super) state: Rc<EntryState>,
     pub(super) route: RouteMatch,
     pub(super) outgoing: Outgoing,
+    arrived_ms: u64,
     /// The adapter's full name.
     affinity: String,
     /// Whether the adapter is asked for often here.
@@ -99,15 +103,21 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let draining = state.draining.clone();
     let id = headers::facts(request.headers()).id;
+    let metrics = Rc::clone(&state.metrics);
+    metrics.requests.inc();
+    metrics.running.inc();
+    let running = RunningGuard(Rc::clone(&metrics));
     let mut response = match prepare(&state, request).await {
         Ok(journey) => journey.finish().await,
         Err(cause) => {
             let retry_after_ms =
                 (cause == RefusalCause::NoConfiguration).then_some(STARTING_RETRY_MS);
             log_refusal(id.as_deref(), cause, retry_after_ms, 0);
+            metrics.refused(cause.into());
             refuse(cause, retry_after_ms)
         }
     };
+    drop(running);
     if *draining.borrow() {
         response
             .headers_mut()
@@ -116,6 +126,15 @@
     Ok(response)
 }
 
+/// Counts a request as under way until its answer begins or its caller has gone.
+struct RunningGuard(Rc<GatewayMetrics>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.dec();
+    }
+}
+
 /// Reads a request whole and finds its route.
 async fn prepare(
     state: &Rc<EntryState>,
@@ -165,6 +184,7 @@
         state: Rc::clone(state),
         route,
         outgoing,
+        arrived_ms: now_ms,
         affinity,
         is_popular,
         tried: Vec::new(),
@@ -188,8 +208,15 @@
         let deadline = self.state.clock.instant(self.outgoing.deadline_ms);
         let outcome = timeout_at(deadline, self.answer()).await;
         let refused = match outcome {
-            Ok(Ok(Answered::Whole(response))) => return response,
-            Ok(Ok(Answered::Begun(begun))) => return Relay::start(self, begun),
+            Ok(Ok(Answered::Whole(response))) => {
+                self.took(Stage::PlainWhole);
+                self.state.metrics.answered.inc();
+                return response;
+            }
+            Ok(Ok(Answered::Begun(begun))) => {
+                self.took(Stage::StreamHead);
+                return Relay::start(self, begun);
+            }
             Ok(Err(refused)) => refused,
             Err(_) => Refused {
                 cause: if self.may_run {
@@ -201,6 +228,7 @@
             },
         };
         self.log(&refused);
+        self.state.metrics.refused(refused.cause.into());
         refuse(refused.cause, refused.retry_after_ms)
     }
 
@@ -218,6 +246,12 @@
                 self.count_failure(&server);
             }
             if (is_failed || whole.is_none()) && self.may_send_again() {
+                let cause = if whole.is_some() {
+                    RetryCause::ServerError
+                } else {
+                    RetryCause::BrokenOff
+                };
+                self.state.metrics.retried(cause);
                 continue;
             }
             return whole.map(Answered::Whole).ok_or(Refused {
@@ -267,6 +301,7 @@
                     retry_after_ms: after_ms,
                 } => {
                     self.log_attempt(&pick, reason.into());
+                    self.state.metrics.retried(RetryCause::AgentRefused);
                     cause = RefusalCause::Overloaded;
                     if after_ms > 0 {
                         retry_after_ms = retry_after_ms.min(after_ms);
@@ -280,9 +315,11 @@
                         self.may_run = false;
                         return Err(self.refused(cause, retry_after_ms));
                     }
+                    self.state.metrics.retried(RetryCause::ServerRefused);
                 }
                 Start::Unsent => {
                     self.log_attempt(&pick, "unsent");
+                    self.state.metrics.retried(RetryCause::Unsent);
                     self.count_failure(&pick.id);
                 }
                 Start::Broken => {
@@ -295,6 +332,7 @@
                             retry_after_ms: None,
                         });
                     }
+                    self.state.metrics.retried(RetryCause::BrokenOff);
                 }
             }
             self.may_run = false;
@@ -365,6 +403,12 @@
         );
     }
 
+    /// Records how long a stage took, from the request's arrival.
+    pub(super) fn took(&self, stage: Stage) {
+        let took_ms = self.state.clock.now_ms().saturating_sub(self.arrived_ms);
+        self.state.metrics.took(stage, took_ms);
+    }
+
     pub(super) fn id(&self) -> &str {
         self.outgoing.facts.id.as_deref().unwrap_or("-")
     }
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -1,8 +1,12 @@
 //! What the tasks of an entry share.
 
 use {
-    super::engine_link::EngineLink,
-    crate::gateway::{pool::Pool, steady_clock::SteadyClock},
+    super::{engine_link::EngineLink, refusal::RefusalCause},
+    crate::gateway::{
+        metrics::{GatewayMetrics, RetryCause},
+        pool::Pool,
+        steady_clock::SteadyClock,
+    },
     magnoliasail_core::gateway::{
         Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, Popularity,
         RetryWindow, RouteTable, adapter_key,
@@ -16,6 +20,7 @@
         rc::Rc,
         sync::Arc,
     },
+    strum::IntoEnumIterator,
     tokio::sync::watch,
 };
 
@@ -26,6 +31,7 @@
 pub(super) struct EntryState {
     pub(super) settings: Rc<NodeSettings>,
     pub(super) clock: SteadyClock,
+    pub(super) metrics: Rc<GatewayMetrics>,
     pub(super) draining: watch::Receiver<bool>,
     pub(super) table: RefCell<RouteTable>,
     pub(super) directory: RefCell<Directory>,
@@ -52,6 +58,7 @@
         Rc::new(Self {
             settings,
             clock: SteadyClock::new(),
+            metrics: GatewayMetrics::new(RefusalCause::iter().map(Into::into)),
             draining,
             table: RefCell::default(),
             directory: RefCell::default(),
@@ -160,7 +167,12 @@
     /// Spends one retry of a service's budget, if this entry's share leaves room.
     pub(super) fn try_retry(&self, service: &Arc<str>) -> bool {
         let entries = self.entries();
-        self.with_retries(service, |window, now_ms| window.try_retry(entries, now_ms))
+        let is_granted =
+            self.with_retries(service, |window, now_ms| window.try_retry(entries, now_ms));
+        if !is_granted {
+            self.metrics.retried(RetryCause::BudgetSpent);
+        }
+        is_granted
     }
 
     fn with_retries<T>(
--- a/crates/magnoliasail/src/gateway/entry/views.rs
+++ b/crates/magnoliasail/src/gateway/entry/views.rs
@@ -71,6 +71,7 @@
             Ok(configuration) => {
                 let version = configuration.version;
                 if self.0.table.borrow_mut().adopt(configuration) {
+                    self.0.metrics.configuration_version.set(version as i64);
                     emit(
                         EventId::ConfigurationAdopted,
                         format_args!("version={version} revision={}", change.revision),
@@ -124,6 +125,7 @@
 
     fn troubled(&self) {
         let now_ms = self.0.clock.now_ms();
+        self.0.metrics.store_troubles.inc();
         self.0.directory.borrow_mut().trouble(now_ms);
     }
 
@@ -151,6 +153,8 @@
         .map(|server| server.entry.address.ip())
         .collect();
     let mut links = state.links.borrow_mut();
+    state.metrics.servers.set(directory.len() as i64);
+    state.metrics.links.set(links.len() as i64);
     links.retain(|address, link| {
         let is_needed = engines.contains(address) || !link.is_idle();
         if !is_needed {
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod entry;
 mod follower;
+mod metrics;
 mod pool;
 mod process;
 mod sockets;
