feat: placement knows slots, stalled answers are given up, and a fault soak

Engines have 64 places in a batch and 15 slots for adapters, about ten of which are in use on a calm second: slots, not places, run out. 292 calls ended at their deadline with an answer that never came, most of them at engines that lose answers.

Change: agents tell how many adapters wait for a slot and how many slots are available; sharing a batch costs less than a second slot until the batch fills; an answer that stalls is given up where it may go on elsewhere (resumable streams, safe requests). The time of a fetch is learned, not set.

Also: a fault soak of real processes with stand-ins of the store, engines and plain servers, proxies on every path, and a ledger of what callers and servers saw.

--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -55,6 +55,15 @@
             .count()
     }
 
+    /// Returns the number of resident adapters that no request uses.
+    #[must_use]
+    pub fn unused(&self) -> usize {
+        self.slots
+            .values()
+            .filter(|slot| slot.state == SlotState::Resident && slot.in_use == 0)
+            .count()
+    }
+
     /// Returns the state of an adapter, if it has a slot.
     #[must_use]
     pub fn state(&self, adapter: &str) -> Option<SlotState> {
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -40,8 +40,11 @@
 pub struct SchedulerSettings {
     /// Loads of adapters that may be under way at one engine.
     pub max_loading: usize,
-    /// A fetch of an adapter while the store is not busy, in milliseconds.
-    pub fetch_ms: f64,
+    /// The time of a load from which on it counts as a fetch from the store, in milliseconds.
+    pub least_fetch_ms: f64,
+    /// The time of a fetch while the store is not busy, until a shorter one is seen, in
+    /// milliseconds.
+    pub most_fetch_ms: f64,
     /// Time between loads of base models that this engine may order, in milliseconds.
     pub model_load_gap_ms: u64,
     /// A run's time before any has been seen, in milliseconds.
@@ -58,7 +61,8 @@
     fn default() -> Self {
         Self {
             max_loading: 4,
-            fetch_ms: 250.0,
+            least_fetch_ms: 120.0,
+            most_fetch_ms: 400.0,
             model_load_gap_ms: 2_500,
             first_run_ms: 450.0,
             first_load_ms: 100.0,
@@ -116,6 +120,9 @@
     is_down: bool,
     mean_run_ms: f64,
     mean_load_ms: f64,
+    mean_fetch_ms: f64,
+    /// The shortest fetch that was seen.
+    fetch_ms: f64,
 }
 
 impl EngineScheduler {
@@ -145,6 +152,8 @@
             is_down: false,
             mean_run_ms: settings.first_run_ms,
             mean_load_ms: settings.first_load_ms,
+            mean_fetch_ms: settings.most_fetch_ms,
+            fetch_ms: settings.most_fetch_ms,
         }
     }
 
@@ -182,6 +191,19 @@
         }
     }
 
+    /// Returns the number of adapters that wait for a slot.
+    #[must_use]
+    pub fn adapters_waiting(&self, now_ms: TimeMs) -> u32 {
+        self.missing_adapters(now_ms).len() as u32
+    }
+
+    /// Returns the number of slots that are free, or whose adapter no request uses.
+    #[must_use]
+    pub fn slots_available(&self) -> u32 {
+        let free = (self.limits.adapter_slots as usize).saturating_sub(self.adapters.taken());
+        (free + self.adapters.unused()) as u32
+    }
+
     /// Returns the engine's limits.
     #[must_use]
     pub const fn limits(&self) -> &EngineLimits {
@@ -482,7 +504,7 @@
     /// engines that share the store only delay each other beyond what it carries.
     fn max_loading(&self) -> usize {
         let most = self.settings.max_loading as f64;
-        let share = self.settings.fetch_ms / self.mean_load_ms.max(1.0);
+        let share = self.fetch_ms / self.mean_fetch_ms.max(1.0);
         (most * share).round().clamp(1.0, most) as usize
     }
 
@@ -639,11 +661,21 @@
         }
         let arriving = arriving(report);
         for load_ms in self.adapters.reconcile(&held, &arriving, now_ms) {
-            self.mean_load_ms += NEWEST_LOAD * (load_ms as f64 - self.mean_load_ms);
+            self.count_load(load_ms as f64);
         }
         self.expect_replacements(&held, now_ms);
     }
 
+    /// Counts the time of a load; a short one came from the host's memory.
+    fn count_load(&mut self, load_ms: f64) {
+        self.mean_load_ms += NEWEST_LOAD * (load_ms - self.mean_load_ms);
+        if load_ms < self.settings.least_fetch_ms {
+            return;
+        }
+        self.mean_fetch_ms += NEWEST_LOAD * (load_ms - self.mean_fetch_ms);
+        self.fetch_ms = self.fetch_ms.min(load_ms);
+    }
+
     /// Schedules the replacement of held adapters that are older than announced.
     fn expect_replacements(&mut self, held: &HashMap<Arc<str>, VersionedAdapter>, now_ms: TimeMs) {
         for (name, adapter) in held {
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -54,6 +54,9 @@
     /// The body.
     #[prost(bytes = "bytes", tag = "10")]
     pub body: Bytes,
+    /// Whether the stream may go on at another engine, so that one that stalls is given up.
+    #[prost(bool, tag = "11")]
+    pub is_resumable: bool,
 }
 
 /// A header.
@@ -158,6 +161,12 @@
     /// When an engine that does not take requests is expected to, in milliseconds; 0 if unknown.
     #[prost(uint64, tag = "5")]
     pub ready_in_ms: u64,
+    /// Adapters that wait for a slot.
+    #[prost(uint32, tag = "6")]
+    pub adapters_waiting: u32,
+    /// Slots that are free, or whose adapter no request uses.
+    #[prost(uint32, tag = "7")]
+    pub slots_available: u32,
 }
 
 /// What an engine holds, or what has changed of it; adapters are named by the hash of their names.
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -29,6 +29,10 @@
     pub first_byte_ms: f64,
     /// How it holds the adapter.
     pub holding: Holding,
+    /// Adapters that wait there for a slot.
+    pub adapters_waiting: u32,
+    /// Whether an adapter that is loaded now would get a slot.
+    pub has_slot: bool,
 }
 
 /// What ties a request to servers.
@@ -43,7 +47,7 @@
 /// What the parts of a placement cost, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementCosts {
-    /// Each request that shares the batch.
+    /// Each pair of requests that share the batch: prompts delay each other.
     pub sharer_ms: f64,
     /// Each request that waits for a place.
     pub queued_ms: f64,
@@ -53,6 +57,10 @@
     pub popular_fetch_ms: f64,
     /// A fetch of a rare adapter: it delays the request and costs the store's time.
     pub rare_fetch_ms: f64,
+    /// Each adapter that waits for a slot before one that is to be loaded.
+    pub slot_queue_ms: f64,
+    /// A load where all slots are in use.
+    pub no_slot_ms: f64,
     /// Each step down the ranking, for a server that does not hold the adapter.
     pub step_ms: f64,
     /// A server in another data centre, for a request whose like are frequent.
@@ -66,11 +74,13 @@
 impl Default for PlacementCosts {
     fn default() -> Self {
         Self {
-            sharer_ms: 3.0,
+            sharer_ms: 0.1,
             queued_ms: 20.0,
             copied_ms: 20.0,
             popular_fetch_ms: 40.0,
             rare_fetch_ms: 150.0,
+            slot_queue_ms: 60.0,
+            no_slot_ms: 150.0,
             step_ms: 10.0,
             remote_ms: 60.0,
             rare_remote_ms: 8.0,
@@ -129,7 +139,19 @@
         let remote_ms = if candidate.is_local { 0.0 } else { distance_ms };
         let slowness_ms = (candidate.first_byte_ms - 2.0 * typical.first_byte_ms).max(0.0);
         let failures = (candidate.failure_share - typical.failure_share).max(0.0);
-        f64::from(sharers) * costs.sharer_ms
+        let slot_ms = match candidate.holding {
+            Holding::Resident => 0.0,
+            Holding::Copied | Holding::Absent => {
+                let full_ms = if candidate.has_slot {
+                    0.0
+                } else {
+                    costs.no_slot_ms
+                };
+                f64::from(candidate.adapters_waiting) * costs.slot_queue_ms + full_ms
+            }
+        };
+        f64::from(sharers).powi(2) * costs.sharer_ms
+            + slot_ms
             + f64::from(queued) * costs.queued_ms
             + miss_ms
             + remote_ms
--- a/crates/magnoliasail-core/tests/gateway/placement.rs
+++ b/crates/magnoliasail-core/tests/gateway/placement.rs
@@ -11,6 +11,8 @@
         failure_share: 0.0,
         first_byte_ms: 50.0,
         holding: Holding::Absent,
+        adapters_waiting: 0,
+        has_slot: true,
     }
 }
 
@@ -63,6 +65,30 @@
     }
 }
 
+/// Many engines restarted: the others' slots are all in use.
+#[test]
+fn an_adapter_is_not_loaded_where_every_slot_is_in_use_while_others_have_room() {
+    let placement = Placement::default();
+    let mut fleet = fleet(10);
+    let first = placement.pick(rare("m/a"), &fleet).expect("a server");
+    fleet[first].has_slot = false;
+    fleet[first].adapters_waiting = 2;
+    assert_ne!(placement.pick(rare("m/a"), &fleet), Some(first));
+    fleet[first].holding = Holding::Resident;
+    assert_eq!(placement.pick(rare("m/a"), &fleet), Some(first));
+}
+
+/// Slots are scarcer than places in the batch: requests for one adapter share its slot.
+#[test]
+fn a_popular_adapter_takes_no_second_slot_while_its_engine_is_far_from_full() {
+    let placement = Placement::default();
+    let mut fleet = fleet(4);
+    let first = placement.pick(popular("m/a"), &fleet).expect("a server");
+    fleet[first].holding = Holding::Resident;
+    fleet[first].load = 14;
+    assert_eq!(placement.pick(popular("m/a"), &fleet), Some(first));
+}
+
 #[test]
 fn popular_adapters_are_served_in_the_callers_data_centre() {
     let placement = Placement::default();
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -339,6 +339,10 @@
 #[test]
 fn fewer_loads_are_under_way_at_once_when_the_store_is_slow() {
     let mut bench = Bench::new();
+    let key = bench.submit("first", 1);
+    bench.now_ms += 250;
+    bench.arrive();
+    bench.finish(key);
     for round in 0..40 {
         let key = bench.submit_within(&round.to_string(), 1, 60_000, 1);
         bench.now_ms += 1_000;
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -99,6 +99,8 @@
     AttemptFailed = 501,
     /// An engine broke off an answer.
     AnswerBrokenOff = 502,
+    /// A server's answer has stalled and is given up.
+    AnswerStalled = 503,
     /// A request was answered with a failure of the entry's own.
     RequestRefused = 510,
     /// A stream went on at another server.
@@ -159,6 +161,7 @@
             | Self::AttemptRefused
             | Self::AttemptFailed
             | Self::AnswerBrokenOff
+            | Self::AnswerStalled
             | Self::RequestRefused
             | Self::StreamResumed
             | Self::StreamBrokenOff => Level::Info,
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -103,11 +103,19 @@
         return;
     };
     let started_ms = state.clock.now_ms();
+    let patience = state.patience(key);
     let end = match build(&state, key) {
-        Some((request, id)) => match state.requests.send(request, id.as_deref(), false).await {
-            Ok(answer) => pass_on(&state, link, attempt, started_ms, answer).await,
-            Err(error) => sent_in_vain(&state, &error),
-        },
+        Some((request, id)) => {
+            let sent = state.requests.send(request, id.as_deref(), false);
+            match unless_stalled(&state, patience.map(|patience| patience.head), sent).await {
+                Some(Ok(answer)) => {
+                    let gap = patience.map(|patience| patience.gap);
+                    pass_on(&state, link, attempt, started_ms, gap, answer).await
+                }
+                Some(Err(error)) => sent_in_vain(&state, &error),
+                None => End::Broken,
+            }
+        }
         None => End::Refused(EngineRefusal::EngineRefused),
     };
     match end {
@@ -147,11 +155,32 @@
     })?
 }
 
+/// Gives an answer up that has stalled, where the stream can go on at another engine.
+async fn unless_stalled<T>(
+    state: &AgentState,
+    limit: Option<Duration>,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(limit) = limit else {
+        return Some(answer.await);
+    };
+    let in_time = timeout(limit, answer).await.ok();
+    if in_time.is_none() {
+        emit(
+            EventId::AnswerStalled,
+            format_args!("limit_ms={}", limit.as_millis()),
+        );
+        state.report_wanted.notify_one();
+    }
+    in_time
+}
+
 async fn pass_on(
     state: &AgentState,
     link: u64,
     attempt: u64,
     started_ms: u64,
+    gap: Option<Duration>,
     mut answer: Answer,
 ) -> End {
     if headers::proves_not_run(answer.status, &answer.headers) {
@@ -171,9 +200,14 @@
     };
     let took_ms = state.clock.now_ms().saturating_sub(started_ms);
     state.metrics.took(Stage::EngineHead, took_ms);
+    state.head_took(took_ms);
     state.send(link, ToEntryKind::Head(head));
     loop {
-        match answer.next_part().await {
+        let part = unless_stalled(state, gap, answer.next_part()).await;
+        let Some(part) = part else {
+            return End::Broken;
+        };
+        match part {
             Ok(Some(bytes)) => state.send(link, ToEntryKind::Part(Part { attempt, bytes })),
             Ok(None) => {
                 answer.release();
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -23,6 +23,7 @@
         collections::HashMap,
         net::SocketAddr,
         rc::Rc,
+        time::Duration,
     },
     strum::IntoEnumIterator,
     tokio::{sync::Notify, task::AbortHandle},
@@ -46,6 +47,13 @@
     task: Option<AbortHandle>,
 }
 
+/// How long an answer of the engine may take before it counts as stalled.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Patience {
+    pub(super) head: Duration,
+    pub(super) gap: Duration,
+}
+
 /// What the tasks of an agent share.
 pub(super) struct AgentState {
     pub(super) settings: Rc<NodeSettings>,
@@ -64,12 +72,16 @@
     holdings: RefCell<HoldingsLog>,
     next_key: Cell<u64>,
     next_link: Cell<LinkId>,
+    /// The usual time until the head of an answer, in milliseconds.
+    mean_head_ms: Cell<f64>,
     is_draining: Cell<bool>,
     was_serving: Cell<bool>,
 }
 
 /// Connections to the engine for requests; more than any batch holds.
 const REQUEST_CONNECTIONS: usize = 200;
+/// The time until a head before any has been seen, in milliseconds.
+const FIRST_HEAD_MS: f64 = 100.0;
 const CONTROL_CONNECTIONS: usize = 2;
 
 impl AgentState {
@@ -92,6 +104,7 @@
             holdings: RefCell::default(),
             next_key: Cell::new(1),
             next_link: Cell::new(1),
+            mean_head_ms: Cell::new(FIRST_HEAD_MS),
             is_draining: Cell::new(false),
             was_serving: Cell::new(false),
         })
@@ -350,6 +363,36 @@
         self.held.borrow().get(&key).map(read)
     }
 
+    /// Returns how long a request's answer may take; nothing if it cannot go on elsewhere.
+    pub(super) fn patience(&self, key: u64) -> Option<Patience> {
+        /// The least time for a head, in milliseconds.
+        const LEAST_HEAD_MS: f64 = 600.0;
+        /// How many times the usual time is still no stall.
+        const USUAL_TIMES: f64 = 4.0;
+        /// The slowest rate at which prompts are read, in tokens a millisecond.
+        const SLOWEST_TOKENS_PER_MS: f64 = 15.0;
+        /// Longer than any pause between the events of a stream that goes on.
+        const GAP: Duration = Duration::from_millis(900);
+        let prompt_tokens = self.with_held(key, |held| {
+            held.submit.is_resumable.then_some(held.facts.prompt_tokens)
+        })??;
+        let reading_ms = prompt_tokens as f64 / SLOWEST_TOKENS_PER_MS;
+        let head_ms = LEAST_HEAD_MS + USUAL_TIMES * self.mean_head_ms.get() + reading_ms;
+        Some(Patience {
+            head: Duration::from_millis(head_ms as u64),
+            gap: GAP,
+        })
+    }
+
+    /// Records the time until the head of an answer.
+    pub(super) fn head_took(&self, took_ms: u64) {
+        /// Weight of the newest time.
+        const NEWEST: f64 = 0.1;
+        let mean_ms = self.mean_head_ms.get();
+        self.mean_head_ms
+            .set(mean_ms + NEWEST * (took_ms as f64 - mean_ms));
+    }
+
     pub(super) fn refuse(
         &self,
         link: LinkId,
@@ -421,6 +464,8 @@
             is_serving: !self.is_draining.get() && scheduler.is_serving(),
             entries: self.links.borrow().len() as u32,
             slots: scheduler.limits().batch_slots,
+            adapters_waiting: scheduler.adapters_waiting(self.clock.now_ms()),
+            slots_available: scheduler.slots_available(),
             ready_in_ms: scheduler.ready_in_ms(self.clock.now_ms()).unwrap_or(0),
         }
     }
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -5,7 +5,10 @@
         engine_link::{AttemptNews, EngineLink},
         state::{EntryState, Pick},
     },
-    crate::gateway::pool::{Answer, SendError},
+    crate::{
+        events::{EventId, emit},
+        gateway::pool::{Answer, SendError},
+    },
     bytes::Bytes,
     hyper::{
         HeaderMap, Method, Request, StatusCode, Uri,
@@ -16,8 +19,8 @@
         message::{Head, Header, Submit},
     },
     magnoliasail_platform::headers::{self, Stamp},
-    std::{rc::Rc, sync::Arc},
-    tokio::sync::mpsc,
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::timeout},
 };
 
 /// A request as it is sent on.
@@ -122,6 +125,7 @@
         target: outgoing.uri.to_string(),
         headers: to_message(&outgoing.headers),
         body: outgoing.body.clone(),
+        is_resumable: outgoing.kind == RequestKind::ResumableStream,
     };
     let Some((number, news)) = link.submit(submit) else {
         return Start::Unsent;
@@ -169,10 +173,21 @@
     *request.headers_mut() = outgoing.headers.clone();
     headers::stamp(request.headers_mut(), &stamp);
     let may_repeat = outgoing.kind.is_idempotent();
-    let sent = state
-        .pool(pick.address)
-        .send(request, outgoing.facts.id.as_deref(), may_repeat)
-        .await;
+    let pool = state.pool(pick.address);
+    let sent = pool.send(request, outgoing.facts.id.as_deref(), may_repeat);
+    let sent = match stall_limit(state, pick, outgoing) {
+        Some(limit) => match timeout(limit, sent).await {
+            Ok(sent) => sent,
+            Err(_) => {
+                emit(
+                    EventId::AnswerStalled,
+                    format_args!("server={} limit_ms={}", pick.id, limit.as_millis()),
+                );
+                return Start::Broken;
+            }
+        },
+        None => sent.await,
+    };
     match sent {
         Ok(answer) => {
             let mut directory = state.directory.borrow_mut();
@@ -196,6 +211,22 @@
     }
 }
 
+/// Returns how long a safe request waits for its answer before it goes to another server.
+fn stall_limit(state: &EntryState, pick: &Pick, outgoing: &Outgoing) -> Option<Duration> {
+    /// The least time, longer than nearly all answers take, in milliseconds.
+    const LEAST_MS: f64 = 450.0;
+    /// How many times the usual time is still no stall.
+    const USUAL_TIMES: f64 = 4.0;
+    if outgoing.kind != RequestKind::Safe {
+        return None;
+    }
+    let now_ms = state.clock.now_ms();
+    let directory = state.directory.borrow();
+    let usual_ms = directory.get(&pick.id)?.health.first_byte_ms(now_ms);
+    let limit_ms = LEAST_MS + USUAL_TIMES * usual_ms;
+    Some(Duration::from_millis(limit_ms as u64))
+}
+
 impl Attempt {
     /// Waits for what comes next.
     pub(super) async fn next(&mut self) -> Next {
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -110,6 +110,7 @@
             let mut load = server.load();
             let mut slots = server.entry.slots;
             let mut holding = Holding::Resident;
+            let (mut adapters_waiting, mut has_slot) = (0, true);
             if is_engine {
                 let link = links.get(&server.entry.address.ip());
                 let Some(state) = link.and_then(|link| link.serving()) else {
@@ -117,6 +118,8 @@
                 };
                 load = load.max(state.load);
                 slots = state.slots;
+                adapters_waiting = state.adapters_waiting;
+                has_slot = state.slots_available > state.adapters_waiting;
                 holding = link.map_or(Holding::Absent, |link| link.holding(adapter));
             }
             picks.push(Pick {
@@ -132,6 +135,8 @@
                 failure_share: server.health.failure_share(now_ms),
                 first_byte_ms: server.health.first_byte_ms(now_ms),
                 holding,
+                adapters_waiting,
+                has_slot,
             });
         }
         let costs = if is_engine {
@@ -208,7 +213,7 @@
 /// Costs at plain servers, which hold nothing that a request could miss.
 fn plain_costs() -> PlacementCosts {
     PlacementCosts {
-        sharer_ms: 5.0,
+        sharer_ms: 1.0,
         queued_ms: 15.0,
         remote_ms: 12.0,
         ..PlacementCosts::default()
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod known_red;
 mod policy;
+mod soak;
 
 use {
     bpaf::{Args, Bpaf, Parser},
@@ -44,6 +45,28 @@
         /// Fails if a count exceeds its bound; times are printed and not judged
         check: bool,
     },
+    /// Runs real processes under faults and checks the promises
+    #[bpaf(command)]
+    Soak {
+        /// Number of seeds
+        #[bpaf(argument("N"), fallback(10))]
+        seeds: u64,
+        /// First seed
+        #[bpaf(argument("SEED"), fallback(1))]
+        first: u64,
+        /// Soaks at a time
+        #[bpaf(argument("N"), fallback(2))]
+        jobs: u8,
+        /// Entries of each fleet
+        #[bpaf(argument("N"), fallback(2))]
+        entries: u8,
+        /// Engines of each fleet
+        #[bpaf(argument("N"), fallback(3))]
+        engines: u8,
+        /// Faults of each schedule
+        #[bpaf(argument("N"), fallback(12))]
+        faults: u32,
+    },
     /// Runs random histories of the core and prints the first seed that fails
     #[bpaf(command)]
     Histories {
@@ -105,6 +128,14 @@
         Task::Test => run(&[TEST]),
         Task::Policy { json, check } => policy::run(json, check),
         Task::Capacity { check } => capacity::run(check),
+        Task::Soak {
+            seeds,
+            first,
+            jobs,
+            entries,
+            engines,
+            faults,
+        } => soak::run(seeds, first, jobs, entries, engines, faults),
         Task::Histories { count, first } => histories(count, first),
     }
 }
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,110 @@
+//! The fault soak: real processes, faults from outside, promises checked meanwhile.
+
+use {
+    magnoliasail_soak::{Soak, SoakReport, SoakSettings},
+    std::{
+        path::PathBuf,
+        process::{Command, ExitCode},
+    },
+    tokio::runtime::Builder,
+};
+
+const BINARY: &str = "target/release/magnoliasail";
+/// Loopback networks that soaks take, 127.N.0.0/16.
+const FIRST_NETWORK: u8 = 100;
+
+/// Runs `seeds` soaks from `first` on, `jobs` at a time, and prints the seeds that failed.
+pub(crate) fn run(
+    seeds: u64,
+    first: u64,
+    jobs: u8,
+    entries: u8,
+    engines: u8,
+    faults: u32,
+) -> ExitCode {
+    let build = Command::new("cargo")
+        .args([
+            "build",
+            "--release",
+            "--locked",
+            "--package",
+            "magnoliasail",
+        ])
+        .status();
+    if !build.is_ok_and(|status| status.success()) {
+        return ExitCode::FAILURE;
+    }
+    let runtime = match Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("xtask: no runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let mut failed = Vec::new();
+    let all: Vec<u64> = (first..first + seeds).collect();
+    for batch in all.chunks(usize::from(jobs.max(1))) {
+        let reports = runtime.block_on(async {
+            let tasks: Vec<_> = batch
+                .iter()
+                .zip(FIRST_NETWORK..)
+                .map(|(&seed, network)| {
+                    let mut settings = SoakSettings::new(PathBuf::from(BINARY), network, seed);
+                    settings.fleet.entries = entries;
+                    settings.fleet.engines = engines;
+                    settings.faults = faults;
+                    (seed, tokio::spawn(soak(settings)))
+                })
+                .collect();
+            let mut reports = Vec::new();
+            for (seed, task) in tasks {
+                reports.push((seed, task.await));
+            }
+            reports
+        });
+        for (seed, report) in reports {
+            let report = report.unwrap_or_else(|error| Err(std::io::Error::other(error)));
+            if !print(seed, report) {
+                failed.push(seed);
+            }
+        }
+    }
+    println!("soak: {seeds} seeds from {first}, failed: {failed:?}");
+    if failed.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+async fn soak(settings: SoakSettings) -> std::io::Result<SoakReport> {
+    Soak::start(settings).await?.run().await
+}
+
+/// Prints a report; returns whether every promise was kept.
+fn print(seed: u64, report: std::io::Result<SoakReport>) -> bool {
+    let report = match report {
+        Ok(report) => report,
+        Err(error) => {
+            println!("seed {seed}: not run: {error}");
+            return false;
+        }
+    };
+    println!(
+        "seed {seed}: {} of {} calls served, {} promises broken",
+        report.served,
+        report.calls,
+        report.violations.len()
+    );
+    if report.violations.is_empty() {
+        return true;
+    }
+    for violation in &report.violations {
+        println!("  {}: {}", violation.promise, violation.detail);
+    }
+    for fault in &report.schedule {
+        println!("  fault: {fault}");
+    }
+    println!("  output: {}", report.output.display());
+    false
+}
