feat: requests that wait for a slot in vain are given back, and late ones do not take slots

Sending requests away from engines whose slots are in use makes other engines fetch what is held already, and fetches are what is short. Oldest first made every request late in turn.

Not measured yet.

--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -46,4 +46,6 @@
     EngineRefused = 6,
     /// The engine beside the agent is not the one that was asked for.
     WrongServer = 7,
+    /// No slot became free for the request's adapter.
+    NoSlot = 8,
 }
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -77,9 +77,13 @@
 /// Weight of the newest load in the running average of their times.
 const NEWEST_LOAD: f64 = 0.2;
 /// What a request that can only be late counts among those that wait for an adapter.
-const LATE_WEIGHT: f64 = 0.3;
+const LATE_WEIGHT: f64 = 0.05;
 /// Waiting time that counts as much as one request more for the same adapter, in milliseconds.
-const AGE_WEIGHT_MS: f64 = 300.0;
+const AGE_WEIGHT_MS: f64 = 2_000.0;
+/// Objectives after which a request is given back whose adapter has not even a slot.
+const GIVE_BACK_OBJECTIVES: u64 = 2;
+/// The least time after which it is given back, in milliseconds.
+const LEAST_PATIENCE_MS: u64 = 400;
 
 #[derive(Clone, Debug)]
 struct Running {
@@ -376,9 +380,12 @@
         if !self.models.contains(&request.model) {
             return Some((EngineRefusal::ModelAbsent, ready_in_ms));
         }
-        let wait_ms = self
-            .expected_wait_ms(request)
-            .max(self.expected_load_ms(request));
+        let load_ms = self.expected_load_ms(request);
+        if now_ms + load_ms > request.objective_ms && load_ms > self.mean_load_ms as u64 * 2 {
+            // Served now it would be late, and take a slot from others that would not be.
+            return Some((EngineRefusal::Overloaded, load_ms));
+        }
+        let wait_ms = self.expected_wait_ms(request).max(load_ms);
         if now_ms + wait_ms > request.deadline_ms {
             return Some((EngineRefusal::Overloaded, wait_ms));
         }
@@ -398,6 +405,16 @@
         (queued as f64 * self.mean_run_ms / slots as f64) as u64
     }
 
+    /// Returns how long a request is expected to wait for an adapter that has no slot.
+    fn expected_slot_ms(&self, request: &EngineRequest) -> u64 {
+        let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
+        let load_ms = (1.0 + ahead / self.max_loading() as f64) * self.mean_load_ms;
+        let slots = f64::from(self.limits.adapter_slots.max(1));
+        let short = (ahead + 1.0 - f64::from(self.slots_available())).max(0.0);
+        let slot_ms = short * self.mean_run_ms / slots;
+        (slot_ms + load_ms) as u64
+    }
+
     /// Returns how long a request is expected to wait for its adapter.
     fn expected_load_ms(&self, request: &EngineRequest) -> u64 {
         let Some(adapter) = &request.adapter else {
@@ -406,10 +423,7 @@
         let loads = match self.adapters.state(adapter) {
             Some(SlotState::Resident) => 0.0,
             Some(SlotState::Loading) => 1.0,
-            None => {
-                let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
-                1.0 + ahead / self.max_loading() as f64
-            }
+            None => return self.expected_slot_ms(request),
         };
         (loads * self.mean_load_ms) as u64
     }
@@ -418,12 +432,21 @@
         /// The least time in which an answer could still be of use, in milliseconds.
         const LEAST_RUN_MS: u64 = 30;
         let (is_down, is_draining) = (self.is_down, self.is_draining);
+        let adapters = &self.adapters;
         self.waiting.retain(|request| {
             let is_late = now_ms + LEAST_RUN_MS >= request.deadline_ms;
-            let reason = match (is_down, is_draining, is_late) {
-                (true, _, _) => EngineRefusal::EngineDown,
-                (_, true, _) => EngineRefusal::Draining,
-                (_, _, true) => EngineRefusal::Expired,
+            let objective_ms = request.objective_ms.saturating_sub(request.arrived_ms);
+            let patience_ms = (GIVE_BACK_OBJECTIVES * objective_ms).max(LEAST_PATIENCE_MS);
+            let has_slot = request
+                .adapter
+                .as_ref()
+                .is_none_or(|adapter| adapters.state(adapter).is_some());
+            let is_hopeless = !has_slot && now_ms > request.arrived_ms + patience_ms;
+            let reason = match (is_down, is_draining, is_late, is_hopeless) {
+                (true, _, _, _) => EngineRefusal::EngineDown,
+                (_, true, _, _) => EngineRefusal::Draining,
+                (_, _, true, _) => EngineRefusal::Expired,
+                (_, _, _, true) => EngineRefusal::NoSlot,
                 _ => return true,
             };
             actions.push(EngineAction::Refuse {
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -30,7 +30,7 @@
 /// Recent requests at one entry that make an adapter popular.
 const POPULAR_REQUESTS: f64 = 5.0;
 /// Agents that are asked before a request is refused.
-const MAX_PLACEMENTS: usize = 4;
+const MAX_PLACEMENTS: usize = 3;
 
 /// Counts a request as under way at a server for as long as it lives.
 pub(super) struct InFlight {
