feat: one request's story from logs, JSON on standard output, process tests of the platform path

Lines are JSON objects with number, name and message; one of 64 answered requests is logged, each refusal, failed attempt, broken stream and change of belief always.

--- a/crates/magnoliasail/src/command/mod.rs
+++ b/crates/magnoliasail/src/command/mod.rs
@@ -17,11 +17,12 @@
 mod load;
 mod standin;
 mod status;
+mod trace;
 
 use {
     self::{
         check::CheckCommand, demo::DemoCommand, explain::ExplainCommand, load::LoadCommand,
-        standin::StandinCommand, status::StatusCommand,
+        standin::StandinCommand, status::StatusCommand, trace::TraceCommand,
     },
     crate::gateway,
     bpaf::{Args, Bpaf, Parser},
@@ -77,6 +78,9 @@
     /// Shows which backend servers a model's requests would go to, and why
     #[bpaf(command)]
     Explain(#[bpaf(external(explain::explain_command))] ExplainCommand),
+    /// Prints one request's story from the logs of several processes
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::trace_command))] TraceCommand),
     /// Sends a bounded load and verifies every answer
     #[bpaf(command)]
     Load(#[bpaf(external(load::load_command))] LoadCommand),
@@ -114,6 +118,7 @@
             Self::Check(command) => command.run(),
             Self::Status(command) => command.run(),
             Self::Explain(command) => command.run(),
+            Self::Trace(command) => command.run(),
             Self::Load(command) => command.run(),
         }
     }
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -107,6 +107,8 @@
     StreamResumed = 511,
     /// A stream was broken off.
     StreamBrokenOff = 512,
+    /// A request was answered by a server; one of many is logged.
+    RequestAnswered = 513,
 }
 
 impl EventId {
@@ -163,6 +165,7 @@
             | Self::AnswerBrokenOff
             | Self::AnswerStalled
             | Self::RequestRefused
+            | Self::RequestAnswered
             | Self::StreamResumed
             | Self::StreamBrokenOff => Level::Info,
         }
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -74,7 +74,7 @@
                 Next::Part(bytes) => self.forward(&bytes).await,
                 Next::End if !self.splitter.is_within_event() => {
                     self.journey.took(Stage::StreamWhole);
-                    self.journey.state.metrics.answered.inc();
+                    self.journey.log_answered();
                     return;
                 }
                 Next::End | Next::Broken => {
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -210,7 +210,7 @@
         let refused = match outcome {
             Ok(Ok(Answered::Whole(response))) => {
                 self.took(Stage::PlainWhole);
-                self.state.metrics.answered.inc();
+                self.log_answered();
                 return response;
             }
             Ok(Ok(Answered::Begun(begun))) => {
@@ -394,6 +394,24 @@
         );
     }
 
+    /// Logs one of many requests that were answered.
+    pub(super) fn log_answered(&self) {
+        if !self.state.count_answered() {
+            return;
+        }
+        let took_ms = self.state.clock.now_ms().saturating_sub(self.arrived_ms);
+        emit(
+            EventId::RequestAnswered,
+            format_args!(
+                "request={} service={} server={} sent={} took_ms={took_ms}",
+                self.id(),
+                self.route.service,
+                self.tried.last().map_or("-", |server| server),
+                self.servers_sent
+            ),
+        );
+    }
+
     fn log(&self, refused: &Refused) {
         log_refusal(
             Some(self.id()),
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -40,6 +40,8 @@
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     retries: RefCell<HashMap<Arc<str>, RetryWindow>>,
     pub(super) popularity: RefCell<Popularity>,
+    /// Requests that were answered since the process started.
+    answered: Cell<u64>,
     /// Whether the list of servers has been read once.
     pub(super) has_servers: Cell<bool>,
 }
@@ -66,6 +68,7 @@
             pools: RefCell::default(),
             retries: RefCell::default(),
             popularity: RefCell::default(),
+            answered: Cell::new(0),
             has_servers: Cell::new(false),
         })
     }
@@ -80,6 +83,16 @@
         self.table.borrow().version().is_some() && self.has_servers.get()
     }
 
+    /// Counts an answered request; returns whether it is one of those that are logged.
+    pub(super) fn count_answered(&self) -> bool {
+        /// One of so many is logged: refusals and failures are what needs explaining.
+        const LOGGED_SHARE: u64 = 64;
+        self.metrics.answered.inc();
+        let answered = self.answered.get();
+        self.answered.set(answered + 1);
+        answered.is_multiple_of(LOGGED_SHARE)
+    }
+
     /// Returns the pool of connections to a plain server.
     pub(super) fn pool(&self, address: SocketAddr) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
--- a/crates/magnoliasail/src/gateway/process.rs
+++ b/crates/magnoliasail/src/gateway/process.rs
@@ -34,7 +34,7 @@
 {
     const FAILED: u8 = 1;
     const BAD_SETTINGS: u8 = 2;
-    start_stdout_logging(LogFormat::Text);
+    start_stdout_logging(LogFormat::Json);
     let settings = match read_settings(path) {
         Ok(settings) => Rc::new(settings),
         Err(error) => {
--- /dev/null
+++ b/crates/magnoliasail/tests/platform.rs
@@ -0,0 +1,239 @@
+//! The processes of the platform path, as callers and backend servers see them.
+
+use {
+    magnoliasail_soak::{
+        Call, CallKind, Caller, Fleet, FleetSettings, Outcome, RunnerFaults, StoreMode,
+    },
+    std::{future::Future, path::PathBuf, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        runtime::Builder,
+        time::sleep,
+    },
+};
+
+/// Time for a change of the list or the configuration to be in force.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+
+fn with_fleet<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
+    let settings = FleetSettings {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
+        entries: 1,
+        engines: 2,
+        plain: 2,
+        network,
+        seed: u64::from(network),
+    };
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let fleet = Fleet::start(settings).await.expect("the fleet starts");
+        test(fleet).await;
+    });
+}
+
+fn call(kind: CallKind, number: u32) -> Call {
+    Call {
+        id: format!("{kind:?}-{number}"),
+        kind,
+        adapter: format!("base/a{}", number % 6),
+        deadline: Duration::from_millis(2_500),
+    }
+}
+
+fn assert_kept(fleet: &Fleet) {
+    let violations = fleet.ledger.verdict();
+    assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
+}
+
+#[test]
+fn streams_that_break_off_go_on_at_another_engine() {
+    with_fleet(60, |fleet| async move {
+        fleet.runners[0].set_faults(RunnerFaults {
+            broken: 1.0,
+            ..RunnerFaults::default()
+        });
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..20 {
+            let call = call(CallKind::ResumableStream, number);
+            assert_eq!(caller.call(&call).await, Outcome::Served, "{}", call.id);
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn a_stream_that_may_not_be_repeated_never_looks_complete_when_it_broke_off() {
+    with_fleet(61, |fleet| async move {
+        for runner in &fleet.runners[..2] {
+            runner.set_faults(RunnerFaults {
+                broken: 1.0,
+                ..RunnerFaults::default()
+            });
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..10 {
+            let outcome = caller.call(&call(CallKind::Stream, number)).await;
+            assert_eq!(outcome, Outcome::Broken);
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_is_sent_again_only_on_proof() {
+    with_fleet(62, |fleet| async move {
+        for runner in &fleet.runners[2..] {
+            runner.set_faults(RunnerFaults {
+                failed: 0.3,
+                broken: 0.3,
+                refused: 0.3,
+                lost: 0.0,
+            });
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..60 {
+            let _ = caller.call(&call(CallKind::Unsafe, number)).await;
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn an_entry_that_is_terminated_finishes_what_it_has_and_ends_its_connections_in_order() {
+    with_fleet(63, |fleet| async move {
+        let address = fleet.entry_address(0);
+        let mut tasks = Vec::new();
+        for number in 0..8 {
+            let mut caller = Caller::new(address, fleet.ledger.clone());
+            tasks.push(tokio::spawn(async move {
+                caller.call(&call(CallKind::ResumableStream, number)).await
+            }));
+        }
+        sleep(Duration::from_millis(40)).await;
+        fleet.signal(0, "TERM");
+        for task in tasks {
+            assert_eq!(task.await.expect("a caller"), Outcome::Served);
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new_after_its_notice() {
+    with_fleet(64, |fleet| async move {
+        fleet.runners[2].set_draining(true);
+        fleet.list(2);
+        fleet.runners[0].set_draining(true);
+        fleet.list(0);
+        sleep(IN_FORCE).await;
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..20 {
+            let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+            assert_eq!(caller.call(&call(kind, number)).await, Outcome::Served);
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn what_is_known_stays_in_force_while_the_store_is_away() {
+    with_fleet(65, |fleet| async move {
+        fleet.store.set(StoreMode::Mute);
+        sleep(IN_FORCE).await;
+        fleet.store.set(StoreMode::Busy);
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..20 {
+            let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+            assert_eq!(caller.call(&call(kind, number)).await, Outcome::Served);
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn a_new_configuration_is_in_force_within_seconds_also_after_the_history_is_gone() {
+    with_fleet(66, |mut fleet| async move {
+        fleet.publish(&["/added/"]);
+        fleet.store.compact();
+        sleep(IN_FORCE).await;
+        let answer = raw(
+            &fleet,
+            "GET /added/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: added\r\n\r\n",
+        )
+        .await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let answer = raw(
+            &fleet,
+            "GET /absent/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: absent\r\n\r\n",
+        )
+        .await;
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    });
+}
+
+#[test]
+fn a_request_inside_another_reaches_no_server() {
+    with_fleet(67, |fleet| async move {
+        let inner = "GET /safe/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: smuggled\r\n\r\n";
+        let both = format!(
+            "POST /unsafe/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: outer\r\ncontent-length: {}\r\n\
+             transfer-encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
+            inner.len() + 5
+        );
+        let _ = raw(&fleet, &both).await;
+        let counted = format!(
+            "POST /unsafe/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: counted\r\ncontent-length: {}\r\n\r\n{inner}",
+            inner.len()
+        );
+        let _ = raw(&fleet, &counted).await;
+        assert!(fleet.ledger.runs("smuggled").is_empty());
+        assert_eq!(fleet.ledger.runs("counted").len(), 1);
+    });
+}
+
+#[test]
+fn counters_and_histograms_are_served_as_text() {
+    with_fleet(68, |fleet| async move {
+        let mut address = fleet.entry_address(0);
+        address.set_port(18_301);
+        let answer = raw_at(
+            address,
+            "GET /metrics HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n",
+        )
+        .await;
+        for name in [
+            "magnoliasail_platform_refusals_total{reason=\"no_route\"} 0",
+            "magnoliasail_platform_retries_total{reason=\"resumed\"} 0",
+            "magnoliasail_platform_stage_seconds_bucket",
+            "magnoliasail_platform_configuration_version 1",
+        ] {
+            assert!(answer.contains(name), "{name} is not in {answer}");
+        }
+    });
+}
+
+async fn raw(fleet: &Fleet, text: &str) -> String {
+    raw_at(fleet.entry_address(0), text).await
+}
+
+/// Sends bytes and returns what comes back within a second.
+async fn raw_at(address: std::net::SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    let mut buffer = [0; 16_384];
+    while let Ok(Ok(length)) =
+        tokio::time::timeout(Duration::from_secs(1), stream.read(&mut buffer)).await
+    {
+        if length == 0 {
+            break;
+        }
+        answer.extend_from_slice(&buffer[..length]);
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
