refactor: the engine's queue, base models, load times and replacements have files of their own

Also: entries prefer engines that hold a request's base model, which agents tell together with the adapters, for deployments with several. Behaviour on the sites of one model is unchanged.

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -7,50 +7,24 @@
 
 use {
     super::{
-        AdapterSlots, AdapterVersions, EngineLimits, EngineRefusal, EngineReport, EngineRequest,
+        AdapterSlots, EngineAction, EngineLimits, EngineRefusal, EngineReport, EngineRequest,
         Order, OrderKind, OrderOutcome, SlotState, VersionedAdapter, adapter_version::adapter_name,
+        base_models::BaseModels, engine_queue::EngineQueue, load_times::LoadTimes,
+        replacements::Replacements,
     },
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
 };
 
-/// What the scheduler wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum EngineAction {
-    /// Send a request to the engine.
-    Start {
-        /// The request.
-        key: u64,
-    },
-    /// Refuse a request, which has not run and will not.
-    Refuse {
-        /// The request.
-        key: u64,
-        /// The reason.
-        reason: EngineRefusal,
-        /// When a place is expected, in milliseconds from now.
-        retry_after_ms: u64,
-    },
-    /// Give an order to the engine and report what became of it.
-    Order(Order),
-}
-
 /// Settings of a scheduler.
 #[derive(Clone, Copy, Debug)]
 pub struct SchedulerSettings {
     /// Loads of adapters that may be under way at one engine.
     pub max_loading: usize,
-    /// The time of a load from which on it counts as a fetch from the store, in milliseconds.
-    pub least_fetch_ms: f64,
-    /// The time of a fetch while the store is not busy, until a shorter one is seen, in
-    /// milliseconds.
-    pub most_fetch_ms: f64,
     /// Time between loads of base models that this engine may order, in milliseconds.
     pub model_load_gap_ms: u64,
     /// A run's time before any has been seen, in milliseconds.
     pub first_run_ms: f64,
-    /// A load's time before any has been seen, in milliseconds.
-    pub first_load_ms: f64,
     /// Time over which engines take up a new version of an adapter in turn, in milliseconds.
     pub replacement_spread_ms: u64,
     /// Picks this engine's turn within that time.
@@ -61,36 +35,19 @@
     fn default() -> Self {
         Self {
             max_loading: 4,
-            least_fetch_ms: 120.0,
-            most_fetch_ms: 400.0,
             model_load_gap_ms: 2_500,
             first_run_ms: 450.0,
-            first_load_ms: 100.0,
             replacement_spread_ms: 2_000,
             replacement_seed: 0,
         }
     }
 }
 
-/// Weight of the newest run in the running average of their times.
-const NEWEST_RUN: f64 = 0.05;
-/// Weight of the newest load in the running average of their times.
-const NEWEST_LOAD: f64 = 0.2;
-/// What a request that can only be late counts among those that wait for an adapter.
-const LATE_WEIGHT: f64 = 0.05;
-/// Waiting time that counts as much as one request more for the same adapter, in milliseconds.
-const AGE_WEIGHT_MS: f64 = 2_000.0;
 /// Objectives after which a request is given back whose adapter has not even a slot.
 const GIVE_BACK_OBJECTIVES: u64 = 2;
 /// The least time after which it is given back, in milliseconds.
 const LEAST_PATIENCE_MS: u64 = 400;
 
-#[derive(Clone, Debug)]
-struct Running {
-    request: EngineRequest,
-    started_ms: TimeMs,
-}
-
 #[derive(Clone, Debug)]
 struct PendingOrder {
     order: Order,
@@ -103,18 +60,10 @@
     settings: SchedulerSettings,
     limits: EngineLimits,
     adapters: AdapterSlots,
-    versions: AdapterVersions,
-    /// Adapters with a newer version, and when it is to be loaded.
-    replacements: Vec<(Arc<str>, TimeMs)>,
-    models: Vec<Arc<str>>,
-    model_loading: bool,
-    model_ordered_ms: Option<TimeMs>,
-    /// When the load of a base model is expected to be complete.
-    model_ready_ms: TimeMs,
-    in_memory: Vec<Arc<str>>,
-    on_disk: Vec<Arc<str>>,
-    waiting: Vec<EngineRequest>,
-    running: HashMap<u64, Running>,
+    replacements: Replacements,
+    models: BaseModels,
+    load_times: LoadTimes,
+    queue: EngineQueue,
     order: Option<PendingOrder>,
     orders_sent: u64,
     sequence: Option<u64>,
@@ -123,11 +72,6 @@
     restarts: u64,
     is_draining: bool,
     is_down: bool,
-    mean_run_ms: f64,
-    mean_load_ms: f64,
-    mean_fetch_ms: f64,
-    /// The shortest fetch that was seen.
-    fetch_ms: f64,
 }
 
 impl EngineScheduler {
@@ -138,16 +82,10 @@
             settings,
             limits: EngineLimits::default(),
             adapters: AdapterSlots::default(),
-            versions: AdapterVersions::default(),
-            replacements: Vec::new(),
-            models: Vec::new(),
-            model_loading: false,
-            model_ordered_ms: None,
-            model_ready_ms: 0,
-            in_memory: Vec::new(),
-            on_disk: Vec::new(),
-            waiting: Vec::new(),
-            running: HashMap::new(),
+            replacements: Replacements::default(),
+            models: BaseModels::default(),
+            load_times: LoadTimes::default(),
+            queue: EngineQueue::new(settings.first_run_ms),
             order: None,
             orders_sent: 0,
             sequence: None,
@@ -156,10 +94,6 @@
             restarts: 0,
             is_draining: false,
             is_down: false,
-            mean_run_ms: settings.first_run_ms,
-            mean_load_ms: settings.first_load_ms,
-            mean_fetch_ms: settings.most_fetch_ms,
-            fetch_ms: settings.most_fetch_ms,
         }
     }
 
@@ -171,7 +105,7 @@
     /// Returns the number of requests that run or wait.
     #[must_use]
     pub fn load(&self) -> u32 {
-        (self.running.len() + self.waiting.len()) as u32
+        self.queue.len() as u32
     }
 
     /// Returns how often the engine was found to have started anew.
@@ -182,8 +116,8 @@
 
     /// Returns the number of requests that wait.
     #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
+    pub const fn waiting(&self) -> usize {
+        self.queue.waiting()
     }
 
     /// Tells whether new requests are taken.
@@ -196,11 +130,7 @@
     /// milliseconds from now.
     #[must_use]
     pub const fn ready_in_ms(&self, now_ms: TimeMs) -> Option<u64> {
-        if self.model_loading && self.model_ready_ms > now_ms {
-            Some(self.model_ready_ms - now_ms)
-        } else {
-            None
-        }
+        self.models.ready_in_ms(now_ms)
     }
 
     /// Returns the number of adapters that wait for a slot.
@@ -222,10 +152,9 @@
         &self.limits
     }
 
-    /// Returns the adapters of the engine.
-    #[must_use]
-    pub const fn adapters(&self) -> &AdapterSlots {
-        &self.adapters
+    /// Returns the names of the base models that the engine holds and of the adapters in its slots.
+    pub fn held(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.models.names().chain(self.adapters.names())
     }
 
     /// Returns the version of an adapter that a request that starts now must run on.
@@ -239,7 +168,7 @@
     /// Tells whether loads are under way, so that a report is wanted soon.
     #[must_use]
     pub fn awaits_load(&self) -> bool {
-        self.model_loading || self.sequence.is_none() || self.adapters.loading() > 0
+        self.models.is_loading() || self.sequence.is_none() || self.adapters.loading() > 0
     }
 
     /// Returns a ticket to take before asking for a report, for [`EngineScheduler::reported`].
@@ -264,7 +193,7 @@
             });
             return;
         }
-        self.waiting.push(request);
+        self.queue.push(request);
         self.advance(now_ms, actions);
     }
 
@@ -276,36 +205,22 @@
         now_ms: TimeMs,
         actions: &mut Vec<EngineAction>,
     ) -> bool {
-        let started = match self.running.remove(&key) {
-            Some(running) => {
-                if let Some(adapter) = &running.request.adapter {
-                    self.adapters.unpin(adapter);
-                }
-                if is_complete {
-                    let run_ms = now_ms.saturating_sub(running.started_ms) as f64;
-                    self.mean_run_ms += NEWEST_RUN * (run_ms - self.mean_run_ms);
-                }
-                true
-            }
-            None => {
-                self.waiting.retain(|request| request.key != key);
-                false
-            }
-        };
+        let started = self.queue.finish(key, is_complete, now_ms);
+        if let Some(adapter) = started
+            .as_ref()
+            .and_then(|request| request.adapter.as_ref())
+        {
+            self.adapters.unpin(adapter);
+        }
         self.advance(now_ms, actions);
-        started
+        started.is_some()
     }
 
     /// Records a newer version of an adapter.
     pub fn announce(&mut self, announced: &super::AdapterVersion, now_ms: TimeMs) {
-        if !self.versions.adopt(announced) {
-            return;
-        }
-        let name = adapter_name(&announced.model, &announced.adapter);
         let spread_ms = self.settings.replacement_spread_ms.max(1);
         let due_ms = now_ms + self.settings.replacement_seed % spread_ms;
-        self.replacements.retain(|(other, _)| *other != name);
-        self.replacements.push((name, due_ms));
+        self.replacements.announce(announced, due_ms);
     }
 
     /// Adopts a report that was asked for with `ticket`.
@@ -385,41 +300,33 @@
         if self.is_down {
             return Some((EngineRefusal::EngineDown, READY_RETRY_MS));
         }
-        if !self.models.contains(&request.model) {
+        if !self.models.holds(&request.model) {
             return Some((EngineRefusal::ModelAbsent, ready_in_ms));
         }
         let load_ms = self.expected_load_ms(request);
-        if now_ms + load_ms > request.objective_ms && load_ms > self.mean_load_ms as u64 * 2 {
+        if now_ms + load_ms > request.objective_ms && load_ms > self.load_times.mean_ms() as u64 * 2
+        {
             // Served now it would be late, and take a slot from others that would not be.
             return Some((EngineRefusal::Overloaded, load_ms));
         }
-        let wait_ms = self.expected_wait_ms(request).max(load_ms);
+        let place_ms = self
+            .queue
+            .expected_wait_ms(request.rank, self.limits.batch_slots);
+        let wait_ms = place_ms.max(load_ms);
         if now_ms + wait_ms > request.deadline_ms {
             return Some((EngineRefusal::Overloaded, wait_ms));
         }
         None
     }
 
-    /// Returns how long a request is expected to wait for a place in the batch.
-    fn expected_wait_ms(&self, request: &EngineRequest) -> u64 {
-        let slots = self.limits.batch_slots.max(1) as usize;
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|other| other.rank <= request.rank)
-            .count();
-        let free = slots.saturating_sub(self.running.len());
-        let queued = (ahead + 1).saturating_sub(free);
-        (queued as f64 * self.mean_run_ms / slots as f64) as u64
-    }
-
     /// Returns how long a request is expected to wait for an adapter that has no slot.
     fn expected_slot_ms(&self, request: &EngineRequest) -> u64 {
         let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
-        let load_ms = (1.0 + ahead / self.max_loading() as f64) * self.mean_load_ms;
+        let load_ms = (1.0 + ahead / self.load_times.allowed(self.settings.max_loading) as f64)
+            * self.load_times.mean_ms();
         let slots = f64::from(self.limits.adapter_slots.max(1));
         let short = (ahead + 1.0 - f64::from(self.slots_available())).max(0.0);
-        let slot_ms = short * self.mean_run_ms / slots;
+        let slot_ms = short * self.queue.mean_run_ms() / slots;
         (slot_ms + load_ms) as u64
     }
 
@@ -433,7 +340,7 @@
             Some(SlotState::Loading) => 1.0,
             None => return self.expected_slot_ms(request),
         };
-        (loads * self.mean_load_ms) as u64
+        (loads * self.load_times.mean_ms()) as u64
     }
 
     fn expire(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
@@ -441,7 +348,7 @@
         const LEAST_RUN_MS: u64 = 30;
         let (is_down, is_draining) = (self.is_down, self.is_draining);
         let adapters = &self.adapters;
-        self.waiting.retain(|request| {
+        let given_back = self.queue.give_back(|request| {
             let is_late = now_ms + LEAST_RUN_MS >= request.deadline_ms;
             let objective_ms = request.objective_ms.saturating_sub(request.arrived_ms);
             let patience_ms = (GIVE_BACK_OBJECTIVES * objective_ms).max(LEAST_PATIENCE_MS);
@@ -450,72 +357,45 @@
                 .as_ref()
                 .is_none_or(|adapter| adapters.state(adapter).is_some());
             let is_hopeless = !has_slot && now_ms > request.arrived_ms + patience_ms;
-            let reason = match (is_down, is_draining, is_late, is_hopeless) {
-                (true, _, _, _) => EngineRefusal::EngineDown,
-                (_, true, _, _) => EngineRefusal::Draining,
-                (_, _, true, _) => EngineRefusal::Expired,
-                (_, _, _, true) => EngineRefusal::NoSlot,
-                _ => return true,
-            };
-            actions.push(EngineAction::Refuse {
-                key: request.key,
+            match (is_down, is_draining, is_late, is_hopeless) {
+                (true, _, _, _) => Some(EngineRefusal::EngineDown),
+                (_, true, _, _) => Some(EngineRefusal::Draining),
+                (_, _, true, _) => Some(EngineRefusal::Expired),
+                (_, _, _, true) => Some(EngineRefusal::NoSlot),
+                _ => None,
+            }
+        });
+        let refusals = given_back
+            .into_iter()
+            .map(|(key, reason)| EngineAction::Refuse {
+                key,
                 reason,
                 retry_after_ms: 0,
             });
-            false
-        });
+        actions.extend(refusals);
     }
 
     fn start(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
-        self.waiting.sort_by_key(|request| {
-            (
-                now_ms > request.objective_ms,
-                request.rank,
-                request.objective_ms,
-            )
-        });
-        let mut kv_tokens: u64 = self.running.values().map(|run| run.request.kv_tokens).sum();
-        let mut index = 0;
-        while index < self.waiting.len() {
-            if self.running.len() >= self.limits.batch_slots as usize {
-                return;
-            }
-            let request = &self.waiting[index];
-            let fits =
-                self.running.is_empty() || kv_tokens + request.kv_tokens <= self.limits.kv_tokens;
-            if !fits {
-                return;
-            }
-            if !self.can_serve(request) {
-                index += 1;
-                continue;
-            }
-            let request = self.waiting.remove(index);
-            kv_tokens += request.kv_tokens;
+        let (models, adapters) = (&self.models, &self.adapters);
+        let started = self
+            .queue
+            .start(&self.limits, now_ms, |request| match &request.adapter {
+                Some(adapter) => adapters.state(adapter) == Some(SlotState::Resident),
+                None => models.holds(&request.model),
+            });
+        for request in started {
             if let Some(adapter) = &request.adapter {
                 self.adapters.pin(adapter, now_ms);
             }
             actions.push(EngineAction::Start { key: request.key });
-            let running = Running {
-                request,
-                started_ms: now_ms,
-            };
-            self.running.insert(running.request.key, running);
         }
     }
 
-    fn can_serve(&self, request: &EngineRequest) -> bool {
-        let Some(adapter) = &request.adapter else {
-            return self.models.contains(&request.model);
-        };
-        self.adapters.state(adapter) == Some(SlotState::Resident)
-    }
-
     fn next_order(&mut self, now_ms: TimeMs) -> Option<PendingOrder> {
         if self.models.is_empty() {
             return self.model_order(now_ms);
         }
-        if self.adapters.loading() >= self.max_loading() {
+        if self.adapters.loading() >= self.load_times.allowed(self.settings.max_loading) {
             return None;
         }
         if let Some(pending) = self.replacement(now_ms) {
@@ -527,18 +407,10 @@
         }
         let victim = self
             .adapters
-            .victim(now_ms, |name| self.is_waited_for(name))?;
+            .victim(now_ms, |name| self.queue.wants(name))?;
         Some(self.adapter_unload(&victim))
     }
 
-    /// Returns how many loads may be under way: fewer when loads take longer than they should, as
-    /// engines that share the store only delay each other beyond what it carries.
-    fn max_loading(&self) -> usize {
-        let most = self.settings.max_loading as f64;
-        let share = self.fetch_ms / self.mean_fetch_ms.max(1.0);
-        (most * share).round().clamp(1.0, most) as usize
-    }
-
     /// Returns the adapter without a slot that the most, and the longest waiting, requests want.
     fn missing_adapter(&self, now_ms: TimeMs) -> Option<Arc<str>> {
         self.missing_adapters(now_ms)
@@ -553,42 +425,20 @@
 
     /// Returns the adapters that requests wait for and that have no slot, with their weights.
     fn missing_adapters(&self, now_ms: TimeMs) -> HashMap<&Arc<str>, f64> {
-        let mut missing = HashMap::new();
-        for request in &self.waiting {
-            let Some(adapter) = &request.adapter else {
-                continue;
-            };
-            let is_missing = self.adapters.state(adapter).is_none();
-            if !is_missing || !self.models.contains(&request.model) {
-                continue;
-            }
-            let is_late = now_ms > request.objective_ms;
-            let weight = if is_late { LATE_WEIGHT } else { 1.0 };
-            let age_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
-            *missing.entry(adapter).or_insert(0.0) += weight + age_ms / AGE_WEIGHT_MS;
-        }
-        missing
-    }
-
-    fn is_waited_for(&self, name: &str) -> bool {
-        self.waiting
-            .iter()
-            .any(|request| request.adapter.as_deref() == Some(name))
+        self.queue.missing_adapters(now_ms, |request, adapter| {
+            self.adapters.state(adapter).is_none() && self.models.holds(&request.model)
+        })
     }
 
     /// Returns the order that replaces a resident adapter by its newer version.
     fn replacement(&mut self, now_ms: TimeMs) -> Option<PendingOrder> {
-        let index = self
-            .replacements
-            .iter()
-            .position(|&(_, due_ms)| due_ms <= now_ms)?;
-        let (name, _) = self.replacements.swap_remove(index);
-        let is_old = self.adapters.version(&name)? < self.versions.newest(&name);
+        let name = self.replacements.take_due(now_ms)?;
+        let is_old = self.adapters.version(&name)? < self.replacements.newest(&name);
         is_old.then(|| self.adapter_load(&name, now_ms))
     }
 
     fn adapter_load(&mut self, name: &Arc<str>, now_ms: TimeMs) -> PendingOrder {
-        let newest = self.versions.newest(name);
+        let newest = self.replacements.newest(name);
         self.adapters.load(Arc::clone(name), newest, now_ms);
         self.adapter_order(
             OrderKind::Load,
@@ -616,30 +466,16 @@
 
     /// Returns the order that loads a base model into an engine that holds none.
     fn model_order(&mut self, now_ms: TimeMs) -> Option<PendingOrder> {
-        let is_due = self
-            .model_ordered_ms
-            .is_none_or(|ordered_ms| now_ms >= ordered_ms + self.settings.model_load_gap_ms);
-        if self.model_loading || !is_due || self.is_draining {
+        if self.is_draining {
             return None;
         }
-        let fitting: Vec<_> = self
-            .limits
+        let (choice, gap_ms) = (
+            self.settings.replacement_seed,
+            self.settings.model_load_gap_ms,
+        );
+        let model = self
             .models
-            .iter()
-            .filter(|model| model.weights_mb <= self.limits.weights_mb)
-            .collect();
-        let index = self.settings.replacement_seed as usize % fitting.len().max(1);
-        let limits = *fitting.get(index)?;
-        let model = Arc::clone(&limits.name);
-        let load_ms = if self.in_memory.contains(&model) {
-            limits.memory_load_ms
-        } else if self.on_disk.contains(&model) {
-            limits.disk_load_ms
-        } else {
-            limits.load_ms
-        };
-        self.model_ready_ms = now_ms + load_ms;
-        self.model_ordered_ms = Some(now_ms);
+            .next_load(&self.limits, choice, gap_ms, now_ms)?;
         Some(PendingOrder {
             order: self.new_order(OrderKind::Load, model, None, None),
             adapter: None,
@@ -670,20 +506,13 @@
         match (&pending.adapter, pending.order.kind) {
             (Some(adapter), OrderKind::Unload) => self.adapters.free(adapter),
             (Some(_), OrderKind::Load) => {}
-            (None, _) => self.model_loading = true,
+            (None, _) => self.models.load_begins(),
         }
     }
 
     fn adopt(&mut self, report: &EngineReport, now_ms: TimeMs) {
         self.sequence = Some(report.sequence);
-        self.model_loading = report.is_busy;
-        self.in_memory.clone_from(&report.in_memory);
-        self.on_disk.clone_from(&report.on_disk);
-        self.models = report
-            .models
-            .iter()
-            .map(|model| Arc::clone(&model.name))
-            .collect();
+        self.models.adopt(report);
         let mut held = HashMap::new();
         for model in &report.models {
             for adapter in &model.adapters {
@@ -692,29 +521,16 @@
         }
         let arriving = arriving(report);
         for load_ms in self.adapters.reconcile(&held, &arriving, now_ms) {
-            self.count_load(load_ms as f64);
+            self.load_times.count(load_ms as f64);
         }
         self.expect_replacements(&held, now_ms);
     }
 
-    /// Counts the time of a load; a short one came from the host's memory.
-    fn count_load(&mut self, load_ms: f64) {
-        self.mean_load_ms += NEWEST_LOAD * (load_ms - self.mean_load_ms);
-        if load_ms < self.settings.least_fetch_ms {
-            return;
-        }
-        self.mean_fetch_ms += NEWEST_LOAD * (load_ms - self.mean_fetch_ms);
-        self.fetch_ms = self.fetch_ms.min(load_ms);
-    }
-
     /// Schedules the replacement of held adapters that are older than announced.
     fn expect_replacements(&mut self, held: &HashMap<Arc<str>, VersionedAdapter>, now_ms: TimeMs) {
         for (name, adapter) in held {
-            let is_old = adapter.version < self.versions.newest(name);
-            let is_loading = self.adapters.state(name) == Some(SlotState::Loading);
-            let is_listed = self.replacements.iter().any(|(listed, _)| listed == name);
-            if is_old && !is_loading && !is_listed {
-                self.replacements.push((Arc::clone(name), now_ms));
+            if self.adapters.state(name) != Some(SlotState::Loading) {
+                self.replacements.expect(name, adapter.version, now_ms);
             }
         }
     }
@@ -724,10 +540,9 @@
         self.restarts += 1;
         self.adapters.clear();
         self.models.clear();
-        self.model_loading = false;
         self.sequence = None;
-        for run in self.running.values() {
-            if let Some(adapter) = &run.request.adapter {
+        for request in self.queue.running() {
+            if let Some(adapter) = &request.adapter {
                 self.adapters.unpin(adapter);
             }
         }
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -11,16 +11,21 @@
 
 mod adapter_slots;
 mod adapter_version;
+mod base_models;
 mod configuration;
 mod directory;
+mod engine_action;
+mod engine_queue;
 mod engine_report;
 mod engine_request;
 mod engine_scheduler;
 mod event_stream;
 mod holdings;
+mod load_times;
 mod order;
 mod placement;
 mod popularity;
+mod replacements;
 mod request_facts;
 mod retry_window;
 mod route_table;
@@ -35,9 +40,10 @@
         Split,
     },
     directory::{Directory, ServerView},
+    engine_action::EngineAction,
     engine_report::{EngineReport, HeldModel, VersionedAdapter},
     engine_request::{EngineRefusal, EngineRequest},
-    engine_scheduler::{EngineAction, EngineScheduler, SchedulerSettings},
+    engine_scheduler::{EngineScheduler, SchedulerSettings},
     event_stream::{EventSplitter, StreamEvent},
     holdings::{Holding, Holdings, HoldingsLog, adapter_key},
     order::{Order, OrderKind, OrderOutcome},
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -443,8 +443,7 @@
         let held = self
             .scheduler
             .borrow()
-            .adapters()
-            .names()
+            .held()
             .map(|name| adapter_key(name))
             .collect();
         let restarts = self.scheduler.borrow().restarts();
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -267,11 +267,14 @@
         let mut retry_after_ms = u64::MAX;
         let mut cause = RefusalCause::NoServer;
         loop {
+            let model = self.outgoing.facts.model.as_ref();
             let affinity = Affinity {
                 key: &self.affinity,
                 is_popular: self.is_popular,
             };
-            let pick = self.state.pick(&self.route.service, affinity, &self.tried);
+            let pick = self
+                .state
+                .pick(&self.route.service, model, affinity, &self.tried);
             let Some(pick) = pick.filter(|_| placements < MAX_PLACEMENTS) else {
                 return Err(self.refused(cause, retry_after_ms));
             };
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -9,7 +9,7 @@
     },
     magnoliasail_core::gateway::{
         Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, Popularity,
-        RetryWindow, RouteTable, adapter_key,
+        RetryWindow, RouteTable, ServerView, adapter_key,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -103,62 +103,93 @@
     }
 
     /// Picks a server of a service that is not among those tried.
+    ///
+    /// Engines that hold the base model come before all others.
     pub(super) fn pick(
         &self,
         service: &str,
+        model: Option<&Arc<str>>,
         affinity: Affinity<'_>,
         tried: &[Arc<str>],
     ) -> Option<Pick> {
         let now_ms = self.clock.now_ms();
-        let is_engine = self.table.borrow().engine(service).is_some();
+        if self.table.borrow().engine(service).is_none() {
+            let directory = self.directory.borrow();
+            let untried = directory
+                .usable(service, now_ms)
+                .filter(|server| !tried.contains(&server.entry.id));
+            let (picks, candidates) = untried.map(|server| self.plain_candidate(server)).unzip();
+            return pick_of(plain_costs(), affinity, picks, candidates);
+        }
+        let model = model.map(|model| adapter_key(model));
+        let (picks, candidates) = self.engine_candidates(service, model, affinity, tried);
+        pick_of(PlacementCosts::default(), affinity, picks, candidates)
+    }
+
+    /// Returns the engines that take requests, those that hold the model if there are any.
+    fn engine_candidates(
+        &self,
+        service: &str,
+        model: Option<u64>,
+        affinity: Affinity<'_>,
+        tried: &[Arc<str>],
+    ) -> (Vec<Pick>, Vec<Candidate>) {
         let adapter = adapter_key(affinity.key);
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        let mut picks = Vec::new();
-        let mut candidates = Vec::new();
-        for server in directory.usable(service, now_ms) {
-            if tried.contains(&server.entry.id) {
-                continue;
-            }
-            let mut load = server.load();
-            let mut slots = server.entry.slots;
-            let mut holding = Holding::Resident;
-            let (mut adapters_waiting, mut has_slot) = (0, true);
-            if is_engine {
-                let link = links.get(&server.entry.address.ip());
-                let Some(state) = link.and_then(|link| link.serving()) else {
-                    continue;
+        let serving: Vec<_> = directory
+            .usable(service, self.clock.now_ms())
+            .filter_map(|server| {
+                let link = links.get(&server.entry.address.ip())?;
+                let holds_model =
+                    model.is_none_or(|model| link.holding(model) == Holding::Resident);
+                Some((server, link, link.serving()?, holds_model))
+            })
+            .collect();
+        let is_held = serving.iter().any(|&(.., holds_model)| holds_model);
+        serving
+            .into_iter()
+            .filter(|&(.., holds_model)| holds_model || !is_held)
+            .filter(|(server, ..)| !tried.contains(&server.entry.id))
+            .map(|(server, link, state, _)| {
+                let (pick, candidate) = self.plain_candidate(server);
+                let candidate = Candidate {
+                    load: candidate.load.max(state.load),
+                    slots: state.slots,
+                    holding: link.holding(adapter),
+                    adapters_waiting: state.adapters_waiting,
+                    has_slot: state.slots_available > state.adapters_waiting,
+                    ..candidate
                 };
-                load = load.max(state.load);
-                slots = state.slots;
-                adapters_waiting = state.adapters_waiting;
-                has_slot = state.slots_available > state.adapters_waiting;
-                holding = link.map_or(Holding::Absent, |link| link.holding(adapter));
-            }
-            picks.push(Pick {
-                id: Arc::clone(&server.entry.id),
-                address: server.entry.address,
-                is_engine,
-            });
-            candidates.push(Candidate {
-                name: Arc::clone(&server.name),
-                is_local: server.entry.data_centre == self.settings.data_centre,
-                load,
-                slots,
-                failure_share: server.health.failure_share(now_ms),
-                first_byte_ms: server.health.first_byte_ms(now_ms),
-                holding,
-                adapters_waiting,
-                has_slot,
-            });
-        }
-        let costs = if is_engine {
-            PlacementCosts::default()
-        } else {
-            plain_costs()
+                let pick = Pick {
+                    is_engine: true,
+                    ..pick
+                };
+                (pick, candidate)
+            })
+            .unzip()
+    }
+
+    /// Returns a server as a candidate that holds whatever a request needs.
+    fn plain_candidate(&self, server: &ServerView) -> (Pick, Candidate) {
+        let now_ms = self.clock.now_ms();
+        let pick = Pick {
+            id: Arc::clone(&server.entry.id),
+            address: server.entry.address,
+            is_engine: false,
+        };
+        let candidate = Candidate {
+            name: Arc::clone(&server.name),
+            is_local: server.entry.data_centre == self.settings.data_centre,
+            load: server.load(),
+            slots: server.entry.slots,
+            failure_share: server.health.failure_share(now_ms),
+            first_byte_ms: server.health.first_byte_ms(now_ms),
+            holding: Holding::Resident,
+            adapters_waiting: 0,
+            has_slot: true,
         };
-        let index = Placement::new(costs).pick(affinity, &candidates)?;
-        Some(picks.swap_remove(index))
+        (pick, candidate)
     }
 
     /// Returns when to come back while no server of a service can take a request, in milliseconds;
@@ -223,6 +254,17 @@
     }
 }
 
+/// Picks one of the candidates.
+fn pick_of(
+    costs: PlacementCosts,
+    affinity: Affinity<'_>,
+    mut picks: Vec<Pick>,
+    candidates: Vec<Candidate>,
+) -> Option<Pick> {
+    let index = Placement::new(costs).pick(affinity, &candidates)?;
+    Some(picks.swap_remove(index))
+}
+
 /// Costs at plain servers, which hold nothing that a request could miss.
 fn plain_costs() -> PlacementCosts {
     PlacementCosts {
