--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -23,9 +23,6 @@
     tokio::time::{sleep, timeout},
 };
 
-/// The last rank that an engine is told: it reads prompts of lower ranks only when no others wait, and
-/// the queue has already started requests by rank.
-const LAST_ENGINE_RANK: u32 = 1;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between reports while loads are under way.
@@ -146,7 +143,7 @@
             deadline_ms: held.deadline_ms.saturating_sub(state.clock.now_ms()),
             server_id: Some(held.submit.server_id.as_str().into()),
             version,
-            rank: Some(held.submit.rank.min(LAST_ENGINE_RANK)),
+            rank: Some(held.submit.rank),
             resume_after: held.submit.resume_after,
         };
         let mut request = Request::new(held.submit.body.clone());
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -198,7 +198,7 @@
         /// Servers that are back in the list or restarted need about this long.
         const UNKNOWN_MS: u64 = 800;
         /// Over which callers come back.
-        const SPREAD_MS: u64 = 1_000;
+        const SPREAD_MS: u64 = 600;
         let directory = self.directory.borrow();
         let links = self.links.borrow();
         let soonest_ms = directory
