refactor: orders to an engine and headers on links have one place each

The link's headers were converted in three places; the order under way, its sequence and its token were four fields of the scheduler.

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -8,52 +8,23 @@
 use {
     super::{
         AdapterSlots, EngineAction, EngineLimits, EngineRefusal, EngineReport, EngineRequest,
-        Order, OrderKind, OrderOutcome, SlotState, VersionedAdapter, adapter_version::adapter_name,
-        base_models::BaseModels, engine_queue::EngineQueue, load_times::LoadTimes,
+        Order, OrderKind, OrderOutcome, SchedulerSettings, SlotState, VersionedAdapter,
+        adapter_version::adapter_name,
+        base_models::BaseModels,
+        engine_queue::EngineQueue,
+        load_times::LoadTimes,
+        order_book::{OrderBook, PendingOrder},
         replacements::Replacements,
     },
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
 };
 
-/// Settings of a scheduler.
-#[derive(Clone, Copy, Debug)]
-pub struct SchedulerSettings {
-    /// Loads of adapters that may be under way at one engine.
-    pub max_loading: usize,
-    /// Time between loads of base models that this engine may order, in milliseconds.
-    pub model_load_gap_ms: u64,
-    /// A run's time before any has been seen, in milliseconds.
-    pub first_run_ms: f64,
-    /// Time over which engines take up a new version of an adapter in turn, in milliseconds.
-    pub replacement_spread_ms: u64,
-    /// Picks this engine's turn within that time.
-    pub replacement_seed: u64,
-}
-
-impl Default for SchedulerSettings {
-    fn default() -> Self {
-        Self {
-            max_loading: 4,
-            model_load_gap_ms: 2_500,
-            first_run_ms: 450.0,
-            replacement_spread_ms: 2_000,
-            replacement_seed: 0,
-        }
-    }
-}
-
 /// Objectives after which a request is given back whose adapter has not even a slot.
 const GIVE_BACK_OBJECTIVES: u64 = 2;
 /// The least time after which it is given back, in milliseconds.
 const LEAST_PATIENCE_MS: u64 = 400;
 
-#[derive(Clone, Debug)]
-struct PendingOrder {
-    order: Order,
-    adapter: Option<Arc<str>>,
-}
-
 /// Decides for one model engine.
 #[derive(Debug)]
 pub struct EngineScheduler {
@@ -64,10 +35,7 @@
     models: BaseModels,
     load_times: LoadTimes,
     queue: EngineQueue,
-    order: Option<PendingOrder>,
-    orders_sent: u64,
-    sequence: Option<u64>,
-    fencing_token: u64,
+    orders: OrderBook,
     born_ms: Option<u64>,
     restarts: u64,
     is_draining: bool,
@@ -86,10 +54,7 @@
             models: BaseModels::default(),
             load_times: LoadTimes::default(),
             queue: EngineQueue::new(settings.first_run_ms),
-            order: None,
-            orders_sent: 0,
-            sequence: None,
-            fencing_token: 1,
+            orders: OrderBook::default(),
             born_ms: None,
             restarts: 0,
             is_draining: false,
@@ -168,13 +133,13 @@
     /// Tells whether loads are under way, so that a report is wanted soon.
     #[must_use]
     pub fn awaits_load(&self) -> bool {
-        self.models.is_loading() || self.sequence.is_none() || self.adapters.loading() > 0
+        self.models.is_loading() || !self.orders.knows_sequence() || self.adapters.loading() > 0
     }
 
     /// Returns a ticket to take before asking for a report, for [`EngineScheduler::reported`].
     #[must_use]
     pub const fn report_ticket(&self) -> u64 {
-        self.orders_sent
+        self.orders.ticket()
     }
 
     /// Queues a request.
@@ -237,7 +202,7 @@
             self.restarted();
             self.born_ms = report.born_ms;
         }
-        if ticket == self.orders_sent && self.order.is_none() {
+        if self.orders.is_current(ticket) {
             self.adopt(report, now_ms);
         }
         self.advance(now_ms, actions);
@@ -246,7 +211,7 @@
     /// Records that the engine cannot be reached.
     pub fn unreachable(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         self.is_down = true;
-        self.sequence = None;
+        self.orders.forget();
         self.advance(now_ms, actions);
     }
 
@@ -257,23 +222,17 @@
         now_ms: TimeMs,
         actions: &mut Vec<EngineAction>,
     ) {
-        let Some(pending) = self.order.take() else {
+        let Some(pending) = self.orders.settle(outcome) else {
             return;
         };
-        self.orders_sent += 1;
         match outcome {
-            OrderOutcome::Accepted | OrderOutcome::Done => self.taken_up(&pending, outcome),
-            OrderOutcome::Conflict | OrderOutcome::Unknown => self.sequence = None,
-            OrderOutcome::Fenced => {
-                self.fencing_token += 1;
-                self.sequence = None;
-            }
+            OrderOutcome::Accepted | OrderOutcome::Done => self.taken_up(&pending),
             OrderOutcome::Rejected => {
-                self.sequence = None;
                 if let Some(adapter) = &pending.adapter {
                     self.adapters.free(adapter);
                 }
             }
+            OrderOutcome::Conflict | OrderOutcome::Unknown | OrderOutcome::Fenced => {}
         }
         self.advance(now_ms, actions);
     }
@@ -282,11 +241,11 @@
     pub fn advance(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         self.expire(now_ms, actions);
         self.start(now_ms, actions);
-        let may_order = self.order.is_none() && self.sequence.is_some() && !self.is_down;
-        if may_order && let Some(pending) = self.next_order(now_ms) {
-            actions.push(EngineAction::Order(pending.order.clone()));
-            self.orders_sent += 1;
-            self.order = Some(pending);
+        if self.orders.is_ready()
+            && !self.is_down
+            && let Some(order) = self.next_order(now_ms)
+        {
+            actions.push(EngineAction::Order(order));
         }
     }
 
@@ -391,15 +350,15 @@
         }
     }
 
-    fn next_order(&mut self, now_ms: TimeMs) -> Option<PendingOrder> {
+    fn next_order(&mut self, now_ms: TimeMs) -> Option<Order> {
         if self.models.is_empty() {
             return self.model_order(now_ms);
         }
         if self.adapters.loading() >= self.load_times.allowed(self.settings.max_loading) {
             return None;
         }
-        if let Some(pending) = self.replacement(now_ms) {
-            return Some(pending);
+        if let Some(order) = self.replacement(now_ms) {
+            return Some(order);
         }
         let wanted = self.missing_adapter(now_ms)?;
         if self.adapters.taken() < self.limits.adapter_slots as usize {
@@ -408,7 +367,7 @@
         let victim = self
             .adapters
             .victim(now_ms, |name| self.queue.wants(name))?;
-        Some(self.adapter_unload(&victim))
+        Some(self.orders.give_adapter(OrderKind::Unload, &victim, None))
     }
 
     /// Returns the adapter without a slot that the most, and the longest waiting, requests want.
@@ -431,41 +390,21 @@
     }
 
     /// Returns the order that replaces a resident adapter by its newer version.
-    fn replacement(&mut self, now_ms: TimeMs) -> Option<PendingOrder> {
+    fn replacement(&mut self, now_ms: TimeMs) -> Option<Order> {
         let name = self.replacements.take_due(now_ms)?;
         let is_old = self.adapters.version(&name)? < self.replacements.newest(&name);
         is_old.then(|| self.adapter_load(&name, now_ms))
     }
 
-    fn adapter_load(&mut self, name: &Arc<str>, now_ms: TimeMs) -> PendingOrder {
+    fn adapter_load(&mut self, name: &Arc<str>, now_ms: TimeMs) -> Order {
         let newest = self.replacements.newest(name);
         self.adapters.load(Arc::clone(name), newest, now_ms);
-        self.adapter_order(
-            OrderKind::Load,
-            name,
-            Some(newest).filter(|&version| version > 0),
-        )
-    }
-
-    fn adapter_unload(&mut self, name: &Arc<str>) -> PendingOrder {
-        self.adapter_order(OrderKind::Unload, name, None)
-    }
-
-    fn adapter_order(
-        &self,
-        kind: OrderKind,
-        name: &Arc<str>,
-        version: Option<u64>,
-    ) -> PendingOrder {
-        let (model, adapter) = name.split_once('/').unwrap_or((name, ""));
-        PendingOrder {
-            order: self.new_order(kind, model.into(), Some(adapter.into()), version),
-            adapter: Some(Arc::clone(name)),
-        }
+        let version = Some(newest).filter(|&version| version > 0);
+        self.orders.give_adapter(OrderKind::Load, name, version)
     }
 
     /// Returns the order that loads a base model into an engine that holds none.
-    fn model_order(&mut self, now_ms: TimeMs) -> Option<PendingOrder> {
+    fn model_order(&mut self, now_ms: TimeMs) -> Option<Order> {
         if self.is_draining {
             return None;
         }
@@ -476,33 +415,10 @@
         let model = self
             .models
             .next_load(&self.limits, choice, gap_ms, now_ms)?;
-        Some(PendingOrder {
-            order: self.new_order(OrderKind::Load, model, None, None),
-            adapter: None,
-        })
+        Some(self.orders.give_model(model))
     }
 
-    fn new_order(
-        &self,
-        kind: OrderKind,
-        model: Arc<str>,
-        adapter: Option<Arc<str>>,
-        version: Option<u64>,
-    ) -> Order {
-        Order {
-            kind,
-            model,
-            adapter,
-            version,
-            expected_sequence: self.sequence.unwrap_or(0),
-            fencing_token: self.fencing_token,
-        }
-    }
-
-    fn taken_up(&mut self, pending: &PendingOrder, outcome: OrderOutcome) {
-        if outcome == OrderOutcome::Accepted || pending.order.kind == OrderKind::Unload {
-            self.sequence = self.sequence.map(|sequence| sequence + 1);
-        }
+    fn taken_up(&mut self, pending: &PendingOrder) {
         match (&pending.adapter, pending.order.kind) {
             (Some(adapter), OrderKind::Unload) => self.adapters.free(adapter),
             (Some(_), OrderKind::Load) => {}
@@ -511,7 +427,7 @@
     }
 
     fn adopt(&mut self, report: &EngineReport, now_ms: TimeMs) {
-        self.sequence = Some(report.sequence);
+        self.orders.adopt(report.sequence);
         self.models.adopt(report);
         let mut held = HashMap::new();
         for model in &report.models {
@@ -540,7 +456,7 @@
         self.restarts += 1;
         self.adapters.clear();
         self.models.clear();
-        self.sequence = None;
+        self.orders.forget();
         for request in self.queue.running() {
             if let Some(adapter) = &request.adapter {
                 self.adapters.unpin(adapter);
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -23,12 +23,14 @@
 mod holdings;
 mod load_times;
 mod order;
+mod order_book;
 mod placement;
 mod popularity;
 mod replacements;
 mod request_facts;
 mod retry_window;
 mod route_table;
+mod scheduler_settings;
 mod server_entry;
 mod server_health;
 
@@ -43,7 +45,7 @@
     engine_action::EngineAction,
     engine_report::{EngineReport, HeldModel, VersionedAdapter},
     engine_request::{EngineRefusal, EngineRequest},
-    engine_scheduler::{EngineScheduler, SchedulerSettings},
+    engine_scheduler::EngineScheduler,
     event_stream::{EventSplitter, StreamEvent},
     holdings::{Holding, Holdings, HoldingsLog, adapter_key},
     order::{Order, OrderKind, OrderOutcome},
@@ -52,6 +54,7 @@
     request_facts::RequestFacts,
     retry_window::RetryWindow,
     route_table::{RouteMatch, RouteTable},
+    scheduler_settings::SchedulerSettings,
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
 };
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -5,6 +5,7 @@
     crate::{
         events::{EventId, emit},
         gateway::{
+            header_message::to_message,
             metrics::Stage,
             pool::{Answer, SendError},
         },
@@ -13,7 +14,7 @@
     hyper::{Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
         EngineRefusal, Order, OrderOutcome,
-        message::{Head, Header, Part, ToEntryKind},
+        message::{Head, Part, ToEntryKind},
     },
     magnoliasail_platform::{
         headers::{self, Stamp},
@@ -190,13 +191,7 @@
     let head = Head {
         attempt,
         status: u32::from(answer.status.as_u16()),
-        headers: headers::returned(&answer.headers)
-            .iter()
-            .map(|(name, value)| Header {
-                name: name.as_str().to_owned(),
-                value: Bytes::copy_from_slice(value.as_bytes()),
-            })
-            .collect(),
+        headers: to_message(&headers::returned(&answer.headers)),
     };
     let took_ms = state.clock.now_ms().saturating_sub(started_ms);
     state.metrics.took(Stage::EngineHead, took_ms);
--- a/crates/magnoliasail/src/gateway/agent/entry_link.rs
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -6,11 +6,7 @@
         events::{EventId, emit},
         gateway::sockets::tune,
     },
-    hyper::{
-        HeaderMap,
-        header::{HeaderName, HeaderValue},
-    },
-    magnoliasail_core::gateway::message::{Header, ToAgent, ToAgentKind},
+    magnoliasail_core::gateway::message::{ToAgent, ToAgentKind},
     magnoliasail_wire::{Link, LinkSettings},
     std::{rc::Rc, time::Duration},
     tokio::{
@@ -58,16 +54,3 @@
         .map_or_else(|| "closed".to_owned(), |error| error.to_string());
     emit(EventId::LinkDown, format_args!("link={id}: {cause}"));
 }
-
-/// Returns the headers that a message carries.
-pub(super) fn to_headers(headers: &[Header]) -> HeaderMap {
-    let mut map = HeaderMap::with_capacity(headers.len() + 4);
-    for header in headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            map.append(name, value);
-        }
-    }
-    map
-}
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -5,6 +5,7 @@
     crate::{
         events::{EventId, emit},
         gateway::{
+            header_message,
             metrics::{GatewayMetrics, Stage},
             pool::Pool,
             steady_clock::SteadyClock,
@@ -158,7 +159,7 @@
             return;
         }
         let now_ms = self.clock.now_ms();
-        let headers = super::entry_link::to_headers(&submit.headers);
+        let headers = header_message::from_message(&submit.headers);
         let facts = headers::facts(&headers);
         let model = facts.model.clone().unwrap_or_else(|| "".into());
         let adapter = facts
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -7,16 +7,16 @@
     },
     crate::{
         events::{EventId, emit},
-        gateway::pool::{Answer, SendError},
+        gateway::{
+            header_message::{from_message, to_message},
+            pool::{Answer, SendError},
+        },
     },
     bytes::Bytes,
-    hyper::{
-        HeaderMap, Method, Request, StatusCode, Uri,
-        header::{HeaderName, HeaderValue},
-    },
+    hyper::{HeaderMap, Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
         EngineRefusal, RequestFacts, RequestKind,
-        message::{Head, Header, Submit},
+        message::{Head, Submit},
     },
     magnoliasail_platform::headers::{self, Stamp},
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -256,28 +256,10 @@
     }
 }
 
-fn to_message(headers: &HeaderMap) -> Vec<Header> {
-    headers
-        .iter()
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        })
-        .collect()
-}
-
 fn from_head(head: &Head) -> (StatusCode, HeaderMap) {
     let status = u16::try_from(head.status)
         .ok()
         .and_then(|status| StatusCode::from_u16(status).ok())
         .unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut headers = HeaderMap::with_capacity(head.headers.len());
-    for header in &head.headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    (status, headers)
+    (status, from_message(&head.headers))
 }
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod entry;
 mod follower;
+mod header_message;
 mod metrics;
 mod pool;
 mod process;
