fix: an answer that stalls is given up only where a further server may get the request

Servers that are all slow would have answered nothing. Test first: three lookups at servers that are 900 ms late were answered 502; now they are served.

--- a/crates/magnoliasail-soak/src/runner.rs
+++ b/crates/magnoliasail-soak/src/runner.rs
@@ -54,6 +54,8 @@
     pub lost: f64,
     /// Refused with proof that they have not run.
     pub refused: f64,
+    /// Time by which every plain answer is late, in milliseconds.
+    pub late_ms: u64,
 }
 
 #[derive(Debug)]
@@ -320,7 +322,7 @@
                 &server,
             ));
         }
-        sleep(PLAIN_TIME).await;
+        sleep(PLAIN_TIME + Duration::from_millis(faults.late_ms)).await;
         if is_broken {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -216,6 +216,7 @@
                     broken: self.random.random_range(0.0..0.3),
                     lost: self.random.random_range(0.0..0.1),
                     refused: self.random.random_range(0.0..0.3),
+                    late_ms: self.random.random_range(0..400),
                 };
                 self.note(format!("server {runner} fails: {faults:?}"));
                 self.fleet.runners[runner].set_faults(faults);
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -36,6 +36,8 @@
     pub(super) objective_ms: u64,
     /// When the caller gives up or the route's timeout passes.
     pub(super) deadline_ms: u64,
+    /// Whether a further server may get the request, so that one that stalls is given up.
+    pub(super) has_further_server: bool,
 }
 
 /// What an attempt came to before its answer began.
@@ -125,7 +127,7 @@
         target: outgoing.uri.to_string(),
         headers: to_message(&outgoing.headers),
         body: outgoing.body.clone(),
-        is_resumable: outgoing.kind == RequestKind::ResumableStream,
+        is_resumable: outgoing.kind == RequestKind::ResumableStream && outgoing.has_further_server,
     };
     let Some((number, news)) = link.submit(submit) else {
         return Start::Unsent;
@@ -217,7 +219,7 @@
     const LEAST_MS: f64 = 450.0;
     /// How many times the usual time is still no stall.
     const USUAL_TIMES: f64 = 4.0;
-    if outgoing.kind != RequestKind::Safe {
+    if outgoing.kind != RequestKind::Safe || !outgoing.has_further_server {
         return None;
     }
     let now_ms = state.clock.now_ms();
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -178,6 +178,7 @@
         body,
         objective_ms: now_ms + route.objective_ms,
         deadline_ms: now_ms + timeout_ms,
+        has_further_server: false,
         facts,
     };
     Ok(Journey {
@@ -283,6 +284,7 @@
             let in_flight = InFlight::new(&self.state, &pick.id);
             let sent_ms = self.state.clock.now_ms();
             self.may_run = true;
+            self.outgoing.has_further_server = self.servers_sent + 1 < self.route.max_servers;
             let started = start(&self.state, &pick, &self.outgoing, resume_after).await;
             match started {
                 Start::Head {
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -92,7 +92,7 @@
                 failed: 0.3,
                 broken: 0.3,
                 refused: 0.3,
-                lost: 0.0,
+                ..RunnerFaults::default()
             });
         }
         let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
@@ -103,6 +103,24 @@
     });
 }
 
+#[test]
+fn servers_that_are_all_slow_still_answer() {
+    with_fleet(69, |fleet| async move {
+        for runner in &fleet.runners[2..] {
+            runner.set_faults(RunnerFaults {
+                late_ms: 900,
+                ..RunnerFaults::default()
+            });
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..3 {
+            let call = call(CallKind::Safe, number);
+            assert_eq!(caller.call(&call).await, Outcome::Served, "{}", call.id);
+        }
+        assert_kept(&fleet);
+    });
+}
+
 #[test]
 fn an_entry_that_is_terminated_finishes_what_it_has_and_ends_its_connections_in_order() {
     with_fleet(63, |fleet| async move {
