fix: what a server may have run is never called not run

Cause: after a server had run an idempotent request and failed, and the next one or its agent refused, the entry answered 503, which promises that the request has not run; the same on a timeout between two attempts. The soak judged only requests that may run once. Now such a request is answered with the failure that a server gave, or 502, or 504.

--- a/crates/magnoliasail-soak/src/caller.rs
+++ b/crates/magnoliasail-soak/src/caller.rs
@@ -1,7 +1,7 @@
 //! A caller that keeps its connection and checks every answer.
 
 use {
-    crate::{ledger::Ledger, runner::event_count},
+    crate::{ledger::Ledger, standin::event_count},
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
     hyper::{
@@ -116,10 +116,9 @@
         ) {
             self.sender = None;
         }
-        if call.kind.runs_once() {
-            self.ledger
-                .answered_once(&call.id, outcome == Outcome::NotRun);
-        }
+        let is_told_not_run = outcome == Outcome::NotRun;
+        self.ledger
+            .answered(&call.id, is_told_not_run, !call.kind.runs_once());
         outcome
     }
 
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -5,8 +5,7 @@
         caller::CallKind,
         ledger::Ledger,
         proxy::Proxy,
-        runner::{Runner, RunnerKind},
-        store::Store,
+        standin::{Runner, RunnerKind, Store},
     },
     serde_json::{Value, json},
     std::{
@@ -39,7 +38,7 @@
     pub engines: u8,
     /// Plain servers.
     pub plain: u8,
-    /// The second number of the loopback addresses that the fleet takes: 127.N.0.0/16.
+    /// Where the search for a free network begins; a fleet takes 127.N.0.0/16.
     pub network: u8,
     /// Seeds the stand-ins.
     pub seed: u64,
@@ -112,18 +111,20 @@
     ///
     /// Returns an error if an address cannot be listened on or a process cannot be started.
     pub async fn start(settings: FleetSettings) -> io::Result<Self> {
-        let name = format!(
-            "magnoliasail-soak-{}-{}",
-            std::process::id(),
-            settings.network
-        );
+        let store = Store::default();
+        let network = claim_network(&store, settings.network).await?;
+        let settings = FleetSettings {
+            network,
+            ..settings
+        };
+        let name = format!("magnoliasail-soak-{}-{network}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         fs::create_dir_all(&directory)?;
         let mut fleet = Self {
             directory,
             processes: Vec::new(),
             ledger: Ledger::default(),
-            store: Store::default(),
+            store,
             runners: Vec::new(),
             proxies: Vec::new(),
             version: 0,
@@ -220,7 +221,6 @@
     }
 
     async fn start_stand_ins(&mut self) -> io::Result<()> {
-        self.store.serve(self.store_address()).await?;
         for index in 0..self.settings.engines + self.settings.plain {
             let is_engine = index < self.settings.engines;
             let kind = if is_engine {
@@ -307,7 +307,7 @@
                     let call = crate::Call {
                         id: format!("ready-{entry}-{number}-{tries}"),
                         kind,
-                        adapter: crate::runner::adapter_name(0),
+                        adapter: crate::standin::adapter_name(0),
                         deadline: Duration::from_secs(2),
                     };
                     if caller.call(&call).await == crate::Outcome::Served {
@@ -372,6 +372,24 @@
     }
 }
 
+/// Serves the store on the first network that no other fleet has taken, and returns its number.
+///
+/// Fleets of other processes run beside this one: the store's address is the claim to a network.
+async fn claim_network(store: &Store, start: u8) -> io::Result<u8> {
+    const FIRST: u32 = 20;
+    const NETWORKS: u32 = 200;
+    let start = u32::from(start) + std::process::id();
+    for offset in 0..NETWORKS {
+        let network = (FIRST + (start + offset) % NETWORKS) as u8;
+        let address = SocketAddr::new(Ipv4Addr::new(127, network, 5, 1).into(), STORE_PORT);
+        match store.serve(address).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            served => return served.map(|()| network),
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 fn route(kind: CallKind) -> Value {
     let is_stream = matches!(kind, CallKind::Stream | CallKind::ResumableStream);
     let service = if is_stream {
--- a/crates/magnoliasail-soak/src/ledger.rs
+++ b/crates/magnoliasail-soak/src/ledger.rs
@@ -24,11 +24,18 @@
     pub detail: String,
 }
 
+/// What a caller was told of a request.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    is_told_not_run: bool,
+    may_repeat: bool,
+}
+
 #[derive(Debug, Default)]
 struct Records {
     runs: HashMap<String, Vec<RunRecord>>,
-    /// Requests that may run once at most.
-    once: HashMap<String, bool>,
+    /// What callers were told.
+    answers: HashMap<String, Told>,
     violations: Vec<Violation>,
 }
 
@@ -56,12 +63,14 @@
             .push(run);
     }
 
-    /// Records what became of a request that may run once at most, and whether it was told that the
-    /// request has not run.
-    pub fn answered_once(&self, request: &str, is_told_not_run: bool) {
-        self.records()
-            .once
-            .insert(request.to_owned(), is_told_not_run);
+    /// Records whether a caller was told that its request has not run, and whether it may run more
+    /// than once.
+    pub fn answered(&self, request: &str, is_told_not_run: bool, may_repeat: bool) {
+        let told = Told {
+            is_told_not_run,
+            may_repeat,
+        };
+        self.records().answers.insert(request.to_owned(), told);
     }
 
     /// Records a broken promise.
@@ -86,15 +95,15 @@
     pub fn verdict(&self) -> Vec<Violation> {
         let records = self.records();
         let mut violations = records.violations.clone();
-        for (request, &is_told_not_run) in &records.once {
+        for (request, told) in &records.answers {
             let runs = records.runs.get(request).map_or(0, Vec::len);
-            if runs > 1 {
+            if runs > 1 && !told.may_repeat {
                 violations.push(Violation {
                     promise: "at most once",
                     detail: format!("{request} ran {runs} times"),
                 });
             }
-            if is_told_not_run && runs > 0 {
+            if told.is_told_not_run && runs > 0 {
                 violations.push(Violation {
                     promise: "not run is true",
                     detail: format!("{request} was refused and ran"),
--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -9,16 +9,14 @@
 mod fleet;
 mod ledger;
 mod proxy;
-mod runner;
 mod soak;
-mod store;
+mod standin;
 
 pub use self::{
     caller::{Call, CallKind, Caller, Outcome},
     fleet::{Fleet, FleetSettings},
     ledger::{Ledger, RunRecord, Violation},
     proxy::{Proxy, ProxyMode},
-    runner::{Runner, RunnerFaults, RunnerKind},
     soak::{Soak, SoakReport, SoakSettings},
-    store::{Store, StoreMode},
+    standin::{Runner, RunnerFaults, RunnerKind, Store, StoreMode},
 };
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod callers;
 mod engine_link;
+mod in_flight;
 mod refusal;
 mod relay;
 mod request;
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -4,7 +4,8 @@
     super::{
         answer_body::{AnswerBody, BrokenOff},
         attempt::{Attempt, Next},
-        request::{Begun, InFlight, Journey},
+        in_flight::InFlight,
+        request::{Begun, Journey},
     },
     crate::{
         events::{EventId, emit},
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -4,6 +4,7 @@
     super::{
         answer_body::AnswerBody,
         attempt::{Attempt, Next, Outgoing, Start, start},
+        in_flight::InFlight,
         refusal::{RefusalCause, refuse},
         relay::Relay,
         state::{EntryState, Pick},
@@ -32,38 +33,6 @@
 /// Agents that are asked before a request is refused.
 const MAX_PLACEMENTS: usize = 3;
 
-/// Counts a request as under way at a server for as long as it lives.
-pub(super) struct InFlight {
-    state: Rc<EntryState>,
-    server: Arc<str>,
-}
-
-impl InFlight {
-    pub(super) fn new(state: &Rc<EntryState>, server: &Arc<str>) -> Self {
-        if let Some(server) = state.directory.borrow_mut().get_mut(server) {
-            server.in_flight += 1;
-        }
-        Self {
-            state: Rc::clone(state),
-            server: Arc::clone(server),
-        }
-    }
-}
-
-impl InFlight {
-    pub(super) const fn server(&self) -> &Arc<str> {
-        &self.server
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if let Some(server) = self.state.directory.borrow_mut().get_mut(&self.server) {
-            server.in_flight = server.in_flight.saturating_sub(1);
-        }
-    }
-}
-
 /// A request on its way to an answer.
 pub(super) struct Journey {
     pub(super) state: Rc<EntryState>,
@@ -80,6 +49,8 @@
     servers_sent: u32,
     /// Whether an attempt is under way that may run the request.
     may_run: bool,
+    /// Whether a server has run the request, or may have.
+    may_have_run: bool,
 }
 
 /// An answer that has begun.
@@ -191,6 +162,7 @@
         tried: Vec::new(),
         servers_sent: 0,
         may_run: false,
+        may_have_run: false,
     })
 }
 
@@ -219,14 +191,7 @@
                 return Relay::start(self, begun);
             }
             Ok(Err(refused)) => refused,
-            Err(_) => Refused {
-                cause: if self.may_run {
-                    RefusalCause::ExpiredRunning
-                } else {
-                    RefusalCause::ExpiredUnrun
-                },
-                retry_after_ms: None,
-            },
+            Err(_) => self.expired(),
         };
         self.log(&refused);
         self.state.metrics.refused(refused.cause.into());
@@ -234,14 +199,20 @@
     }
 
     async fn answer(&mut self) -> Result<Answered, Refused> {
+        let mut failure = None;
         loop {
-            let begun = self.begin(None).await?;
+            let begun = match (self.begin(None).await, failure.take()) {
+                (Ok(begun), _) => begun,
+                // The answer that a server gave before says more than a refusal.
+                (Err(_), Some(answer)) => return Ok(Answered::Whole(answer)),
+                (Err(refused), None) => return Err(refused),
+            };
             let is_good = begun.status.is_success();
             if is_good && self.outgoing.kind.is_stream() {
                 return Ok(Answered::Begun(begun));
             }
             let is_failed = begun.status.is_server_error();
-            let server = Arc::clone(&begun.in_flight.server);
+            let server = Arc::clone(begun.in_flight.server());
             let whole = read_whole(begun).await;
             if is_failed || whole.is_none() {
                 self.count_failure(&server);
@@ -253,6 +224,7 @@
                     RetryCause::BrokenOff
                 };
                 self.state.metrics.retried(cause);
+                failure = whole;
                 continue;
             }
             return whole.map(Answered::Whole).ok_or(Refused {
@@ -293,6 +265,7 @@
                     attempt,
                 } => {
                     self.servers_sent += 1;
+                    self.may_have_run = true;
                     self.count_answer(&pick, status, sent_ms);
                     return Ok(Begun {
                         status,
@@ -330,6 +303,7 @@
                 Start::Broken => {
                     self.log_attempt(&pick, "broken_off");
                     self.servers_sent += 1;
+                    self.may_have_run = true;
                     self.count_failure(&pick.id);
                     if !self.may_send_again() {
                         return Err(Refused {
@@ -344,8 +318,27 @@
         }
     }
 
+    /// Builds the refusal of a request whose time ran out.
+    const fn expired(&self) -> Refused {
+        let cause = if self.may_run || self.may_have_run {
+            RefusalCause::ExpiredRunning
+        } else {
+            RefusalCause::ExpiredUnrun
+        };
+        Refused {
+            cause,
+            retry_after_ms: None,
+        }
+    }
+
     /// Builds the refusal of a request that no server took, with the time at which to come back.
     fn refused(&self, cause: RefusalCause, place_in_ms: u64) -> Refused {
+        if self.may_have_run {
+            return Refused {
+                cause: RefusalCause::BrokenOff,
+                retry_after_ms: None,
+            };
+        }
         let return_in_ms = match place_in_ms {
             u64::MAX => self.state.return_in_ms(&self.route.service),
             known_ms => known_ms,
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -103,6 +103,36 @@
     });
 }
 
+/// The second server refuses what the first has run and broken off: "not run" would be a lie.
+#[test]
+fn a_request_that_ran_at_one_server_is_not_called_not_run_when_another_refuses() {
+    with_fleet(70, |fleet| async move {
+        fleet.runners[2].set_faults(RunnerFaults {
+            broken: 0.5,
+            failed: 0.5,
+            ..RunnerFaults::default()
+        });
+        fleet.runners[3].set_faults(RunnerFaults {
+            refused: 1.0,
+            ..RunnerFaults::default()
+        });
+        for runner in &fleet.runners[..2] {
+            runner.set_faults(RunnerFaults {
+                broken: 0.5,
+                refused: 0.5,
+                ..RunnerFaults::default()
+            });
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..40 {
+            for kind in [CallKind::Safe, CallKind::ResumableStream] {
+                let _ = caller.call(&call(kind, number)).await;
+            }
+        }
+        assert_kept(&fleet);
+    });
+}
+
 #[test]
 fn servers_that_are_all_slow_still_answer() {
     with_fleet(69, |fleet| async move {
