--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -13,7 +13,7 @@
         base_models::BaseModels,
         engine_queue::EngineQueue,
         load_times::LoadTimes,
-        order_book::{OrderBook, PendingOrder},
+        order_tracker::{OrderTracker, PendingOrder},
         replacements::Replacements,
     },
     crate::TimeMs,
@@ -23,7 +23,7 @@
 /// Objectives after which a request is given back whose adapter has not even a slot.
 const GIVE_BACK_OBJECTIVES: u64 = 2;
 /// The least time after which it is given back, in milliseconds.
-const LEAST_PATIENCE_MS: u64 = 400;
+const LEAST_WAIT_MS: u64 = 400;
 
 /// Decides for one model engine.
 #[derive(Debug)]
@@ -35,7 +35,7 @@
     models: BaseModels,
     load_times: LoadTimes,
     queue: EngineQueue,
-    orders: OrderBook,
+    orders: OrderTracker,
     born_ms: Option<u64>,
     restarts: u64,
     is_draining: bool,
@@ -54,7 +54,7 @@
             models: BaseModels::default(),
             load_times: LoadTimes::default(),
             queue: EngineQueue::new(settings.first_run_ms),
-            orders: OrderBook::default(),
+            orders: OrderTracker::default(),
             born_ms: None,
             restarts: 0,
             is_draining: false,
@@ -310,12 +310,12 @@
         let given_back = self.queue.give_back(|request| {
             let is_late = now_ms + LEAST_RUN_MS >= request.deadline_ms;
             let objective_ms = request.objective_ms.saturating_sub(request.arrived_ms);
-            let patience_ms = (GIVE_BACK_OBJECTIVES * objective_ms).max(LEAST_PATIENCE_MS);
+            let longest_wait_ms = (GIVE_BACK_OBJECTIVES * objective_ms).max(LEAST_WAIT_MS);
             let has_slot = request
                 .adapter
                 .as_ref()
                 .is_none_or(|adapter| adapters.state(adapter).is_some());
-            let is_hopeless = !has_slot && now_ms > request.arrived_ms + patience_ms;
+            let is_hopeless = !has_slot && now_ms > request.arrived_ms + longest_wait_ms;
             match (is_down, is_draining, is_late, is_hopeless) {
                 (true, _, _, _) => Some(EngineRefusal::EngineDown),
                 (_, true, _, _) => Some(EngineRefusal::Draining),
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 mod holdings;
 mod load_times;
 mod order;
-mod order_book;
+mod order_tracker;
 mod placement;
 mod popularity;
 mod replacements;
--- a/crates/magnoliasail-core/src/gateway/order_book.rs
+++ b/crates/magnoliasail-core/src/gateway/order_tracker.rs
@@ -15,7 +15,7 @@
 
 /// Orders to one engine.
 #[derive(Clone, Debug)]
-pub(super) struct OrderBook {
+pub(super) struct OrderTracker {
     pending: Option<PendingOrder>,
     /// Orders given and answers taken; a report is current only if none came since it was asked for.
     steps: u64,
@@ -24,7 +24,7 @@
     fencing_token: u64,
 }
 
-impl Default for OrderBook {
+impl Default for OrderTracker {
     fn default() -> Self {
         Self {
             pending: None,
@@ -35,7 +35,7 @@
     }
 }
 
-impl OrderBook {
+impl OrderTracker {
     /// Tells whether an order may be given.
     pub(super) const fn is_ready(&self) -> bool {
         self.pending.is_none() && self.sequence.is_some()
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -104,13 +104,19 @@
         return;
     };
     let started_ms = state.clock.now_ms();
-    let patience = state.patience(key);
+    let stall_limits = state.stall_limits(key);
     let end = match build(&state, key) {
         Some((request, id)) => {
             let sent = state.requests.send(request, id.as_deref(), false);
-            match unless_stalled(&state, patience.map(|patience| patience.head), sent).await {
+            match unless_stalled(
+                &state,
+                stall_limits.map(|stall_limits| stall_limits.head),
+                sent,
+            )
+            .await
+            {
                 Some(Ok(answer)) => {
-                    let gap = patience.map(|patience| patience.gap);
+                    let gap = stall_limits.map(|stall_limits| stall_limits.gap);
                     pass_on(&state, link, attempt, started_ms, gap, answer).await
                 }
                 Some(Err(error)) => sent_in_vain(&state, &error),
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -50,7 +50,7 @@
 
 /// How long an answer of the engine may take before it counts as stalled.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Patience {
+pub(super) struct StallLimits {
     pub(super) head: Duration,
     pub(super) gap: Duration,
 }
@@ -368,7 +368,7 @@
     }
 
     /// Returns how long a request's answer may take; nothing if it cannot go on elsewhere.
-    pub(super) fn patience(&self, key: u64) -> Option<Patience> {
+    pub(super) fn stall_limits(&self, key: u64) -> Option<StallLimits> {
         /// The least time for a head, in milliseconds.
         const LEAST_HEAD_MS: f64 = 600.0;
         /// How many times the usual time is still no stall.
@@ -382,7 +382,7 @@
         })??;
         let reading_ms = prompt_tokens as f64 / SLOWEST_TOKENS_PER_MS;
         let head_ms = LEAST_HEAD_MS + USUAL_TIMES * self.mean_head_ms.get() + reading_ms;
-        Some(Patience {
+        Some(StallLimits {
             head: Duration::from_millis(head_ms as u64),
             gap: GAP,
         })
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -5,7 +5,7 @@
         answer_body::{AnswerBody, BrokenOff},
         attempt::{Attempt, Next},
         in_flight::InFlight,
-        request::{Begun, Journey},
+        request::{Begun, Dispatch},
     },
     crate::{
         events::{EventId, emit},
@@ -22,7 +22,7 @@
 
 /// Relays one stream.
 pub(super) struct Relay {
-    journey: Journey,
+    dispatch: Dispatch,
     attempt: Option<Attempt>,
     in_flight: InFlight,
     splitter: EventSplitter,
@@ -32,13 +32,13 @@
 
 impl Relay {
     /// Starts to relay an answer that has begun.
-    pub(super) fn start(journey: Journey, begun: Begun) -> Response<AnswerBody> {
+    pub(super) fn start(dispatch: Dispatch, begun: Begun) -> Response<AnswerBody> {
         let (caller, parts) = mpsc::channel(WAITING_PARTS);
         let mut response = Response::new(AnswerBody::Relayed(parts));
         *response.status_mut() = begun.status;
         *response.headers_mut() = begun.headers;
         let relay = Self {
-            journey,
+            dispatch,
             attempt: Some(begun.attempt),
             in_flight: begun.in_flight,
             splitter: EventSplitter::default(),
@@ -51,10 +51,10 @@
 
     async fn run(mut self) {
         let deadline = self
-            .journey
+            .dispatch
             .state
             .clock
-            .instant(self.journey.outgoing.deadline_ms);
+            .instant(self.dispatch.outgoing.deadline_ms);
         let caller = self.caller.clone();
         tokio::select! {
             biased;
@@ -74,8 +74,8 @@
             match next {
                 Next::Part(bytes) => self.forward(&bytes).await,
                 Next::End if !self.splitter.is_within_event() => {
-                    self.journey.took(Stage::StreamWhole);
-                    self.journey.log_answered();
+                    self.dispatch.took(Stage::StreamWhole);
+                    self.dispatch.log_answered();
                     return;
                 }
                 Next::End | Next::Broken => {
@@ -111,25 +111,25 @@
     async fn resume(&mut self) -> bool {
         self.attempt = None;
         self.splitter.reset();
-        self.journey.count_failure(self.in_flight.server());
-        if !self.journey.may_send_again() {
+        self.dispatch.count_failure(self.in_flight.server());
+        if !self.dispatch.may_send_again() {
             return false;
         }
-        let Ok(begun) = self.journey.begin(self.last_event).await else {
+        let Ok(begun) = self.dispatch.begin(self.last_event).await else {
             return false;
         };
         if !begun.status.is_success() {
             return false;
         }
-        self.journey.state.metrics.retried(RetryCause::Resumed);
+        self.dispatch.state.metrics.retried(RetryCause::Resumed);
         emit(
             EventId::StreamResumed,
             format_args!(
                 "request={} server={} after={:?} left_ms={}",
-                self.journey.id(),
+                self.dispatch.id(),
                 begun.in_flight.server(),
                 self.last_event,
-                self.journey.left_ms()
+                self.dispatch.left_ms()
             ),
         );
         self.attempt = Some(begun.attempt);
@@ -142,13 +142,13 @@
             EventId::StreamBrokenOff,
             format_args!(
                 "request={} server={} cause={cause} after={:?} left_ms={}",
-                self.journey.id(),
+                self.dispatch.id(),
                 self.in_flight.server(),
                 self.last_event,
-                self.journey.left_ms()
+                self.dispatch.left_ms()
             ),
         );
-        self.journey.state.metrics.streams_broken.inc();
+        self.dispatch.state.metrics.streams_broken.inc();
         let _ = self.caller.send(Err(BrokenOff)).await;
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -34,7 +34,7 @@
 const MAX_PLACEMENTS: usize = 3;
 
 /// A request on its way to an answer.
-pub(super) struct Journey {
+pub(super) struct Dispatch {
     pub(super) state: Rc<EntryState>,
     pub(super) route: RouteMatch,
     pub(super) outgoing: Outgoing,
@@ -61,7 +61,7 @@
     pub(super) in_flight: InFlight,
 }
 
-/// Why a journey ended without an answer of a server.
+/// Why a dispatch ended without an answer of a server.
 pub(super) struct Refused {
     pub(super) cause: RefusalCause,
     pub(super) retry_after_ms: Option<u64>,
@@ -79,7 +79,7 @@
     metrics.running.inc();
     let running = RunningGuard(Rc::clone(&metrics));
     let mut response = match prepare(&state, request).await {
-        Ok(journey) => journey.finish().await,
+        Ok(dispatch) => dispatch.finish().await,
         Err(cause) => {
             let retry_after_ms =
                 (cause == RefusalCause::NoConfiguration).then_some(STARTING_RETRY_MS);
@@ -110,7 +110,7 @@
 async fn prepare(
     state: &Rc<EntryState>,
     request: Request<Incoming>,
-) -> Result<Journey, RefusalCause> {
+) -> Result<Dispatch, RefusalCause> {
     let now_ms = state.clock.now_ms();
     if !state.knows_its_work() {
         return Err(RefusalCause::NoConfiguration);
@@ -152,7 +152,7 @@
         has_further_server: false,
         facts,
     };
-    Ok(Journey {
+    Ok(Dispatch {
         state: Rc::clone(state),
         route,
         outgoing,
@@ -174,7 +174,7 @@
     }
 }
 
-impl Journey {
+impl Dispatch {
     /// Sees the request to its answer.
     async fn finish(mut self) -> Response<AnswerBody> {
         self.state.count_request(&self.route.service);
