--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -117,7 +117,8 @@
             network,
             ..settings
         };
-        let name = format!("magnoliasail-soak-{}-{network}", std::process::id());
+        let (process, seed) = (std::process::id(), settings.seed);
+        let name = format!("magnoliasail-soak-{process}-{network}-{seed}");
         let directory = std::env::temp_dir().join(name);
         fs::create_dir_all(&directory)?;
         let mut fleet = Self {
--- a/crates/magnoliasail-soak/src/standin/runner.rs
+++ b/crates/magnoliasail-soak/src/standin/runner.rs
@@ -19,6 +19,7 @@
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
+        task::{Context, Poll},
         time::{Duration, Instant},
     },
     tokio::{net::TcpListener, sync::mpsc, task::AbortHandle, time::sleep},
@@ -378,7 +379,7 @@
     }
 
     fn stream(&self, id: &str, resume_after: u64, is_broken: bool) -> Response<Body> {
-        let (events, parts) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(4);
+        let (events, parts) = mpsc::channel(4);
         let id = id.to_owned();
         let last = event_count(&id);
         let task = tokio::spawn(async move {
@@ -387,19 +388,21 @@
                 let event = format!("id: {number}\ndata: {id} {number}\n\n");
                 if is_broken && number * 2 > last {
                     let half = event.as_bytes()[..event.len() / 2].to_vec();
-                    let _ = events.send(Ok(Frame::data(half.into()))).await;
-                    let _ = events
-                        .send(Err(io::ErrorKind::ConnectionReset.into()))
-                        .await;
+                    let _ = events.send(StreamPart::Event(half.into())).await;
                     return;
                 }
-                if events.send(Ok(Frame::data(event.into()))).await.is_err() {
+                if events.send(StreamPart::Event(event.into())).await.is_err() {
                     return;
                 }
             }
+            let _ = events.send(StreamPart::End).await;
         });
         self.keep(task.abort_handle());
-        Response::new(BoxBody::new(EventBody(parts)))
+        let body = EventBody {
+            parts,
+            is_ended: false,
+        };
+        Response::new(BoxBody::new(body))
     }
 }
 
@@ -410,7 +413,16 @@
 }
 
 /// The body of a stream.
-struct EventBody(mpsc::Receiver<Result<Frame<Bytes>, io::Error>>);
+struct EventBody {
+    parts: mpsc::Receiver<StreamPart>,
+    is_ended: bool,
+}
+
+/// A part of a stream.
+enum StreamPart {
+    Event(Bytes),
+    End,
+}
 
 impl hyper::body::Body for EventBody {
     type Data = Bytes;
@@ -418,9 +430,22 @@
 
     fn poll_frame(
         mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.0.poll_recv(context)
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let Self { parts, is_ended } = &mut *self;
+        match parts.poll_recv(context) {
+            Poll::Ready(Some(StreamPart::Event(bytes))) => {
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Poll::Ready(Some(StreamPart::End)) => {
+                *is_ended = true;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) if *is_ended => Poll::Ready(None),
+            // A server that has crashed never ends a stream in order.
+            Poll::Ready(None) => Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into()))),
+            Poll::Pending => Poll::Pending,
+        }
     }
 }
 
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -84,6 +84,35 @@
     });
 }
 
+#[test]
+fn a_stream_whose_engine_crashed_never_looks_complete_before_its_end() {
+    with_fleet(71, |fleet| async move {
+        for round in 0..5 {
+            let mut tasks = Vec::new();
+            for number in 0..8 {
+                let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+                let call = call(CallKind::Stream, round * 100 + number);
+                tasks.push(tokio::spawn(async move { caller.call(&call).await }));
+            }
+            sleep(Duration::from_millis(70)).await;
+            for runner in &fleet.runners[..2] {
+                runner.crash();
+            }
+            sleep(Duration::from_millis(100)).await;
+            for runner in &fleet.runners[..2] {
+                runner.start().await.expect("the engine starts again");
+            }
+            fleet.list(0);
+            fleet.list(1);
+            for task in tasks {
+                let _ = task.await;
+            }
+            sleep(Duration::from_millis(1_500)).await;
+        }
+        assert_kept(&fleet);
+    });
+}
+
 #[test]
 fn a_request_that_may_not_be_repeated_is_sent_again_only_on_proof() {
     with_fleet(62, |fleet| async move {
