refactor: a match arm that said one thing twice, and a function without callers

Found by reading the change whole: every failure after sending means that the request may have run, so the named variants before the catch-all said nothing; Directory::ids had no caller. Behaviour is unchanged.

--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -120,16 +120,6 @@
         self.servers.get(id)
     }
 
-    /// Returns the ids that the list has, removed ones excepted.
-    #[must_use]
-    pub fn ids(&self) -> Vec<Arc<str>> {
-        self.servers
-            .iter()
-            .filter(|(_, server)| server.removed_ms.is_none())
-            .map(|(id, _)| Arc::clone(id))
-            .collect()
-    }
-
     /// Returns the servers of a service that may get new work.
     pub fn usable<'a>(
         &'a self,
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -9,7 +9,7 @@
         events::{EventId, emit},
         gateway::{
             header_message::{from_message, to_message},
-            pool::{Answer, SendError},
+            pool::Answer,
         },
     },
     bytes::Bytes,
@@ -209,7 +209,7 @@
             }
         }
         Err(error) if error.is_unsent() => Start::Unsent,
-        Err(SendError::Broken { .. } | SendError::Mismatched { .. }) | Err(_) => Start::Broken,
+        Err(_) => Start::Broken,
     }
 }
 
