fix: requests wait for an entry, an agent or an engine that has just started; a report not asked for proves nothing

Now a request waits for up to 0.8 s for the configuration while the store answers, up to 0.6 s for agents only just met, and at an agent whose engine loads its base model; placement counts the time until an engine is ready. What the store's outage keeps from being known is refused at once, as before.

EngineWatch decides now, and counts only reports that the engine left unanswered. A connection just given back is waited for instead of closed.

The list of servers is read every half drain_ms, at most 1.5 s, instead of every second.

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -94,7 +94,7 @@
     /// Returns when an engine that loads its base model is expected to take requests, in
     /// milliseconds from now.
     #[must_use]
-    pub const fn ready_in_ms(&self, now_ms: TimeMs) -> Option<u64> {
+    pub fn ready_in_ms(&self, now_ms: TimeMs) -> Option<u64> {
         self.models.ready_in_ms(now_ms)
     }
 
@@ -252,32 +252,40 @@
     fn refusal(&self, request: &EngineRequest, now_ms: TimeMs) -> Option<(EngineRefusal, u64)> {
         /// When to come back where nothing tells when the engine is ready.
         const READY_RETRY_MS: u64 = 1_000;
-        let ready_in_ms = self.ready_in_ms(now_ms).unwrap_or(READY_RETRY_MS);
+        let ready_in_ms = self.ready_in_ms(now_ms);
         if self.is_draining {
             return Some((EngineRefusal::Draining, 0));
         }
         if self.is_down {
             return Some((EngineRefusal::EngineDown, READY_RETRY_MS));
         }
-        if !self.models.holds(&request.model) {
+        if !self.may_serve(&request.model) {
+            let ready_in_ms = ready_in_ms.unwrap_or(READY_RETRY_MS);
             return Some((EngineRefusal::ModelAbsent, ready_in_ms));
         }
+        let model_ms = ready_in_ms.unwrap_or(0);
         let load_ms = self.expected_load_ms(request);
-        if now_ms + load_ms > request.objective_ms && load_ms > self.load_times.mean_ms() as u64 * 2
+        if now_ms + model_ms + load_ms > request.objective_ms
+            && load_ms > self.load_times.mean_ms() as u64 * 2
         {
             // Served now it would be late, and take a slot from others that would not be.
-            return Some((EngineRefusal::Overloaded, load_ms));
+            return Some((EngineRefusal::Overloaded, model_ms + load_ms));
         }
         let place_ms = self
             .queue
             .expected_wait_ms(request.rank, self.limits.batch_slots);
-        let wait_ms = place_ms.max(load_ms);
+        let wait_ms = model_ms + place_ms.max(load_ms);
         if now_ms + wait_ms > request.deadline_ms {
             return Some((EngineRefusal::Overloaded, wait_ms));
         }
         None
     }
 
+    /// Tells whether the engine holds a base model, or loads it now.
+    fn may_serve(&self, model: &Arc<str>) -> bool {
+        self.models.holds(model) || self.models.awaits(model)
+    }
+
     /// Returns how long a request is expected to wait for an adapter that has no slot.
     fn expected_slot_ms(&self, request: &EngineRequest) -> u64 {
         let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
@@ -307,6 +315,7 @@
         const LEAST_RUN_MS: u64 = 30;
         let (is_down, is_draining) = (self.is_down, self.is_draining);
         let adapters = &self.adapters;
+        let ready_ms = self.models.ready_ms();
         let given_back = self.queue.give_back(|request| {
             let is_late = now_ms + LEAST_RUN_MS >= request.deadline_ms;
             let objective_ms = request.objective_ms.saturating_sub(request.arrived_ms);
@@ -315,7 +324,8 @@
                 .adapter
                 .as_ref()
                 .is_none_or(|adapter| adapters.state(adapter).is_some());
-            let is_hopeless = !has_slot && now_ms > request.arrived_ms + longest_wait_ms;
+            let since_ms = request.arrived_ms.max(ready_ms);
+            let is_hopeless = !has_slot && now_ms > since_ms + longest_wait_ms;
             match (is_down, is_draining, is_late, is_hopeless) {
                 (true, _, _, _) => Some(EngineRefusal::EngineDown),
                 (_, true, _, _) => Some(EngineRefusal::Draining),
@@ -385,7 +395,7 @@
     /// Returns the adapters that requests wait for and that have no slot, with their weights.
     fn missing_adapters(&self, now_ms: TimeMs) -> HashMap<&Arc<str>, f64> {
         self.queue.missing_adapters(now_ms, |request, adapter| {
-            self.adapters.state(adapter).is_none() && self.models.holds(&request.model)
+            self.adapters.state(adapter).is_none() && self.may_serve(&request.model)
         })
     }
 
@@ -428,7 +438,7 @@
 
     fn adopt(&mut self, report: &EngineReport, now_ms: TimeMs) {
         self.orders.adopt(report.sequence);
-        self.models.adopt(report);
+        self.models.adopt(report, now_ms);
         let mut held = HashMap::new();
         for model in &report.models {
             for adapter in &model.adapters {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod engine_report;
 mod engine_request;
 mod engine_scheduler;
+mod engine_watch;
 mod event_stream;
 mod holdings;
 mod load_times;
@@ -46,6 +47,7 @@
     engine_report::{EngineReport, HeldModel, VersionedAdapter},
     engine_request::{EngineRefusal, EngineRequest},
     engine_scheduler::EngineScheduler,
+    engine_watch::{EngineWatch, MissingReport},
     event_stream::{EventSplitter, StreamEvent},
     holdings::{Holding, Holdings, HoldingsLog, adapter_key},
     order::{Order, OrderKind, OrderOutcome},
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -33,6 +33,8 @@
     pub adapters_waiting: u32,
     /// Whether an adapter that is loaded now would get a slot.
     pub has_slot: bool,
+    /// Time until it has loaded its base model, in milliseconds.
+    pub ready_in_ms: u64,
 }
 
 /// What ties a request to servers.
@@ -151,6 +153,7 @@
             }
         };
         f64::from(sharers).powi(2) * costs.sharer_ms
+            + candidate.ready_in_ms as f64
             + slot_ms
             + f64::from(queued) * costs.queued_ms
             + miss_ms
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/engine_watch.rs
@@ -0,0 +1,33 @@
+//! Which missing reports say that an engine is down.
+
+use magnoliasail_core::gateway::{EngineWatch, MissingReport};
+
+#[test]
+fn an_engine_that_leaves_reports_unanswered_is_down_until_it_answers() {
+    let mut watch = EngineWatch::default();
+    assert!(!watch.missed(MissingReport::Unanswered));
+    assert!(watch.missed(MissingReport::Unanswered));
+    assert!(!watch.missed(MissingReport::Unanswered), "it is told once");
+    assert!(watch.answered());
+    assert!(!watch.answered());
+}
+
+#[test]
+fn a_report_that_was_not_asked_for_says_nothing_of_the_engine() {
+    let mut watch = EngineWatch::default();
+    for _ in 0..10 {
+        assert!(!watch.missed(MissingReport::Unasked));
+    }
+    assert!(!watch.missed(MissingReport::Unanswered));
+    assert!(!watch.missed(MissingReport::Unasked));
+    assert!(watch.missed(MissingReport::Unanswered));
+}
+
+#[test]
+fn one_lost_answer_is_forgotten_with_the_next_report() {
+    let mut watch = EngineWatch::default();
+    for _ in 0..10 {
+        assert!(!watch.missed(MissingReport::Unanswered));
+        assert!(!watch.answered());
+    }
+}
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod engine;
+mod engine_watch;
 mod holdings;
 mod placement;
 mod retries;
--- a/crates/magnoliasail-core/tests/gateway/placement.rs
+++ b/crates/magnoliasail-core/tests/gateway/placement.rs
@@ -13,6 +13,7 @@
         holding: Holding::Absent,
         adapters_waiting: 0,
         has_slot: true,
+        ready_in_ms: 0,
     }
 }
 
@@ -137,6 +138,19 @@
     assert_eq!(placement.pick(popular("m/a"), &fleet), first);
 }
 
+#[test]
+fn an_engine_that_loads_its_model_is_asked_only_if_no_other_can_serve_sooner() {
+    let placement = Placement::default();
+    let mut fleet = fleet(3);
+    let first = placement.pick(rare("m/a"), &fleet).expect("a server");
+    fleet[first].ready_in_ms = 800;
+    assert_ne!(placement.pick(rare("m/a"), &fleet), Some(first));
+    for candidate in &mut fleet {
+        candidate.ready_in_ms = 800;
+    }
+    assert_eq!(placement.pick(rare("m/a"), &fleet), Some(first));
+}
+
 #[test]
 fn a_server_that_has_turned_slow_is_avoided() {
     let placement = Placement::default();
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -13,13 +13,15 @@
     bytes::Bytes,
     hyper::{Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
-        EngineRefusal, Order, OrderOutcome,
+        EngineRefusal, EngineReport, EngineWatch, MissingReport, Order, OrderOutcome,
         message::{Head, Part, ToEntryKind},
     },
     magnoliasail_platform::{
+        DecodeError,
         headers::{self, Stamp},
         orders, report,
     },
+    snafu::{ResultExt, Snafu},
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -30,25 +32,40 @@
 const LOADING_POLL: Duration = Duration::from_millis(20);
 /// Time between reports otherwise.
 const IDLE_POLL: Duration = Duration::from_millis(250);
-/// Reports that fail in a row before the engine counts as down.
-const MAX_FAILED_REPORTS: u32 = 2;
+/// Why a report did not come.
+#[derive(Debug, Snafu)]
+enum ReportError {
+    #[snafu(display("{source}"))]
+    Unreachable { source: SendError },
+    #[snafu(display("the engine answered {status} to a request for its report"))]
+    Status { status: StatusCode },
+    #[snafu(display("{source}"))]
+    Malformed { source: DecodeError },
+}
+
+impl ReportError {
+    const fn missing(&self) -> MissingReport {
+        match self {
+            Self::Unreachable { source } if source.is_unasked() => MissingReport::Unasked,
+            _ => MissingReport::Unanswered,
+        }
+    }
+}
 
 /// Asks the engine for reports for as long as the process lives.
 pub(super) async fn watch_engine(state: Rc<AgentState>) {
-    let mut failed = 0;
+    let mut watch = EngineWatch::default();
     loop {
         let ticket = state.scheduler.borrow().report_ticket();
         match ask_report(&state).await {
             Ok(report) => {
-                if failed >= MAX_FAILED_REPORTS {
+                if watch.answered() {
                     emit(EventId::EngineRegained, "the engine reports again");
                 }
-                failed = 0;
                 state.reported(&report, ticket);
             }
             Err(error) => {
-                failed += 1;
-                if failed == MAX_FAILED_REPORTS {
+                if watch.missed(error.missing()) {
                     emit(EventId::EngineLost, error);
                     state.unreachable();
                 }
@@ -66,21 +83,17 @@
     }
 }
 
-async fn ask_report(
-    state: &AgentState,
-) -> Result<magnoliasail_core::gateway::EngineReport, String> {
+async fn ask_report(state: &AgentState) -> Result<EngineReport, ReportError> {
     let request = report::request(&state.engine_address.to_string());
     let (status, body) = state
         .control
         .call(request, REPORT_TIMEOUT)
         .await
-        .map_err(|error| error.to_string())?;
+        .context(UnreachableSnafu)?;
     if status != StatusCode::OK {
-        return Err(format!(
-            "the engine answered {status} to a request for its report"
-        ));
+        return StatusSnafu { status }.fail();
     }
-    report::decode(&body).map_err(|error| error.to_string())
+    report::decode(&body).context(MalformedSnafu)
 }
 
 /// Gives an order and tells the scheduler what became of it.
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -79,13 +79,16 @@
     mean_head_ms: Cell<f64>,
     is_draining: Cell<bool>,
     was_serving: Cell<bool>,
+    /// Whether the engine loaded its base model when the entries were told.
+    was_loading: Cell<bool>,
 }
 
 /// Connections to the engine for requests; more than any batch holds.
 const REQUEST_CONNECTIONS: usize = 200;
 /// The time until a head before any has been seen, in milliseconds.
 const FIRST_HEAD_MS: f64 = 100.0;
-const CONTROL_CONNECTIONS: usize = 2;
+/// Connections to the engine for a report and an order, and as many that are being closed.
+const CONTROL_CONNECTIONS: usize = 4;
 
 impl AgentState {
     pub(super) fn new(settings: Rc<NodeSettings>, backend: SocketAddr) -> Rc<Self> {
@@ -111,6 +114,7 @@
             mean_head_ms: Cell::new(FIRST_HEAD_MS),
             is_draining: Cell::new(false),
             was_serving: Cell::new(false),
+            was_loading: Cell::new(false),
         })
     }
 
@@ -298,9 +302,6 @@
         );
         self.decide(|scheduler, now_ms, actions| scheduler.ordered(outcome, now_ms, actions));
         self.metrics.orders.inc();
-        if order.adapter.is_none() {
-            self.tell_all();
-        }
         self.report_wanted.notify_one();
     }
 
@@ -326,6 +327,10 @@
             emit(EventId::EngineState, format_args!("serving={is_serving}"));
             self.tell_all();
         }
+        let is_loading = self.scheduler.borrow().ready_in_ms(now_ms).is_some();
+        if self.was_loading.replace(is_loading) != is_loading {
+            self.tell_all();
+        }
     }
 
     fn carry_out(self: &Rc<Self>, action: EngineAction) {
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -18,7 +18,11 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{sync::mpsc, task::AbortHandle, time::sleep},
+    tokio::{
+        sync::{Notify, mpsc},
+        task::AbortHandle,
+        time::{Instant, sleep},
+    },
 };
 
 /// Parts of one answer that may wait to be relayed.
@@ -46,6 +50,10 @@
     address: SocketAddr,
     outbox: RefCell<Option<Outbox<ToAgent>>>,
     state: Cell<EngineState>,
+    /// When the state was told, or the link went down.
+    told_at: Cell<Instant>,
+    /// Told when the engine begins or ceases to take requests.
+    changes: Rc<Notify>,
     holdings: RefCell<Holdings>,
     attempts: RefCell<HashMap<u64, mpsc::Sender<AttemptNews>>>,
     next_attempt: Cell<u64>,
@@ -54,11 +62,13 @@
 
 impl EngineLink {
     /// Opens a link and keeps it open.
-    pub(super) fn open(address: SocketAddr) -> Rc<Self> {
+    pub(super) fn open(address: SocketAddr, changes: Rc<Notify>) -> Rc<Self> {
         let link = Rc::new(Self {
             address,
             outbox: RefCell::default(),
             state: Cell::default(),
+            told_at: Cell::new(Instant::now()),
+            changes,
             holdings: RefCell::default(),
             attempts: RefCell::default(),
             next_attempt: Cell::new(1),
@@ -69,16 +79,40 @@
         link
     }
 
-    /// Returns the engine's state, if the link is up and the engine takes requests.
-    pub(super) fn serving(&self) -> Option<EngineState> {
+    /// Returns the engine's state, if the link is up and the engine takes requests: at once, or
+    /// when it has loaded its base model.
+    pub(super) fn taking(&self) -> Option<EngineState> {
         let is_up = self.outbox.borrow().is_some();
-        Some(self.state.get()).filter(|state| is_up && state.is_serving)
+        let state = self.state.get();
+        let ready_in_ms = match (state.is_serving, state.ready_in_ms) {
+            (true, _) => 0,
+            (false, 0) => return None,
+            (false, told_ms) => {
+                let since_ms = self.told_at.get().elapsed().as_millis() as u64;
+                told_ms.saturating_sub(since_ms).max(1)
+            }
+        };
+        is_up.then_some(EngineState {
+            ready_in_ms,
+            ..state
+        })
     }
 
-    /// Returns when an engine that takes no requests yet is expected to, in milliseconds.
-    pub(super) fn ready_in_ms(&self) -> Option<u64> {
-        let state = self.state.get();
-        Some(state.ready_in_ms).filter(|&ready_in_ms| !state.is_serving && ready_in_ms > 0)
+    /// Tells whether the agent is only just being met, so that it may soon say that its engine
+    /// takes requests.
+    pub(super) fn is_settling(&self) -> bool {
+        /// Time in which an agent that has started learns what its engine holds.
+        const SETTLING: Duration = Duration::from_millis(600);
+        self.taking().is_none() && self.told_at.get().elapsed() < SETTLING
+    }
+
+    fn set_state(&self, state: EngineState) {
+        let old = self.state.replace(state);
+        let takes = |state: EngineState| (state.is_serving, state.ready_in_ms > 0);
+        if takes(old) != takes(state) {
+            self.told_at.set(Instant::now());
+            self.changes.notify_waiters();
+        }
     }
 
     /// Returns how the engine holds an adapter.
@@ -132,7 +166,7 @@
     fn receive(&self, message: ToEntry) {
         let Some(kind) = message.kind else { return };
         match kind {
-            ToEntryKind::State(state) => self.state.set(state),
+            ToEntryKind::State(state) => self.set_state(state),
             ToEntryKind::Holdings(news) => self.holdings.borrow_mut().adopt(&news),
             ToEntryKind::Refused(refused) => {
                 let news = AttemptNews::Refused {
@@ -182,7 +216,7 @@
                 .run(async move |message: ToEntry| receiver.receive(message))
                 .await;
             link.outbox.replace(None);
-            link.state.set(EngineState::default());
+            link.set_state(EngineState::default());
             // Each attempt learns from the end of its news that it is broken.
             link.attempts.borrow_mut().clear();
             let cause = end
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -22,12 +22,20 @@
     },
     magnoliasail_core::gateway::{Affinity, RouteMatch},
     magnoliasail_platform::headers,
-    std::{convert::Infallible, rc::Rc, sync::Arc},
-    tokio::time::timeout_at,
+    rand::Rng,
+    std::{convert::Infallible, ops::Range, rc::Rc, sync::Arc, time::Duration},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// When to come back while an entry does not know its work, in milliseconds.
-const STARTING_RETRY_MS: u64 = 500;
+const STARTING_RETRY_MS: Range<u64> = 400..1_000;
+/// The longest time for which a request waits for what an entry that has started learns: callers give
+/// up on a request that is not read within a second.
+const LEARNING: Duration = Duration::from_millis(800);
+/// The longest time for which a request waits for agents that are only just being met.
+const MEETING: Duration = Duration::from_millis(600);
+/// Time between looks whether a request may still wait.
+const WAIT_POLL: Duration = Duration::from_millis(50);
 /// Recent requests at one entry that make an adapter popular.
 const POPULAR_REQUESTS: f64 = 5.0;
 /// Agents that are asked before a request is refused.
@@ -81,8 +89,8 @@
     let mut response = match prepare(&state, request).await {
         Ok(dispatch) => dispatch.finish().await,
         Err(cause) => {
-            let retry_after_ms =
-                (cause == RefusalCause::NoConfiguration).then_some(STARTING_RETRY_MS);
+            let retry_after_ms = (cause == RefusalCause::NoConfiguration)
+                .then(|| rand::rng().random_range(STARTING_RETRY_MS));
             log_refusal(id.as_deref(), cause, retry_after_ms, 0);
             metrics.refused(cause.into());
             refuse(cause, retry_after_ms)
@@ -112,7 +120,7 @@
     request: Request<Incoming>,
 ) -> Result<Dispatch, RefusalCause> {
     let now_ms = state.clock.now_ms();
-    if !state.knows_its_work() {
+    if !learned(state).await {
         return Err(RefusalCause::NoConfiguration);
     }
     let (head, body) = request.into_parts();
@@ -166,6 +174,19 @@
     })
 }
 
+/// Waits for an entry that has just started to learn its work, while the store answers; returns
+/// whether it knows it.
+async fn learned(state: &EntryState) -> bool {
+    let limit = Instant::now() + LEARNING;
+    while !state.knows_its_work() {
+        if state.is_store_lost.get() || Instant::now() >= limit {
+            return false;
+        }
+        let _ = timeout(WAIT_POLL, state.changes.notified()).await;
+    }
+    true
+}
+
 async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, RefusalCause> {
     match Limited::new(body, max_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
@@ -240,15 +261,12 @@
         let mut retry_after_ms = u64::MAX;
         let mut cause = RefusalCause::NoServer;
         loop {
-            let model = self.outgoing.facts.model.as_ref();
-            let affinity = Affinity {
-                key: &self.affinity,
-                is_popular: self.is_popular,
+            let pick = if placements < MAX_PLACEMENTS {
+                self.place().await
+            } else {
+                None
             };
-            let pick = self
-                .state
-                .pick(&self.route.service, model, affinity, &self.tried);
-            let Some(pick) = pick.filter(|_| placements < MAX_PLACEMENTS) else {
+            let Some(pick) = pick else {
                 return Err(self.refused(cause, retry_after_ms));
             };
             placements += 1;
@@ -318,6 +336,29 @@
         }
     }
 
+    /// Picks a server that was not asked yet; waits for agents that are only just being met if no
+    /// other can be asked.
+    async fn place(&self) -> Option<Pick> {
+        let limit = Instant::now() + MEETING;
+        loop {
+            let affinity = Affinity {
+                key: &self.affinity,
+                is_popular: self.is_popular,
+            };
+            let model = self.outgoing.facts.model.as_ref();
+            let pick = self
+                .state
+                .pick(&self.route.service, model, affinity, &self.tried);
+            let may_wait = self.tried.is_empty()
+                && Instant::now() < limit
+                && self.state.is_settling(&self.route.service);
+            if pick.is_some() || !may_wait {
+                return pick;
+            }
+            let _ = timeout(WAIT_POLL, self.state.changes.notified()).await;
+        }
+    }
+
     /// Builds the refusal of a request whose time ran out.
     const fn expired(&self) -> Refused {
         let cause = if self.may_run || self.may_have_run {
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -21,7 +21,7 @@
         sync::Arc,
     },
     strum::IntoEnumIterator,
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
 /// Connections of one entry to one plain server, where the configuration names no limit.
@@ -44,6 +44,10 @@
     answered: Cell<u64>,
     /// Whether the list of servers has been read once.
     pub(super) has_servers: Cell<bool>,
+    /// Whether the store could not be read lately.
+    pub(super) is_store_lost: Cell<bool>,
+    /// Told when the entry learns something that a waiting request may need.
+    pub(super) changes: Rc<Notify>,
 }
 
 /// A server that was picked for a request.
@@ -70,6 +74,8 @@
             popularity: RefCell::default(),
             answered: Cell::new(0),
             has_servers: Cell::new(false),
+            is_store_lost: Cell::new(false),
+            changes: Rc::default(),
         })
     }
 
@@ -143,7 +149,7 @@
                 let link = links.get(&server.entry.address.ip())?;
                 let holds_model =
                     model.is_none_or(|model| link.holding(model) == Holding::Resident);
-                Some((server, link, link.serving()?, holds_model))
+                Some((server, link, link.taking()?, holds_model))
             })
             .collect();
         let is_held = serving.iter().any(|&(.., holds_model)| holds_model);
@@ -159,6 +165,7 @@
                     holding: link.holding(adapter),
                     adapters_waiting: state.adapters_waiting,
                     has_slot: state.slots_available > state.adapters_waiting,
+                    ready_in_ms: state.ready_in_ms,
                     ..candidate
                 };
                 let pick = Pick {
@@ -170,6 +177,21 @@
             .unzip()
     }
 
+    /// Tells whether an engine of a service is only just being met.
+    pub(super) fn is_settling(&self, service: &str) -> bool {
+        if self.table.borrow().engine(service).is_none() {
+            return false;
+        }
+        let directory = self.directory.borrow();
+        let links = self.links.borrow();
+        directory
+            .usable(service, self.clock.now_ms())
+            .any(|server| {
+                let link = links.get(&server.entry.address.ip());
+                link.is_none_or(|link| link.is_settling())
+            })
+    }
+
     /// Returns a server as a candidate that holds whatever a request needs.
     fn plain_candidate(&self, server: &ServerView) -> (Pick, Candidate) {
         let now_ms = self.clock.now_ms();
@@ -188,6 +210,7 @@
             holding: Holding::Resident,
             adapters_waiting: 0,
             has_slot: true,
+            ready_in_ms: 0,
         };
         (pick, candidate)
     }
@@ -203,7 +226,9 @@
         let links = self.links.borrow();
         let soonest_ms = directory
             .usable(service, self.clock.now_ms())
-            .filter_map(|server| links.get(&server.entry.address.ip())?.ready_in_ms())
+            .filter_map(|server| links.get(&server.entry.address.ip())?.taking())
+            .map(|state| state.ready_in_ms)
+            .filter(|&ready_in_ms| ready_in_ms > 0)
             .min();
         soonest_ms.unwrap_or(UNKNOWN_MS) + rand::rng().random_range(0..SPREAD_MS)
     }
@@ -248,7 +273,7 @@
         let links = self.links.borrow();
         let told = links
             .values()
-            .filter_map(|link| link.serving())
+            .filter_map(|link| link.taking())
             .map(|state| state.entries);
         told.max().unwrap_or(ASSUMED_ENTRIES).max(1)
     }
--- a/crates/magnoliasail/src/gateway/entry/views.rs
+++ b/crates/magnoliasail/src/gateway/entry/views.rs
@@ -16,7 +16,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::timeout,
 };
 
 /// Connections to the store: one for each follower and one to spare.
@@ -26,8 +26,9 @@
 /// Time between changes of the configuration that are taken, well within the time for one to be in
 /// force.
 const CONFIGURATION_GAP: Duration = Duration::from_millis(250);
-/// Time between changes of the list that are taken: it changes whenever an engine loads an adapter.
-const SERVERS_GAP: Duration = Duration::from_millis(1_000);
+/// The most time between changes of the list that are taken: it changes whenever an engine loads an
+/// adapter, and each call has a price.
+const MOST_SERVERS_GAP_MS: u64 = 1_500;
 /// Time between looks for links to open or close.
 const LINK_REVIEW: Duration = Duration::from_millis(100);
 
@@ -63,7 +64,8 @@
         registry::SERVERS,
         Pace {
             wait: WATCH,
-            gap: SERVERS_GAP,
+            // A server that is leaving must be known well before it may get nothing new.
+            gap: Duration::from_millis((state.settings.drain_ms / 2).min(MOST_SERVERS_GAP_MS)),
         },
         Rc::new(ServersView(Rc::clone(state))),
     );
@@ -79,6 +81,7 @@
             Ok(configuration) => {
                 let version = configuration.version;
                 if self.0.table.borrow_mut().adopt(configuration) {
+                    self.0.changes.notify_waiters();
                     self.0.metrics.configuration_version.set(version as i64);
                     emit(
                         EventId::ConfigurationAdopted,
@@ -93,9 +96,14 @@
         }
     }
 
-    fn troubled(&self) {}
+    fn troubled(&self) {
+        self.0.is_store_lost.set(true);
+        self.0.changes.notify_waiters();
+    }
 
-    fn caught_up(&self) {}
+    fn caught_up(&self) {
+        self.0.is_store_lost.set(false);
+    }
 }
 
 impl Followed for ServersView {
@@ -135,10 +143,15 @@
         let now_ms = self.0.clock.now_ms();
         self.0.metrics.store_troubles.inc();
         self.0.directory.borrow_mut().trouble(now_ms);
+        self.0.is_store_lost.set(true);
+        self.0.changes.notify_waiters();
     }
 
     fn caught_up(&self) {
-        self.0.has_servers.set(true);
+        self.0.is_store_lost.set(false);
+        if !self.0.has_servers.replace(true) {
+            self.0.changes.notify_waiters();
+        }
     }
 }
 
@@ -146,7 +159,7 @@
 async fn review_links(state: Rc<EntryState>) {
     loop {
         open_and_close_links(&state);
-        sleep(LINK_REVIEW).await;
+        let _ = timeout(LINK_REVIEW, state.changes.notified()).await;
     }
 }
 
@@ -172,8 +185,9 @@
     });
     let port = state.settings.first_internal_port;
     for address in engines {
-        links
-            .entry(address)
-            .or_insert_with(|| EngineLink::open(SocketAddr::new(address, port)));
+        links.entry(address).or_insert_with(|| {
+            let changes = Rc::clone(&state.changes);
+            EngineLink::open(SocketAddr::new(address, port), changes)
+        });
     }
 }
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -86,6 +86,11 @@
     pub(super) const fn is_unsent(&self) -> bool {
         matches!(self, Self::Unconnected { .. } | Self::Exhausted { .. })
     }
+
+    /// Tells whether the server was not even asked, so that the error says nothing of it.
+    pub(super) const fn is_unasked(&self) -> bool {
+        matches!(self, Self::Exhausted { .. })
+    }
 }
 
 type Sender = SendRequest<Full<Bytes>>;
@@ -136,7 +141,7 @@
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
         loop {
-            let (mut sender, is_kept) = match self.take_idle(may_repeat) {
+            let (mut sender, is_kept) = match self.take_idle(may_repeat).await {
                 Some(sender) => (sender, true),
                 None => (self.open().await?, false),
             };
@@ -192,20 +197,21 @@
             }))
     }
 
-    fn take_idle(&self, may_repeat: bool) -> Option<Sender> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop() {
-            let age = connection.since.elapsed();
+    /// Takes the connection that was used last, if it may still be used.
+    async fn take_idle(&self, may_repeat: bool) -> Option<Sender> {
+        loop {
+            let connection = self.idle.borrow_mut().pop()?;
             let limit = if may_repeat {
                 connection.limit
             } else {
                 connection.limit.min(FRESH_LIMIT)
             };
-            if age < limit && connection.sender.is_ready() {
-                return Some(connection.sender);
+            let mut sender = connection.sender;
+            // One that has just been given back is ready as soon as its task has run.
+            if connection.since.elapsed() < limit && sender.ready().await.is_ok() {
+                return Some(sender);
             }
         }
-        None
     }
 
     async fn open(&self) -> Result<Sender, SendError> {
