fix: connections that servers forget cost one request, not each that follows a pause

IdleTrust halves the trusted time at each such loss and lets it rise slowly. Shared by the pools of one process.

--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod engine_watch;
 mod event_stream;
 mod holdings;
+mod idle_trust;
 mod load_times;
 mod order;
 mod order_tracker;
@@ -50,6 +51,7 @@
     engine_watch::{EngineWatch, MissingReport},
     event_stream::{EventSplitter, StreamEvent},
     holdings::{Holding, Holdings, HoldingsLog, adapter_key},
+    idle_trust::IdleTrust,
     order::{Order, OrderKind, OrderOutcome},
     placement::{Affinity, Candidate, Placement, PlacementCosts},
     popularity::Popularity,
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/idle_trust.rs
@@ -0,0 +1,41 @@
+//! Servers that forget idle connections, sooner than they say.
+
+use magnoliasail_core::gateway::IdleTrust;
+
+/// Servers that forget a connection after 300 ms of rest.
+const FORGOTTEN_MS: u64 = 300;
+
+#[test]
+fn few_requests_are_lost_before_connections_are_used_only_while_they_hold() {
+    let mut trust = IdleTrust::default();
+    let mut lost = 0;
+    for step in 0..100 {
+        let now_ms = step * 50;
+        let idle_ms = (step * 37) % 700;
+        if idle_ms < trust.limit_ms(now_ms) && idle_ms >= FORGOTTEN_MS {
+            lost += 1;
+            trust.lost(idle_ms, now_ms);
+        }
+    }
+    assert_eq!(lost, 1);
+    assert!(trust.limit_ms(5_000) >= 100, "connections are still used");
+}
+
+#[test]
+fn trust_comes_back_while_connections_hold() {
+    let mut trust = IdleTrust::default();
+    let first_ms = trust.limit_ms(0);
+    trust.lost(400, 1_000);
+    assert_eq!(trust.limit_ms(1_000), 200);
+    assert_eq!(trust.limit_ms(11_000), 300);
+    assert_eq!(trust.limit_ms(1_000_000), first_ms);
+}
+
+#[test]
+fn a_connection_that_broke_soon_never_ends_all_reuse() {
+    let mut trust = IdleTrust::default();
+    for now_ms in 0..100 {
+        trust.lost(0, now_ms);
+    }
+    assert!(trust.limit_ms(100) > 0);
+}
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -210,13 +210,18 @@
                 self.fleet.list(runner);
             }
             6 => {
-                let faults = RunnerFaults {
+                let mut faults = RunnerFaults {
                     failed: self.random.random_range(0.0..0.3),
                     broken: self.random.random_range(0.0..0.3),
                     lost: self.random.random_range(0.0..0.1),
                     refused: self.random.random_range(0.0..0.3),
                     late_ms: self.random.random_range(0..400),
+                    ..RunnerFaults::default()
                 };
+                // Some servers also forget idle connections.
+                if faults.late_ms.is_multiple_of(3) {
+                    faults.forget_ms = faults.late_ms;
+                }
                 self.note(format!("server {runner} fails: {faults:?}"));
                 self.fleet.runners[runner].set_faults(faults);
             }
--- a/crates/magnoliasail-soak/src/standin/runner.rs
+++ b/crates/magnoliasail-soak/src/standin/runner.rs
@@ -57,6 +57,8 @@
     pub refused: f64,
     /// Time by which every plain answer is late, in milliseconds.
     pub late_ms: u64,
+    /// Idle time after which a connection is forgotten, in milliseconds; 0 for never.
+    pub forget_ms: u64,
 }
 
 #[derive(Debug)]
@@ -198,7 +200,20 @@
     async fn accept(self, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let runner = self.clone();
-            let service = service_fn(move |request| runner.clone().answer(request));
+            let used_at = Arc::new(Mutex::new(Instant::now()));
+            let service = service_fn(move |request| {
+                let is_forgotten = runner.is_forgotten(&used_at);
+                let runner = runner.clone();
+                let used_at = Arc::clone(&used_at);
+                async move {
+                    if is_forgotten {
+                        return Err(io::ErrorKind::ConnectionReset.into());
+                    }
+                    let answer = runner.answer(request).await;
+                    *used_at.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+                    answer
+                }
+            });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let task = tokio::spawn(async move {
                 let _ = connection.await;
@@ -207,6 +222,13 @@
         }
     }
 
+    /// Tells whether a connection that was last used then has been forgotten.
+    fn is_forgotten(&self, used_at: &Mutex<Instant>) -> bool {
+        let forget_ms = self.with(|state| state.faults.forget_ms);
+        let used_at = *used_at.lock().unwrap_or_else(PoisonError::into_inner);
+        forget_ms > 0 && used_at.elapsed() > Duration::from_millis(forget_ms)
+    }
+
     async fn answer(self, request: Request<Incoming>) -> Result<Response<Body>, io::Error> {
         match request.uri().path() {
             "/report" => Ok(self.report()),
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -101,6 +101,8 @@
     AnswerBrokenOff = 502,
     /// A server's answer has stalled and is given up.
     AnswerStalled = 503,
+    /// A kept connection was lost as soon as a request was sent on it.
+    IdleConnectionLost = 504,
     /// A request was answered with a failure of the entry's own.
     RequestRefused = 510,
     /// A stream went on at another server.
@@ -164,6 +166,7 @@
             | Self::AttemptFailed
             | Self::AnswerBrokenOff
             | Self::AnswerStalled
+            | Self::IdleConnectionLost
             | Self::RequestRefused
             | Self::RequestAnswered
             | Self::StreamResumed
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -7,7 +7,7 @@
         gateway::{
             header_message,
             metrics::{GatewayMetrics, Stage},
-            pool::Pool,
+            pool::{Pool, SharedTrust},
             steady_clock::SteadyClock,
         },
     },
@@ -96,12 +96,13 @@
             replacement_seed: xxh3_64(settings.name.as_bytes()),
             ..SchedulerSettings::default()
         };
+        let trust = SharedTrust::default();
         Rc::new(Self {
             settings,
             clock: SteadyClock::new(),
             metrics: GatewayMetrics::new(EngineRefusal::iter().map(Into::into)),
-            requests: Pool::new(backend, REQUEST_CONNECTIONS),
-            control: Pool::new(backend, CONTROL_CONNECTIONS),
+            requests: Pool::new(backend, REQUEST_CONNECTIONS, Rc::clone(&trust)),
+            control: Pool::new(backend, CONTROL_CONNECTIONS, trust),
             engine_address: backend,
             scheduler: RefCell::new(EngineScheduler::new(scheduler)),
             report_wanted: Notify::new(),
--- a/crates/magnoliasail/src/gateway/agent/views.rs
+++ b/crates/magnoliasail/src/gateway/agent/views.rs
@@ -6,7 +6,7 @@
         events::{EventId, emit},
         gateway::{
             follower::{Followed, Follower, Pace},
-            pool::Pool,
+            pool::{Pool, SharedTrust},
         },
     },
     magnoliasail_platform::{configuration, registry, store::Change},
@@ -38,7 +38,7 @@
         state: Rc::clone(state),
         version: Cell::new(None),
     };
-    let pool = Pool::new(address, STORE_CONNECTIONS);
+    let pool = Pool::new(address, STORE_CONNECTIONS, SharedTrust::default());
     let follower = Follower::new(
         pool,
         &state.settings.store,
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -4,7 +4,7 @@
     super::{engine_link::EngineLink, refusal::RefusalCause},
     crate::gateway::{
         metrics::{GatewayMetrics, RetryCause},
-        pool::Pool,
+        pool::{Pool, SharedTrust},
         steady_clock::SteadyClock,
     },
     magnoliasail_core::gateway::{
@@ -38,6 +38,7 @@
     /// Links to agents, by the address of their VM.
     pub(super) links: RefCell<HashMap<IpAddr, Rc<EngineLink>>>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    trust: SharedTrust,
     retries: RefCell<HashMap<Arc<str>, RetryWindow>>,
     pub(super) popularity: RefCell<Popularity>,
     /// Requests that were answered since the process started.
@@ -70,6 +71,7 @@
             directory: RefCell::default(),
             links: RefCell::default(),
             pools: RefCell::default(),
+            trust: SharedTrust::default(),
             retries: RefCell::default(),
             popularity: RefCell::default(),
             answered: Cell::new(0),
@@ -104,7 +106,7 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools
             .entry(address)
-            .or_insert_with(|| Pool::new(address, MAX_CONNECTIONS));
+            .or_insert_with(|| Pool::new(address, MAX_CONNECTIONS, Rc::clone(&self.trust)));
         Rc::clone(pool)
     }
 
--- a/crates/magnoliasail/src/gateway/entry/views.rs
+++ b/crates/magnoliasail/src/gateway/entry/views.rs
@@ -6,7 +6,7 @@
         events::{EventId, emit},
         gateway::{
             follower::{Followed, Follower, Pace},
-            pool::Pool,
+            pool::{Pool, SharedTrust},
         },
     },
     magnoliasail_platform::{configuration, registry, store::Change},
@@ -49,7 +49,7 @@
     };
     let host = &state.settings.store;
     let configuration = Follower::new(
-        Pool::new(address, STORE_CONNECTIONS),
+        Pool::new(address, STORE_CONNECTIONS, SharedTrust::default()),
         host,
         configuration::KEY,
         Pace {
@@ -59,7 +59,7 @@
         Rc::new(ConfigurationView(Rc::clone(state))),
     );
     let servers = Follower::new(
-        Pool::new(address, STORE_CONNECTIONS),
+        Pool::new(address, STORE_CONNECTIONS, SharedTrust::default()),
         host,
         registry::SERVERS,
         Pace {
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -1,7 +1,11 @@
 //! Kept connections to one server, each with one request at a time.
 
 use {
-    super::sockets::{SocketError, connect},
+    super::{
+        sockets::{SocketError, connect},
+        steady_clock::SteadyClock,
+    },
+    crate::events::{EventId, emit},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -11,6 +15,7 @@
         header::HeaderMap,
     },
     hyper_util::rt::TokioIo,
+    magnoliasail_core::gateway::IdleTrust,
     magnoliasail_platform::headers,
     snafu::Snafu,
     std::{
@@ -28,8 +33,8 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Time by which a server may close an idle connection earlier than it says.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Idle time after which a connection is not trusted with what must not run twice.
-const FRESH_LIMIT: Duration = Duration::from_millis(800);
+/// Time after sending within which the loss of a connection tells that it had been forgotten.
+const SOON: Duration = Duration::from_millis(20);
 const READ_BUFFER_BYTES: usize = 16_384;
 
 /// Why a server gave no answer.
@@ -95,6 +100,9 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// How long idle connections are trusted, shared by the pools of one process.
+pub(super) type SharedTrust = Rc<RefCell<IdleTrust>>;
+
 struct Idle {
     sender: Sender,
     since: Instant,
@@ -107,6 +115,8 @@
     max_open: Cell<usize>,
     open: Rc<Cell<usize>>,
     idle: RefCell<Vec<Idle>>,
+    clock: SteadyClock,
+    trust: SharedTrust,
 }
 
 /// The head of an answer, with the connection that carries its body.
@@ -120,12 +130,14 @@
 
 impl Pool {
     /// Creates a pool of at most `max_open` connections.
-    pub(super) fn new(address: SocketAddr, max_open: usize) -> Rc<Self> {
+    pub(super) fn new(address: SocketAddr, max_open: usize, trust: SharedTrust) -> Rc<Self> {
         Rc::new(Self {
             address,
             max_open: Cell::new(max_open),
             open: Rc::default(),
             idle: RefCell::default(),
+            clock: SteadyClock::new(),
+            trust,
         })
     }
 
@@ -141,19 +153,23 @@
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
         loop {
-            let (mut sender, is_kept) = match self.take_idle(may_repeat).await {
-                Some(sender) => (sender, true),
-                None => (self.open().await?, false),
+            let (mut sender, idle_time) = match self.take_idle(may_repeat).await {
+                Some((sender, idle_time)) => (sender, Some(idle_time)),
+                None => (self.open().await?, None),
             };
+            let sent_at = Instant::now();
             let answer = match sender.try_send_request(request).await {
                 Ok(answer) => answer,
                 Err(mut failure) => match failure.take_message() {
                     // The kept connection had been closed; nothing was sent on it.
-                    Some(message) if is_kept => {
+                    Some(message) if idle_time.is_some() => {
                         request = message;
                         continue;
                     }
                     _ => {
+                        if let Some(idle_time) = idle_time {
+                            self.lost(idle_time, sent_at.elapsed());
+                        }
                         return Err(SendError::Broken {
                             address: self.address,
                             source: failure.into_error(),
@@ -198,22 +214,42 @@
     }
 
     /// Takes the connection that was used last, if it may still be used.
-    async fn take_idle(&self, may_repeat: bool) -> Option<Sender> {
+    async fn take_idle(&self, may_repeat: bool) -> Option<(Sender, Duration)> {
         loop {
             let connection = self.idle.borrow_mut().pop()?;
             let limit = if may_repeat {
                 connection.limit
             } else {
-                connection.limit.min(FRESH_LIMIT)
+                connection.limit.min(self.trusted())
             };
+            let idle_time = connection.since.elapsed();
             let mut sender = connection.sender;
             // One that has just been given back is ready as soon as its task has run.
-            if connection.since.elapsed() < limit && sender.ready().await.is_ok() {
-                return Some(sender);
+            if idle_time < limit && sender.ready().await.is_ok() {
+                return Some((sender, idle_time));
             }
         }
     }
 
+    /// Returns for how long a connection may have been idle that carries what must not run twice.
+    fn trusted(&self) -> Duration {
+        let now_ms = self.clock.now_ms();
+        Duration::from_millis(self.trust.borrow().limit_ms(now_ms))
+    }
+
+    /// Learns from the loss of a kept connection how long one may be idle.
+    fn lost(&self, idle_time: Duration, after: Duration) {
+        if after > SOON {
+            return;
+        }
+        let (idle_ms, now_ms) = (idle_time.as_millis() as u64, self.clock.now_ms());
+        self.trust.borrow_mut().lost(idle_ms, now_ms);
+        emit(
+            EventId::IdleConnectionLost,
+            format_args!("server={} idle_ms={idle_ms}", self.address),
+        );
+    }
+
     async fn open(&self) -> Result<Sender, SendError> {
         let open = self.open.get();
         if open >= self.max_open.get() {
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -133,6 +133,27 @@
 }
 
 /// The second server refuses what the first has run and broken off: "not run" would be a lie.
+#[test]
+fn connections_that_servers_forget_cost_one_request_at_most() {
+    with_fleet(72, |fleet| async move {
+        for runner in &fleet.runners[2..] {
+            runner.set_faults(RunnerFaults {
+                forget_ms: 300,
+                ..RunnerFaults::default()
+            });
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        let mut failed = 0;
+        for number in 0..10 {
+            let outcome = caller.call(&call(CallKind::Unsafe, number)).await;
+            failed += u32::from(outcome != Outcome::Served);
+            sleep(Duration::from_millis(400)).await;
+        }
+        assert!(failed <= 1, "{failed} failed\n{}", fleet.output());
+        assert_kept(&fleet);
+    });
+}
+
 #[test]
 fn a_request_that_ran_at_one_server_is_not_called_not_run_when_another_refuses() {
     with_fleet(70, |fleet| async move {
