--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -221,6 +221,40 @@
     });
 }
 
+/// Calls an entry until it takes connections, and returns what became of the first call it took.
+async fn first_outcome(fleet: &Fleet, kind: CallKind) -> Outcome {
+    let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+    loop {
+        match caller.call(&call(kind, 1)).await {
+            Outcome::Broken => sleep(Duration::from_millis(2)).await,
+            outcome => return outcome,
+        }
+    }
+}
+
+#[test]
+fn the_first_requests_of_an_entry_wait_for_what_it_has_to_learn() {
+    with_fleet(73, |mut fleet| async move {
+        fleet.store.set(StoreMode::Slow { delay_ms: 200 });
+        fleet.restart(0).expect("the entry starts");
+        for kind in [CallKind::Safe, CallKind::ResumableStream] {
+            assert_eq!(first_outcome(&fleet, kind).await, Outcome::Served);
+        }
+        assert_kept(&fleet);
+    });
+}
+
+#[test]
+fn an_entry_that_starts_while_the_store_is_away_refuses_at_once() {
+    with_fleet(74, |mut fleet| async move {
+        fleet.store.set(StoreMode::Busy);
+        fleet.restart(0).expect("the entry starts");
+        let outcome = first_outcome(&fleet, CallKind::Safe).await;
+        assert_eq!(outcome, Outcome::NotRun);
+        assert_kept(&fleet);
+    });
+}
+
 #[test]
 fn a_leaving_server_gets_nothing_new_after_its_notice() {
     with_fleet(64, |fleet| async move {
