--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -111,6 +111,8 @@
     StreamBrokenOff = 512,
     /// A request was answered by a server; one of many is logged.
     RequestAnswered = 513,
+    /// A request waited for a process that has only just started.
+    RequestWaited = 514,
 }
 
 impl EventId {
@@ -169,6 +171,7 @@
             | Self::IdleConnectionLost
             | Self::RequestRefused
             | Self::RequestAnswered
+            | Self::RequestWaited
             | Self::StreamResumed
             | Self::StreamBrokenOff => Level::Info,
         }
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -120,8 +120,14 @@
     request: Request<Incoming>,
 ) -> Result<Dispatch, RefusalCause> {
     let now_ms = state.clock.now_ms();
-    if !learned(state).await {
-        return Err(RefusalCause::NoConfiguration);
+    if !state.knows_its_work() {
+        let is_learned = learned(state).await;
+        let id = headers::facts(request.headers()).id;
+        let id = id.as_deref().unwrap_or("-");
+        log_wait(id, "entry", state.clock.now_ms() - now_ms, is_learned);
+        if !is_learned {
+            return Err(RefusalCause::NoConfiguration);
+        }
     }
     let (head, body) = request.into_parts();
     let facts = headers::facts(&head.headers);
@@ -339,7 +345,9 @@
     /// Picks a server that was not asked yet; waits for agents that are only just being met if no
     /// other can be asked.
     async fn place(&self) -> Option<Pick> {
-        let limit = Instant::now() + MEETING;
+        let begun_at = Instant::now();
+        let limit = begun_at + MEETING;
+        let mut has_waited = false;
         loop {
             let affinity = Affinity {
                 key: &self.affinity,
@@ -353,8 +361,13 @@
                 && Instant::now() < limit
                 && self.state.is_settling(&self.route.service);
             if pick.is_some() || !may_wait {
+                if has_waited {
+                    let waited_ms = begun_at.elapsed().as_millis() as u64;
+                    log_wait(self.id(), "agents", waited_ms, pick.is_some());
+                }
                 return pick;
             }
+            has_waited = true;
             let _ = timeout(WAIT_POLL, self.state.changes.notified()).await;
         }
     }
@@ -505,6 +518,13 @@
     Some(response)
 }
 
+fn log_wait(id: &str, waited_for: &str, waited_ms: u64, is_met: bool) {
+    emit(
+        EventId::RequestWaited,
+        format_args!("request={id} for={waited_for} waited_ms={waited_ms} met={is_met}"),
+    );
+}
+
 fn log_refusal(id: Option<&str>, cause: RefusalCause, retry_after_ms: Option<u64>, left_ms: u64) {
     let id = id.unwrap_or("-");
     emit(
