refactor: the entry's dispatch and its waits have modules of their own

request.rs (536 lines) held three matters: reading a request, its way to a server, and waiting for what has just started. Moves only; log_refusal stands beside the causes it logs.

--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -3,6 +3,7 @@
 mod answer_body;
 mod attempt;
 mod callers;
+mod dispatch;
 mod engine_link;
 mod in_flight;
 mod refusal;
@@ -10,6 +11,7 @@
 mod request;
 mod state;
 mod views;
+mod waits;
 
 use {
     self::{callers::serve_callers, state::EntryState, views::start_views},
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -2,6 +2,7 @@
 
 use {
     super::answer_body::AnswerBody,
+    crate::events::{EventId, emit},
     bytes::Bytes,
     hyper::{
         Response, StatusCode,
@@ -88,3 +89,19 @@
     }
     response
 }
+
+/// Logs an answer of the entry's own, with its cause.
+pub(super) fn log_refusal(
+    id: Option<&str>,
+    cause: RefusalCause,
+    retry_after_ms: Option<u64>,
+    left_ms: u64,
+) {
+    let id = id.unwrap_or("-");
+    emit(
+        EventId::RequestRefused,
+        format_args!(
+            "request={id} cause={cause} retry_after_ms={retry_after_ms:?} left_ms={left_ms}"
+        ),
+    );
+}
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -4,8 +4,8 @@
     super::{
         answer_body::AnswerBody,
         attempt::{Attempt, Next},
+        dispatch::{Begun, Dispatch},
         in_flight::InFlight,
-        request::{Begun, Dispatch},
     },
     crate::{
         events::{EventId, emit},
