--- a/crates/magnoliasail/src/gateway/agent/views.rs
+++ b/crates/magnoliasail/src/gateway/agent/views.rs
@@ -6,18 +6,18 @@
         events::{EventId, emit},
         gateway::{
             follower::{Followed, Follower, Pace},
-            pool::{Pool, SharedTrust},
+            store_view::{store_pool, take_configuration},
         },
     },
+    magnoliasail_core::gateway::Configuration,
     magnoliasail_platform::{configuration, registry, store::Change},
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// Time for which a watch waits: an agent's engine is limited by what hardly ever changes.
 const WATCH: Duration = Duration::from_millis(4_500);
 /// Time between changes that are taken, well within the time for one to be in force.
 const CHANGE_GAP: Duration = Duration::from_millis(500);
-const STORE_CONNECTIONS: usize = 2;
 
 /// Takes what the operator writes.
 struct OperatorView {
@@ -27,18 +27,13 @@
 
 /// Follows the store for as long as the process lives.
 pub(super) fn start_views(state: &Rc<AgentState>) {
-    let Ok(address) = state.settings.store.parse::<SocketAddr>() else {
-        emit(
-            EventId::StoreLost,
-            "the store's address is not IP:PORT; correct the settings",
-        );
+    let Some(pool) = store_pool(&state.settings) else {
         return;
     };
     let view = OperatorView {
         state: Rc::clone(state),
         version: Cell::new(None),
     };
-    let pool = Pool::new(address, STORE_CONNECTIONS, SharedTrust::default());
     let follower = Follower::new(
         pool,
         &state.settings.store,
@@ -53,32 +48,15 @@
 }
 
 impl OperatorView {
-    fn configure(&self, change: &Change, value: &[u8]) {
-        match configuration::decode(value) {
-            Ok(configuration) => {
-                let is_newer = self
-                    .version
-                    .get()
-                    .is_none_or(|version| configuration.version > version);
-                if is_newer {
-                    self.version.set(Some(configuration.version));
-                    let version = configuration.version as i64;
-                    self.state.metrics.configuration_version.set(version);
-                    emit(
-                        EventId::ConfigurationAdopted,
-                        format_args!(
-                            "version={} revision={}",
-                            configuration.version, change.revision
-                        ),
-                    );
-                    self.state.configure(&configuration);
-                }
-            }
-            Err(error) => emit(
-                EventId::ConfigurationRejected,
-                format_args!("revision={}: {error}", change.revision),
-            ),
+    /// Adopts a configuration if it is newer; returns whether it was.
+    fn adopt(&self, configuration: &Configuration) -> bool {
+        let version = configuration.version;
+        if self.version.get().is_some_and(|known| known >= version) {
+            return false;
         }
+        self.version.set(Some(version));
+        self.state.configure(configuration);
+        true
     }
 }
 
@@ -86,7 +64,9 @@
     fn changed(&self, change: &Change) {
         let Some(value) = &change.value else { return };
         if change.key == configuration::KEY {
-            self.configure(change, value);
+            take_configuration(change, &self.state.metrics, |configuration| {
+                self.adopt(&configuration)
+            });
         } else if change.key.starts_with(registry::VERSIONS) {
             match registry::decode_version(value) {
                 Ok(announced) => {
--- a/crates/magnoliasail/src/gateway/entry/views.rs
+++ b/crates/magnoliasail/src/gateway/entry/views.rs
@@ -6,7 +6,7 @@
         events::{EventId, emit},
         gateway::{
             follower::{Followed, Follower, Pace},
-            pool::{Pool, SharedTrust},
+            store_view::{store_pool, take_configuration},
         },
     },
     magnoliasail_platform::{configuration, registry, store::Change},
@@ -19,8 +19,6 @@
     tokio::time::timeout,
 };
 
-/// Connections to the store: one for each follower and one to spare.
-const STORE_CONNECTIONS: usize = 2;
 /// Time for which a watch waits: short, as what an entry knows must be in force within seconds.
 const WATCH: Duration = Duration::from_secs(3);
 /// Time between changes of the configuration that are taken, well within the time for one to be in
@@ -40,16 +38,12 @@
 
 /// Follows the store for as long as the process lives.
 pub(super) fn start_views(state: &Rc<EntryState>) {
-    let Ok(address) = state.settings.store.parse::<SocketAddr>() else {
-        emit(
-            EventId::StoreLost,
-            "the store's address is not IP:PORT; correct the settings",
-        );
+    let Some(pool) = store_pool(&state.settings) else {
         return;
     };
     let host = &state.settings.store;
     let configuration = Follower::new(
-        Pool::new(address, STORE_CONNECTIONS, SharedTrust::default()),
+        Rc::clone(&pool),
         host,
         configuration::KEY,
         Pace {
@@ -59,7 +53,7 @@
         Rc::new(ConfigurationView(Rc::clone(state))),
     );
     let servers = Follower::new(
-        Pool::new(address, STORE_CONNECTIONS, SharedTrust::default()),
+        pool,
         host,
         registry::SERVERS,
         Pace {
@@ -76,24 +70,14 @@
 
 impl Followed for ConfigurationView {
     fn changed(&self, change: &Change) {
-        let Some(value) = &change.value else { return };
-        match configuration::decode(value) {
-            Ok(configuration) => {
-                let version = configuration.version;
-                if self.0.table.borrow_mut().adopt(configuration) {
-                    self.0.changes.notify_waiters();
-                    self.0.metrics.configuration_version.set(version as i64);
-                    emit(
-                        EventId::ConfigurationAdopted,
-                        format_args!("version={version} revision={}", change.revision),
-                    );
-                }
+        let state = &self.0;
+        take_configuration(change, &state.metrics, |configuration| {
+            let is_newer = state.table.borrow_mut().adopt(configuration);
+            if is_newer {
+                state.changes.notify_waiters();
             }
-            Err(error) => emit(
-                EventId::ConfigurationRejected,
-                format_args!("revision={}: {error}", change.revision),
-            ),
-        }
+            is_newer
+        });
     }
 
     fn troubled(&self) {
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -14,5 +14,6 @@
 mod process;
 mod sockets;
 mod steady_clock;
+mod store_view;
 
 pub(crate) use self::process::{run_platform_agent, run_platform_entry};
