fix: only the loss of a connection that had rested tells how long one may rest

Resets that follow a request at once, and crashes, counted as forgotten connections, and the trusted time fell to its least. Test with losses amid steady use.

--- a/crates/magnoliasail-core/src/gateway/idle_trust.rs
+++ b/crates/magnoliasail-core/src/gateway/idle_trust.rs
@@ -47,8 +47,12 @@
         limit_ms.min(FIRST_LIMIT_MS)
     }
 
-    /// Records that a connection was lost on which a request was sent after it had been idle.
+    /// Records that a connection was lost on which a request was sent after it had been idle. The
+    /// loss of one that was used a moment ago has another cause.
     pub fn lost(&mut self, idle_ms: u64, now_ms: TimeMs) {
+        if idle_ms < LEAST_LIMIT_MS {
+            return;
+        }
         let halved_ms = (idle_ms / 2).max(LEAST_LIMIT_MS);
         self.limit_ms = halved_ms.min(self.limit_ms(now_ms));
         self.fell_ms = Some(now_ms);
--- a/crates/magnoliasail-core/tests/gateway/idle_trust.rs
+++ b/crates/magnoliasail-core/tests/gateway/idle_trust.rs
@@ -31,11 +31,22 @@
     assert_eq!(trust.limit_ms(1_000_000), first_ms);
 }
 
+/// Servers that crash or reset connections amid a busy stream of requests.
 #[test]
-fn a_connection_that_broke_soon_never_ends_all_reuse() {
+fn losses_of_connections_in_steady_use_do_not_end_their_reuse() {
     let mut trust = IdleTrust::default();
+    let first_ms = trust.limit_ms(0);
     for now_ms in 0..100 {
-        trust.lost(0, now_ms);
+        trust.lost(now_ms % 20, now_ms);
+    }
+    assert_eq!(trust.limit_ms(100), first_ms);
+}
+
+#[test]
+fn however_many_connections_are_lost_some_are_used_again() {
+    let mut trust = IdleTrust::default();
+    for now_ms in 0..1_000 {
+        trust.lost(100, now_ms);
     }
-    assert!(trust.limit_ms(100) > 0);
+    assert!(trust.limit_ms(1_000) > 0);
 }
