--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -109,7 +109,7 @@
     StreamResumed = 511,
     /// A stream was broken off.
     StreamBrokenOff = 512,
-    /// A request was answered by a server; one of many is logged.
+    /// A request was answered by a server; each failure with its `status`, and one of many others.
     RequestAnswered = 513,
     /// A request waited for a process that has only just started.
     RequestWaited = 514,
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -102,7 +102,7 @@
         let refused = match outcome {
             Ok(Ok(Answered::Whole(response))) => {
                 self.took(Stage::PlainWhole);
-                self.log_answered();
+                self.log_answered(response.status());
                 return response;
             }
             Ok(Ok(Answered::Begun(begun))) => {
@@ -337,17 +337,19 @@
         );
     }
 
-    /// Logs one of many requests that were answered.
-    pub(super) fn log_answered(&self) {
-        if !self.state.count_answered() {
+    /// Logs an answer: each failure of a server, and one of many others.
+    pub(super) fn log_answered(&self, status: StatusCode) {
+        let is_sampled = self.state.count_answered();
+        if !is_sampled && !status.is_server_error() {
             return;
         }
         let took_ms = self.state.clock.now_ms().saturating_sub(self.arrived_ms);
         emit(
             EventId::RequestAnswered,
             format_args!(
-                "request={} service={} server={} sent={} took_ms={took_ms}",
+                "request={} status={} service={} server={} sent={} took_ms={took_ms}",
                 self.id(),
+                status.as_u16(),
                 self.route.service,
                 self.tried.last().map_or("-", |server| server),
                 self.servers_sent
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -12,7 +12,7 @@
         gateway::metrics::{RetryCause, Stage},
     },
     bytes::BytesMut,
-    hyper::Response,
+    hyper::{Response, StatusCode},
     magnoliasail_core::gateway::EventSplitter,
     magnoliasail_wire::{ReaderGone, StreamWriter, stream_body},
     tokio::time::sleep_until,
@@ -71,7 +71,7 @@
             RelayEnd::Complete => {
                 caller.end();
                 self.dispatch.took(Stage::StreamWhole);
-                self.dispatch.log_answered();
+                self.dispatch.log_answered(StatusCode::OK);
             }
             // Dropping the writer breaks the answer off.
             RelayEnd::BrokenOff(cause) => self.log_broken_off(cause),
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -328,6 +328,29 @@
     });
 }
 
+#[test]
+fn each_failure_that_a_server_answered_is_logged_with_its_server() {
+    with_fleet(75, |fleet| async move {
+        for runner in &fleet.runners[2..] {
+            runner.set_faults(RunnerFaults {
+                failed: 1.0,
+                ..RunnerFaults::default()
+            });
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..5 {
+            let outcome = caller.call(&call(CallKind::Unsafe, number)).await;
+            assert!(matches!(outcome, Outcome::Failed(_)), "{outcome:?}");
+        }
+        sleep(Duration::from_millis(300)).await;
+        let output = fleet.output();
+        for number in 0..5 {
+            let line = format!("request_answered: request=Unsafe-{number} status=500");
+            assert!(output.contains(&line), "no line for {number}\n{output}");
+        }
+    });
+}
+
 #[test]
 fn counters_and_histograms_are_served_as_text() {
     with_fleet(68, |fleet| async move {
