refactor: a request's facts are read once, and servers are looked over only when none can be picked

Found on reading the change again: facts decoded twice a request; the entry asked of every server whether it was just being met though one had been picked; the agent told all entries twice when a base model was ready, and built its state anew for each link; two copies of a metric's label; a test's comment above another test. Ruled out: refuse_run/fail_run, the two Refused messages (the same shape, other meaning).

--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -324,12 +324,13 @@
         self.metrics.waiting.set(waiting);
         self.metrics.running.set(load - waiting);
         let is_serving = self.is_serving();
-        if self.was_serving.replace(is_serving) != is_serving {
+        let is_loading = self.scheduler.borrow().ready_in_ms(now_ms).is_some();
+        let was_serving = self.was_serving.replace(is_serving);
+        let was_loading = self.was_loading.replace(is_loading);
+        if was_serving != is_serving {
             emit(EventId::EngineState, format_args!("serving={is_serving}"));
-            self.tell_all();
         }
-        let is_loading = self.scheduler.borrow().ready_in_ms(now_ms).is_some();
-        if self.was_loading.replace(is_loading) != is_loading {
+        if (was_serving, was_loading) != (is_serving, is_loading) {
             self.tell_all();
         }
     }
@@ -439,9 +440,13 @@
     }
 
     fn tell_all(&self) {
+        self.send_all(&ToEntryKind::State(self.engine_state()));
+    }
+
+    fn send_all(&self, kind: &ToEntryKind) {
         let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
         for link in links {
-            self.tell(link);
+            self.send(link, kind.clone());
         }
     }
 
@@ -460,10 +465,7 @@
         let Some(news) = self.holdings.borrow_mut().update(&held) else {
             return;
         };
-        let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
-        for link in links {
-            self.send(link, ToEntryKind::Holdings(news.clone()));
-        }
+        self.send_all(&ToEntryKind::Holdings(news));
     }
 
     fn is_serving(&self) -> bool {
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -249,10 +249,12 @@
             let pick = self
                 .state
                 .pick(&self.route.service, model, affinity, &self.tried);
-            let may_wait = self.tried.is_empty()
+            // Most requests end here: all else looks at every server.
+            let may_wait = pick.is_none()
+                && self.tried.is_empty()
                 && Instant::now() < limit
                 && self.state.is_settling(&self.route.service);
-            if pick.is_some() || !may_wait {
+            if !may_wait {
                 if has_waited {
                     log_wait(Some(self.id()), "agents", begun_at, pick.is_some());
                 }
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -17,6 +17,7 @@
         body::Incoming,
         header::{CONNECTION, HOST, HeaderValue},
     },
+    magnoliasail_core::gateway::RequestFacts,
     magnoliasail_platform::headers,
     rand::Rng,
     std::{convert::Infallible, ops::Range, rc::Rc},
@@ -31,12 +32,13 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let draining = state.draining.clone();
-    let id = headers::facts(request.headers()).id;
+    let facts = headers::facts(request.headers());
+    let id = facts.id.clone();
     let metrics = Rc::clone(&state.metrics);
     metrics.requests.inc();
     metrics.running.inc();
     let running = RunningGuard(Rc::clone(&metrics));
-    let mut response = match prepare(&state, request).await {
+    let mut response = match prepare(&state, request, facts).await {
         Ok(dispatch) => dispatch.finish().await,
         Err(cause) => {
             let retry_after_ms = (cause == RefusalCause::NoConfiguration)
@@ -68,13 +70,13 @@
 async fn prepare(
     state: &Rc<EntryState>,
     request: Request<Incoming>,
+    facts: RequestFacts,
 ) -> Result<Dispatch, RefusalCause> {
     let now_ms = state.clock.now_ms();
-    if !state.knows_its_work() && !learned(state, request.headers()).await {
+    if !state.knows_its_work() && !learned(state, facts.id.as_deref()).await {
         return Err(RefusalCause::NoConfiguration);
     }
     let (head, body) = request.into_parts();
-    let facts = headers::facts(&head.headers);
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let id = facts.id.as_deref().unwrap_or_default();
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -91,6 +91,12 @@
         self.table.borrow().version().is_some() && self.has_servers.get()
     }
 
+    /// Records that the store cannot be read, which ends the wait of requests for it.
+    pub(super) fn store_lost(&self) {
+        self.is_store_lost.set(true);
+        self.changes.notify_waiters();
+    }
+
     /// Counts an answered request; returns whether it is one of those that are logged.
     pub(super) fn count_answered(&self) -> bool {
         /// One of so many is logged: refusals and failures are what needs explaining.
--- a/crates/magnoliasail/src/gateway/entry/views.rs
+++ b/crates/magnoliasail/src/gateway/entry/views.rs
@@ -81,8 +81,7 @@
     }
 
     fn troubled(&self) {
-        self.0.is_store_lost.set(true);
-        self.0.changes.notify_waiters();
+        self.0.store_lost();
     }
 
     fn caught_up(&self) {
@@ -127,8 +126,7 @@
         let now_ms = self.0.clock.now_ms();
         self.0.metrics.store_troubles.inc();
         self.0.directory.borrow_mut().trouble(now_ms);
-        self.0.is_store_lost.set(true);
-        self.0.changes.notify_waiters();
+        self.0.store_lost();
     }
 
     fn caught_up(&self) {
--- a/crates/magnoliasail/src/gateway/entry/waits.rs
+++ b/crates/magnoliasail/src/gateway/entry/waits.rs
@@ -6,8 +6,6 @@
 use {
     super::state::EntryState,
     crate::events::{EventId, emit},
-    hyper::HeaderMap,
-    magnoliasail_platform::headers,
     std::time::Duration,
     tokio::time::{Instant, timeout},
 };
@@ -20,14 +18,13 @@
 
 /// Waits for an entry that has just started to learn its work, while the store answers; returns
 /// whether it knows it.
-pub(super) async fn learned(state: &EntryState, headers: &HeaderMap) -> bool {
+pub(super) async fn learned(state: &EntryState, id: Option<&str>) -> bool {
     let begun_at = Instant::now();
     while !state.knows_its_work() && !state.is_store_lost.get() && begun_at.elapsed() < LEARNING {
         let _ = timeout(WAIT_POLL, state.changes.notified()).await;
     }
-    let id = headers::facts(headers).id;
     let is_learned = state.knows_its_work();
-    log_wait(id.as_deref(), "entry", begun_at, is_learned);
+    log_wait(id, "entry", begun_at, is_learned);
     is_learned
 }
 
--- a/crates/magnoliasail/src/gateway/metrics.rs
+++ b/crates/magnoliasail/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of an entry or an agent on the platform.
 
 use {
+    crate::metrics::ReasonLabel,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Response, header::CONTENT_TYPE, server::conn::http1, service::service_fn},
@@ -22,11 +23,6 @@
 
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ReasonLabel {
-    reason: &'static str,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StageLabel {
     stage: &'static str,
--- a/crates/magnoliasail/src/metrics.rs
+++ b/crates/magnoliasail/src/metrics.rs
@@ -17,8 +17,8 @@
 };
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ReasonLabel {
-    reason: &'static str,
+pub(crate) struct ReasonLabel {
+    pub(crate) reason: &'static str,
 }
 
 /// Counters, gauges and histograms of an entry or an agent.
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -132,7 +132,6 @@
     });
 }
 
-/// The second server refuses what the first has run and broken off: "not run" would be a lie.
 #[test]
 fn connections_that_servers_forget_cost_one_request_at_most() {
     with_fleet(72, |fleet| async move {
@@ -154,6 +153,7 @@
     });
 }
 
+/// The second server refuses what the first has run and broken off: "not run" would be a lie.
 #[test]
 fn a_request_that_ran_at_one_server_is_not_called_not_run_when_another_refuses() {
     with_fleet(70, |fleet| async move {
