fix(gateway): complete running streams at an engine that sends no reports

Cause: an engine that is about to exit accepts no connections but completes the streams on open ones. An engine that sends no reports now only gets no new work; each running response ends with its own connection or at its own stall timeout.

The late end of a request from before a restart could also unpin an adapter that the engine had loaded again, because the slots were cleared before the pins. A request now records the pin that it takes, and a restart discards the pins of running requests.

Tests, failing first: streams of stand-in engines that stop accepting (real processes), and one in the core for the pins.

--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -14,10 +14,13 @@
 /// Waiting time that adds as much weight to an adapter as one more request for it.
 const AGE_WEIGHT_MS: f64 = 2_000.0;
 
+/// A request that has started on the engine.
 #[derive(Clone, Debug)]
-struct RunningRequest {
+pub(super) struct RunningRequest {
     request: EngineRequest,
     started_ms: TimeMs,
+    /// The full name of the adapter whose slot the request pins.
+    pub(super) pinned: Option<Arc<str>>,
 }
 
 /// The waiting and running requests of an engine.
@@ -66,7 +69,7 @@
         key: u64,
         is_complete: bool,
         now_ms: TimeMs,
-    ) -> Option<EngineRequest> {
+    ) -> Option<RunningRequest> {
         let Some(running) = self.running.remove(&key) else {
             self.waiting.retain(|request| request.key != key);
             return None;
@@ -75,7 +78,15 @@
             let run_ms = now_ms.saturating_sub(running.started_ms) as f64;
             self.mean_run_ms += NEWEST_RUN_WEIGHT * (run_ms - self.mean_run_ms);
         }
-        Some(running.request)
+        Some(running)
+    }
+
+    /// Discards the pins of running requests after a restart of the engine. Their ends must not
+    /// unpin adapters that are loaded again.
+    pub(super) fn discard_pins(&mut self) {
+        for running in self.running.values_mut() {
+            running.pinned = None;
+        }
     }
 
     /// Removes the waiting requests for which `refusal` returns a reason; returns their keys and
@@ -130,8 +141,9 @@
             used_kv_tokens += request.kv_tokens;
             started.push(request.clone());
             let running = RunningRequest {
-                request,
                 started_ms: now_ms,
+                pinned: request.adapter.clone(),
+                request,
             };
             self.running.insert(running.request.key, running);
         }
@@ -185,9 +197,4 @@
             .iter()
             .any(|request| request.adapter.as_deref() == Some(adapter))
     }
-
-    /// Returns the running requests.
-    pub(super) fn running(&self) -> impl Iterator<Item = &EngineRequest> {
-        self.running.values().map(|running| &running.request)
-    }
 }
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -181,10 +181,7 @@
         actions: &mut Vec<EngineAction>,
     ) -> bool {
         let started = self.queue.finish(key, is_complete, now_ms);
-        if let Some(adapter) = started
-            .as_ref()
-            .and_then(|request| request.adapter.as_ref())
-        {
+        if let Some(adapter) = started.as_ref().and_then(|run| run.pinned.as_ref()) {
             self.adapters.unpin(adapter);
         }
         self.advance(now_ms, actions);
@@ -219,7 +216,8 @@
         self.advance(now_ms, actions);
     }
 
-    /// Records that the engine cannot be reached. Waiting requests are refused.
+    /// Records that the engine cannot be reached. Waiting requests are refused; running ones go on,
+    /// since their connections may be sound.
     pub fn mark_unreachable(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         self.is_down = true;
         self.orders.clear_sequence();
@@ -500,11 +498,7 @@
         self.adapters.clear();
         self.models.clear();
         self.orders.clear_sequence();
-        for request in self.queue.running() {
-            if let Some(adapter) = &request.adapter {
-                self.adapters.unpin(adapter);
-            }
-        }
+        self.queue.discard_pins();
     }
 }
 
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -170,6 +170,48 @@
     assert!(harness.started.contains(&waiting));
 }
 
+/// The end of a request that an engine lost in a restart may arrive after the restarted engine has
+/// loaded the same adapter for another request.
+#[test]
+fn the_late_end_of_a_request_from_before_a_restart_does_not_unpin_a_reloaded_adapter() {
+    let mut harness = Harness::new();
+    let lost = harness.submit("a", 1);
+    harness.complete_loads();
+    harness.engine.restart();
+    harness.report();
+    harness.complete_loads();
+    let running = harness.submit("a", 1);
+    harness.complete_loads();
+    assert!(harness.started.contains(&running));
+    harness.finish(lost);
+    for adapter in ["b", "c", "d", "e"] {
+        harness.submit(adapter, 1);
+    }
+    assert!(
+        !harness
+            .orders
+            .contains(&(OrderKind::Unload, Some("a".into())))
+    );
+}
+
+/// While engines are replaced, one that accepts no connections completes the streams that it runs.
+#[test]
+fn requests_on_an_unreachable_engine_keep_running_and_waiting_ones_are_refused() {
+    let mut harness = Harness::new();
+    let running = harness.submit("a", 1);
+    harness.complete_loads();
+    let waiting = harness.submit("b", 1);
+    harness.step(|scheduler, now_ms, actions| scheduler.mark_unreachable(now_ms, actions));
+    assert_eq!(harness.refused, [(waiting, EngineRefusal::EngineDown, 0)]);
+    assert_eq!(harness.scheduler.load(), 1);
+    let mut actions = Vec::new();
+    let now_ms = harness.now_ms;
+    let has_started = harness
+        .scheduler
+        .finish(running, true, now_ms, &mut actions);
+    assert!(has_started);
+}
+
 #[test]
 fn an_adapter_that_a_waiting_request_needs_is_not_evicted() {
     let mut harness = Harness::new();
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -61,6 +61,8 @@
     pub refused_share: f64,
     /// Delay of every answer of a plain server, in milliseconds.
     pub delay_ms: u64,
+    /// Additional time before each event of a stream, in milliseconds.
+    pub event_delay_ms: u64,
     /// Idle time after which the server resets a connection at its next request, in milliseconds;
     /// 0 for never.
     pub idle_timeout_ms: u64,
@@ -78,6 +80,8 @@
     adapters: BTreeMap<String, Instant>,
     faults: ServerFaults,
     draining_since: Option<Instant>,
+    /// Whether the server has stopped accepting connections and new requests.
+    is_closed: bool,
     /// The agent that sent the first order to this incarnation, as named in the order.
     holder: Option<String>,
     random: SmallRng,
@@ -91,6 +95,7 @@
     ledger: Ledger,
     state: Arc<Mutex<State>>,
     tasks: Arc<Mutex<Vec<AbortHandle>>>,
+    acceptor: Arc<Mutex<Option<AbortHandle>>>,
 }
 
 type Body = BoxBody<Bytes, io::Error>;
@@ -108,6 +113,7 @@
             adapters: BTreeMap::new(),
             faults: ServerFaults::default(),
             draining_since: None,
+            is_closed: false,
             holder: None,
             random: SmallRng::seed_from_u64(seed),
         };
@@ -117,6 +123,7 @@
             ledger,
             state: Arc::new(Mutex::new(state)),
             tasks: Arc::default(),
+            acceptor: Arc::default(),
         }
     }
 
@@ -133,6 +140,8 @@
         let server = self.clone();
         let acceptor = tokio::spawn(async move { server.accept(listener).await });
         self.track_task(acceptor.abort_handle());
+        *self.acceptor.lock().unwrap_or_else(PoisonError::into_inner) =
+            Some(acceptor.abort_handle());
         Ok(())
     }
 
@@ -159,10 +168,25 @@
             state.sequence = 0;
             state.adapters.clear();
             state.draining_since = None;
+            state.is_closed = false;
             state.holder = None;
         });
     }
 
+    /// Stops accepting connections and new requests, as a server does that is about to exit.
+    /// Running requests go on.
+    pub fn stop_accepting(&self) {
+        self.with(|state| state.is_closed = true);
+        let acceptor = self
+            .acceptor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(acceptor) = acceptor {
+            acceptor.abort();
+        }
+    }
+
     /// Replaces the faults of the server.
     pub fn set_faults(&self, faults: ServerFaults) {
         self.with(|state| state.faults = faults);
@@ -246,6 +270,9 @@
     }
 
     async fn handle(self, request: Request<Incoming>) -> Result<Response<Body>, io::Error> {
+        if self.with(|state| state.is_closed) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         match request.uri().path() {
             "/report" => Ok(self.report()),
             "/order" => Ok(self.handle_order(request).await),
@@ -424,12 +451,14 @@
     }
 
     fn stream(&self, id: &str, resume_after: u64, is_aborted: bool) -> Response<Body> {
+        let event_delay_ms = self.with(|state| state.faults.event_delay_ms);
+        let event_gap = EVENT_GAP + Duration::from_millis(event_delay_ms);
         let (events, body) = stream_body(EVENT_QUEUE_CAPACITY);
         let id = id.to_owned();
         let last = event_count(&id);
         let task = tokio::spawn(async move {
             for number in resume_after + 1..=last {
-                sleep(EVENT_GAP).await;
+                sleep(event_gap).await;
                 let event = format!("id: {number}\ndata: {id} {number}\n\n");
                 if is_aborted && number * 2 > last {
                     let half = event.as_bytes()[..event.len() / 2].to_vec();
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -246,29 +246,6 @@
         });
     }
 
-    /// Aborts all running requests because the engine cannot be reached.
-    pub(super) fn abort_running_requests(self: &Rc<Self>) {
-        let keys: Vec<u64> = self
-            .active_requests
-            .borrow()
-            .iter()
-            .filter(|(_, request)| request.task.is_some())
-            .map(|(&key, _)| key)
-            .collect();
-        for key in keys {
-            let Some(request) = self.active_requests.borrow_mut().remove(&key) else {
-                continue;
-            };
-            if let Some(task) = request.task {
-                task.abort();
-            }
-            self.send(request.link, ToEntryKind::Broken(request.submit.attempt));
-            self.update_scheduler(|scheduler, now_ms, actions| {
-                scheduler.finish(key, false, now_ms, actions);
-            });
-        }
-    }
-
     /// Applies the engine limits of the agent's service.
     pub(super) fn apply_configuration(self: &Rc<Self>, configuration: &Configuration) {
         let Some(service) = &self.settings.backend_service else {
@@ -299,9 +276,11 @@
         self.broadcast_holdings_update();
     }
 
-    /// Aborts running requests, and refuses queued ones, because the engine cannot be reached.
+    /// Refuses queued requests because the engine sends no reports.
+    ///
+    /// Running requests go on: an engine that is about to exit accepts no connections but completes
+    /// the streams on open ones. Each of them ends with its own connection or at its stall timeout.
     pub(super) fn mark_engine_unreachable(self: &Rc<Self>) {
-        self.abort_running_requests();
         self.update_scheduler(|scheduler, now_ms, actions| {
             scheduler.mark_unreachable(now_ms, actions)
         });
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -114,6 +114,40 @@
     });
 }
 
+/// An engine that is about to exit accepts no connections, so its agent gets no reports, but it
+/// still completes the streams that it runs.
+#[test]
+fn streams_end_complete_at_an_engine_that_accepts_no_new_connections() {
+    with_fleet(76, |fleet| async move {
+        for server in &fleet.servers[..2] {
+            server.set_faults(ServerFaults {
+                event_delay_ms: 120,
+                ..ServerFaults::default()
+            });
+        }
+        let mut tasks = Vec::new();
+        for number in 0..4 {
+            for kind in [CallKind::Stream, CallKind::ResumableStream] {
+                let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+                let call = Call {
+                    deadline: Duration::from_secs(4),
+                    ..call(kind, number)
+                };
+                tasks.push(tokio::spawn(async move { caller.call(&call).await }));
+            }
+        }
+        sleep(Duration::from_millis(400)).await;
+        for server in &fleet.servers[..2] {
+            server.stop_accepting();
+        }
+        for task in tasks {
+            let outcome = task.await.expect("the caller does not panic");
+            assert_eq!(outcome, Outcome::Served, "{}", fleet.output());
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
 #[test]
 fn unsafe_request_is_retried_only_if_proven_not_run() {
     with_fleet(62, |fleet| async move {
