feat(gateway): place requests by the expected time to the first event

Cause: placement charged the square of the number of requests at an engine, in constants that fit 32 places. On the grown Riga site (64 places) engines with 30 to 64 requests took 655 ms to the first event, 10 times as long as idle ones, and were charged as 160 ms at most; on the large site an entry heard of an engine's load only when its own requests ended there, about every seven seconds, and requests for loaded adapters waited 283 ms for places in batches while other engines stood nearly empty.

Change: the agent measures the rate at which its engine reads prompts, and reports the expected time to the first event by rank, the expected time of a load from the host and of a fetch, and the turnover of a full batch, to all entries, every 250 ms if it differs. An entry adds what it has sent since. The cost of a candidate is that expected time. Ranks are sorted instead of counted pair by pair.

--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -1,7 +1,7 @@
 //! The queue of a model engine: requests that wait for it or run on it.
 
 use {
-    super::{EngineLimits, EngineRefusal, EngineRequest},
+    super::{EngineLimits, EngineRefusal, EngineRequest, prompt_rate::PromptRate},
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
 };
@@ -21,6 +21,8 @@
     started_ms: TimeMs,
     /// The full name of the adapter whose slot the request pins.
     pub(super) pinned: Option<Arc<str>>,
+    /// Whether the engine has not read the whole prompt yet.
+    is_reading: bool,
 }
 
 /// The waiting and running requests of an engine.
@@ -29,6 +31,7 @@
     waiting: Vec<EngineRequest>,
     running: HashMap<u64, RunningRequest>,
     mean_run_ms: f64,
+    prompt_rate: PromptRate,
 }
 
 impl EngineQueue {
@@ -39,6 +42,7 @@
             waiting: Vec::new(),
             running: HashMap::new(),
             mean_run_ms: initial_run_ms,
+            prompt_rate: PromptRate::default(),
         }
     }
 
@@ -74,6 +78,9 @@
             self.waiting.retain(|request| request.key != key);
             return None;
         };
+        if running.is_reading {
+            self.prompt_rate.finish(0, now_ms);
+        }
         if is_complete {
             let run_ms = now_ms.saturating_sub(running.started_ms) as f64;
             self.mean_run_ms += NEWEST_RUN_WEIGHT * (run_ms - self.mean_run_ms);
@@ -143,13 +150,46 @@
             let running = RunningRequest {
                 started_ms: now_ms,
                 pinned: request.adapter.clone(),
+                is_reading: true,
                 request,
             };
+            self.prompt_rate.start(now_ms);
             self.running.insert(running.request.key, running);
         }
         started
     }
 
+    /// Records that a request has produced its first event, so that its prompt has been read.
+    pub(super) fn record_first_event(&mut self, key: u64, now_ms: TimeMs) {
+        let Some(running) = self.running.get_mut(&key) else {
+            return;
+        };
+        if std::mem::take(&mut running.is_reading) {
+            let tokens = running.request.prompt_tokens;
+            self.prompt_rate.finish(tokens, now_ms);
+        }
+    }
+
+    /// Returns the rate at which the engine reads prompts, in tokens per millisecond.
+    pub(super) fn prompt_tokens_per_ms(&self) -> f64 {
+        self.prompt_rate.tokens_per_ms()
+    }
+
+    /// Returns the expected time until the first event of a request of this rank, in milliseconds,
+    /// without the time to read its own prompt: the wait for a place in the batch, and the time to
+    /// read the prompts ahead of it.
+    pub(super) fn expected_first_event_ms(&self, rank: u32, batch_slots: u32) -> u64 {
+        let reading = self.running.values().filter(|run| run.is_reading);
+        let tokens: u64 = reading
+            .map(|run| &run.request)
+            .chain(&self.waiting)
+            .filter(|request| request.rank <= rank)
+            .map(|request| request.prompt_tokens)
+            .sum();
+        let reading_ms = tokens as f64 / self.prompt_rate.tokens_per_ms();
+        self.expected_wait_ms(rank, batch_slots) + reading_ms as u64
+    }
+
     /// Returns the expected wait of a request of this rank for a place in the batch, in
     /// milliseconds.
     pub(super) fn expected_wait_ms(&self, rank: u32, batch_slots: u32) -> u64 {
--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -17,6 +17,8 @@
     pub adapter: Option<Arc<str>>,
     /// The priority rank; rank 0 is served first.
     pub rank: u32,
+    /// The length of the prompt, in tokens.
+    pub prompt_tokens: u64,
     /// The KV-cache memory that the request may need, in tokens.
     pub kv_tokens: u64,
     /// The time of arrival.
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -114,6 +114,45 @@
         (free + self.adapters.unused()) as u32
     }
 
+    /// Returns the expected time until the first event of a request that arrives now, in
+    /// milliseconds, if its prompt is short and its adapter is loaded.
+    #[must_use]
+    pub fn expected_first_event_ms(&self, rank: u32) -> u64 {
+        self.queue
+            .expected_first_event_ms(rank, self.limits.batch_slots)
+    }
+
+    /// Returns the expected time to load an adapter of which the host has a copy, in milliseconds:
+    /// the wait for a slot, for the loads ahead, and the load itself.
+    #[must_use]
+    pub fn expected_copy_load_ms(&self, now_ms: TimeMs) -> u64 {
+        self.expected_slot_ms(now_ms, self.load_times.mean_copy_load_ms())
+    }
+
+    /// Returns the expected time to fetch an adapter from the weight store, in milliseconds; see
+    /// [`EngineScheduler::expected_copy_load_ms`].
+    #[must_use]
+    pub fn expected_fetch_ms(&self, now_ms: TimeMs) -> u64 {
+        self.expected_slot_ms(now_ms, self.load_times.mean_fetch_ms())
+    }
+
+    /// Returns the rate at which the engine reads prompts, in tokens per millisecond.
+    #[must_use]
+    pub fn prompt_tokens_per_ms(&self) -> f64 {
+        self.queue.prompt_tokens_per_ms()
+    }
+
+    /// Returns the average time between two places in a full batch becoming free, in milliseconds.
+    #[must_use]
+    pub fn batch_turnover_ms(&self) -> f64 {
+        self.queue.mean_run_ms() / f64::from(self.limits.batch_slots.max(1))
+    }
+
+    /// Records that a request has produced its first event.
+    pub fn record_first_event(&mut self, key: u64, now_ms: TimeMs) {
+        self.queue.record_first_event(key, now_ms);
+    }
+
     /// Returns the engine's limits.
     #[must_use]
     pub const fn limits(&self) -> &EngineLimits {
@@ -299,19 +338,17 @@
     }
 
     /// Returns the expected wait for an adapter that has no slot, in milliseconds: until a slot is
-    /// free and the loads ahead of it and its own have completed.
-    fn expected_slot_ms(&self, request: &EngineRequest) -> u64 {
-        let ahead = self.missing_adapters(request.arrived_ms).len() as f64;
-        let load_ms = (1.0
-            + ahead
-                / self
-                    .load_times
-                    .load_limit(self.settings.max_concurrent_loads) as f64)
-            * self.load_times.mean_ms();
+    /// free, the loads ahead of it have completed, and its own load of `own_load_ms` has.
+    fn expected_slot_ms(&self, now_ms: TimeMs, own_load_ms: f64) -> u64 {
+        let ahead = self.missing_adapters(now_ms).len() as f64;
+        let load_limit = self
+            .load_times
+            .load_limit(self.settings.max_concurrent_loads);
+        let ahead_ms = ahead / load_limit as f64 * self.load_times.mean_ms();
         let slots = f64::from(self.limits.adapter_slots.max(1));
         let missing_slots = (ahead + 1.0 - f64::from(self.slots_available())).max(0.0);
         let slot_ms = missing_slots * self.queue.mean_run_ms() / slots;
-        (slot_ms + load_ms) as u64
+        (slot_ms + ahead_ms + own_load_ms) as u64
     }
 
     /// Returns the expected wait of a request until its adapter is loaded, in milliseconds.
@@ -322,7 +359,7 @@
         let loads = match self.adapters.state(adapter) {
             Some(SlotState::Resident) => 0.0,
             Some(SlotState::Loading) => 1.0,
-            None => return self.expected_slot_ms(request),
+            None => return self.expected_slot_ms(request.arrived_ms, self.load_times.mean_ms()),
         };
         (loads * self.load_times.mean_ms()) as u64
     }
--- a/crates/magnoliasail-core/src/gateway/load_times.rs
+++ b/crates/magnoliasail-core/src/gateway/load_times.rs
@@ -7,6 +7,8 @@
 /// Load time from which on a load counts as a fetch from the weight store: copies on the host load
 /// ten times as fast.
 const MIN_FETCH_MS: f64 = 120.0;
+/// Assumed time of a load from a copy on the host until one has completed.
+const INITIAL_COPY_LOAD_MS: f64 = 30.0;
 /// Assumed time of a fetch from an idle weight store until a shorter one is observed.
 const INITIAL_FETCH_MS: f64 = 400.0;
 
@@ -14,6 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LoadTimes {
     mean_load_ms: f64,
+    mean_copy_load_ms: f64,
     mean_fetch_ms: f64,
     shortest_fetch_ms: f64,
 }
@@ -22,6 +25,7 @@
     fn default() -> Self {
         Self {
             mean_load_ms: INITIAL_LOAD_MS,
+            mean_copy_load_ms: INITIAL_COPY_LOAD_MS,
             mean_fetch_ms: INITIAL_FETCH_MS,
             shortest_fetch_ms: INITIAL_FETCH_MS,
         }
@@ -33,6 +37,7 @@
     pub(super) fn record(&mut self, load_ms: f64) {
         self.mean_load_ms += NEWEST_WEIGHT * (load_ms - self.mean_load_ms);
         if load_ms < MIN_FETCH_MS {
+            self.mean_copy_load_ms += NEWEST_WEIGHT * (load_ms - self.mean_copy_load_ms);
             return;
         }
         self.mean_fetch_ms += NEWEST_WEIGHT * (load_ms - self.mean_fetch_ms);
@@ -44,6 +49,16 @@
         self.mean_load_ms
     }
 
+    /// Returns the average time of recent loads from copies on the host, in milliseconds.
+    pub(super) const fn mean_copy_load_ms(&self) -> f64 {
+        self.mean_copy_load_ms
+    }
+
+    /// Returns the average time of recent fetches from the weight store, in milliseconds.
+    pub(super) const fn mean_fetch_ms(&self) -> f64 {
+        self.mean_fetch_ms
+    }
+
     /// Returns the number of loads that may be in progress at once, from 1 to `max_loads`.
     ///
     /// The limit falls as fetches take longer than the shortest one: beyond the capacity of the
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -168,6 +168,68 @@
     /// The number of slots that are free or whose adapter is not in use.
     #[prost(uint32, tag = "7")]
     pub slots_available: u32,
+    /// The expected time until the first event of a request of rank 0 with a short prompt, in
+    /// milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub urgent_wait_ms: u32,
+    /// The same for a request of rank 1.
+    #[prost(uint32, tag = "9")]
+    pub normal_wait_ms: u32,
+    /// The same for a request of a higher rank.
+    #[prost(uint32, tag = "10")]
+    pub bulk_wait_ms: u32,
+    /// The expected time to load an adapter of which the host has a copy, in milliseconds.
+    #[prost(uint32, tag = "11")]
+    pub copy_load_ms: u32,
+    /// The expected time to fetch an adapter from the weight store, in milliseconds.
+    #[prost(uint32, tag = "12")]
+    pub fetch_ms: u32,
+    /// The rate at which the engine reads prompts, in tokens per second.
+    #[prost(uint32, tag = "13")]
+    pub prompt_tokens_per_s: u32,
+    /// The average time between two places in a full batch becoming free, in microseconds.
+    #[prost(uint32, tag = "14")]
+    pub batch_turnover_us: u32,
+}
+
+impl EngineState {
+    /// Returns the expected time until the first event of a request of this rank that is sent after
+    /// `sent` others with `sent_tokens` prompt tokens in total, which the state does not include yet.
+    #[must_use]
+    pub fn first_event_ms(&self, rank: u32, sent: u32, sent_tokens: u64) -> f64 {
+        let reported_ms = match rank {
+            0 => self.urgent_wait_ms,
+            1 => self.normal_wait_ms,
+            _ => self.bulk_wait_ms,
+        };
+        let queued = (self.load + sent).saturating_sub(self.slots).min(sent);
+        let queue_ms = f64::from(queued) * f64::from(self.batch_turnover_us) / 1_000.0;
+        let tokens_per_ms = f64::from(self.prompt_tokens_per_s.max(1_000)) / 1_000.0;
+        f64::from(reported_ms) + queue_ms + sent_tokens as f64 / tokens_per_ms
+    }
+
+    /// Returns whether placement would notice the difference to another state of the engine.
+    #[must_use]
+    pub fn differs_from(&self, other: &Self) -> bool {
+        /// Difference of times that does not matter beside the latency objectives of requests.
+        const MIN_DIFFERENCE_MS: u32 = 20;
+        let times_ms = |state: &Self| {
+            [
+                state.urgent_wait_ms,
+                state.normal_wait_ms,
+                state.bulk_wait_ms,
+                state.copy_load_ms,
+                state.fetch_ms,
+            ]
+        };
+        let is_time_different = times_ms(self)
+            .into_iter()
+            .zip(times_ms(other))
+            .any(|(a_ms, b_ms)| a_ms.abs_diff(b_ms) >= MIN_DIFFERENCE_MS);
+        let is_queue_different =
+            self.load.max(self.slots) != other.load.max(other.slots) || self.slots != other.slots;
+        is_time_different || is_queue_different || self.entries != other.entries
+    }
 }
 
 /// The models and adapters that an engine has, or the changes since the last update. Each is
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod order_tracker;
 mod placement;
 mod popularity;
+mod prompt_rate;
 mod replacements;
 mod request_metadata;
 mod retry_window;
@@ -37,6 +38,7 @@
 mod scheduler_settings;
 mod server_entry;
 mod server_health;
+mod unreported;
 
 pub use self::{
     adapter_slots::{AdapterSlots, SlotState},
@@ -55,7 +57,7 @@
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
-    placement::{Affinity, Candidate, Placement, PlacementCosts},
+    placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     popularity::Popularity,
     request_metadata::RequestMetadata,
     retry_window::RetryWindow,
@@ -63,4 +65,5 @@
     scheduler_settings::SchedulerSettings,
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
+    unreported::UnreportedWork,
 };
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -1,8 +1,9 @@
 //! Placement: the choice of a backend server for a request.
 //!
-//! Each candidate has a cost in milliseconds, the sum of the expected wait, the load of the
-//! adapter, the distance and a penalty for recent failures and slow answers. The candidate with
-//! the lowest cost is picked.
+//! Each candidate has a cost in milliseconds: the expected time until its answer starts, as its
+//! agent measures it, plus the price of what the choice uses (a fetch from the weight store, bytes
+//! between data centres) and a penalty for recent failures and slow answers. The candidate with the
+//! lowest cost is picked.
 //!
 //! For an adapter that no engine has, rendezvous hashing ranks the candidates, so that all entries
 //! pick the same engine to fetch it without exchanging messages. A rare adapter has one preferred
@@ -12,7 +13,7 @@
 use {
     super::Holding,
     crate::score,
-    std::{cmp::Ordering, sync::Arc},
+    std::{cmp::Ordering, cmp::Reverse, sync::Arc},
 };
 
 /// State of a backend server to which a request may be sent.
@@ -22,20 +23,19 @@
     pub name: Arc<str>,
     /// Whether the server is in the entry's own data centre.
     pub is_local: bool,
-    /// The number of requests known to run or wait at the server.
-    pub load: u32,
-    /// The maximum number of requests that the server runs at once.
-    pub slots: u32,
+    /// The expected time until the answer to a request starts, in milliseconds, without the load of
+    /// its adapter.
+    pub wait_ms: f64,
     /// The share of recent requests that failed, from 0 to 1.
     pub failure_share: f64,
     /// The recent time to first byte, in milliseconds; 0 if unknown.
     pub first_byte_ms: f64,
     /// Where the server has the adapter.
     pub holding: Holding,
-    /// The number of adapters that wait for a slot.
-    pub adapters_waiting: u32,
-    /// Whether one more adapter would get a slot at once.
-    pub has_available_slot: bool,
+    /// The expected time to load an adapter of which the host has a copy, in milliseconds.
+    pub copy_load_ms: f64,
+    /// The expected time to fetch an adapter from the weight store, in milliseconds.
+    pub fetch_ms: f64,
     /// The expected time until the base model is loaded, in milliseconds; 0 if it is loaded.
     pub ready_in_ms: u64,
 }
@@ -49,44 +49,28 @@
     pub is_popular: bool,
 }
 
-/// Weights of the components of a candidate's cost, in milliseconds.
+/// Weights of the components of a candidate's cost.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementCosts {
-    /// Cost of each pair of requests in the batch, whose prompts delay each other.
-    pub batch_pair_ms: f64,
-    /// Cost of each request that waits for a place in the batch.
-    pub queued_ms: f64,
-    /// Cost of a load from a copy in the memory of the engine's host.
-    pub copy_load_ms: f64,
-    /// Cost of a fetch of a popular adapter. It is low because later requests share the fetch.
-    pub popular_fetch_ms: f64,
-    /// Cost of a fetch of a rare adapter, which delays the request and takes up the weight store.
-    pub rare_fetch_ms: f64,
-    /// Cost of each adapter that waits for a slot ahead of the one to load.
-    pub slot_queue_ms: f64,
-    /// Cost of a load while all slots are in use.
-    pub no_slot_ms: f64,
-    /// Cost of each rank below the first, for a server that does not have the adapter.
+    /// The share of the time of a fetch that a request for a popular adapter is charged. It is low
+    /// because later requests share the fetch.
+    pub popular_fetch_share: f64,
+    /// Cost of each rank below the first, for a server that does not have the adapter, in
+    /// milliseconds.
     pub rank_step_ms: f64,
-    /// Cost of a server in another data centre for a popular adapter.
+    /// Cost of a server in another data centre for a popular adapter, in milliseconds.
     pub remote_ms: f64,
-    /// Cost of a server in another data centre for a rare adapter.
+    /// Cost of a server in another data centre for a rare adapter, in milliseconds.
     pub rare_remote_ms: f64,
-    /// Cost of a server at which all recent requests failed; a lower failure share costs less in
-    /// proportion.
+    /// Cost of a server at which all recent requests failed, in milliseconds; a lower failure share
+    /// costs less in proportion.
     pub failure_ms: f64,
 }
 
 impl Default for PlacementCosts {
     fn default() -> Self {
         Self {
-            batch_pair_ms: 0.1,
-            queued_ms: 20.0,
-            copy_load_ms: 20.0,
-            popular_fetch_ms: 40.0,
-            rare_fetch_ms: 150.0,
-            slot_queue_ms: 10.0,
-            no_slot_ms: 40.0,
+            popular_fetch_share: 0.25,
             rank_step_ms: 10.0,
             remote_ms: 60.0,
             rare_remote_ms: 8.0,
@@ -95,6 +79,17 @@
     }
 }
 
+/// Returns the expected wait at a plain server that runs `slots` requests at once and has `load`
+/// requests, in milliseconds. Requests delay each other before all slots are in use.
+#[must_use]
+pub fn plain_wait_ms(load: u32, slots: u32) -> f64 {
+    const PAIR_MS: f64 = 1.0;
+    const QUEUED_MS: f64 = 15.0;
+    let queued = load.saturating_sub(slots.saturating_sub(1));
+    let running = load - queued;
+    f64::from(running).powi(2) * PAIR_MS + f64::from(queued) * QUEUED_MS
+}
+
 /// Picks the backend server with the lowest cost for a request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Placement {
@@ -129,39 +124,22 @@
         typical: Typical,
     ) -> f64 {
         let costs = &self.costs;
-        let queued = candidate
-            .load
-            .saturating_sub(candidate.slots.saturating_sub(1));
-        let batched = candidate.load - queued;
-        let (fetch_ms, distance_ms) = if affinity.is_popular {
-            (costs.popular_fetch_ms, costs.remote_ms)
+        let (fetch_share, distance_ms) = if affinity.is_popular {
+            (costs.popular_fetch_share, costs.remote_ms)
         } else {
-            (costs.rare_fetch_ms, costs.rare_remote_ms)
+            (1.0, costs.rare_remote_ms)
         };
-        let miss_ms = match candidate.holding {
+        let load_ms = match candidate.holding {
             Holding::Resident => 0.0,
-            Holding::Copied => costs.copy_load_ms,
-            Holding::Absent => fetch_ms + rank as f64 * costs.rank_step_ms,
+            Holding::Copied => candidate.copy_load_ms,
+            Holding::Absent => candidate.fetch_ms * fetch_share + rank as f64 * costs.rank_step_ms,
         };
         let remote_ms = if candidate.is_local { 0.0 } else { distance_ms };
         let slow_ms = (candidate.first_byte_ms - 2.0 * typical.first_byte_ms).max(0.0);
         let excess_failure_share = (candidate.failure_share - typical.failure_share).max(0.0);
-        let slot_ms = match candidate.holding {
-            Holding::Resident => 0.0,
-            Holding::Copied | Holding::Absent => {
-                let full_ms = if candidate.has_available_slot {
-                    0.0
-                } else {
-                    costs.no_slot_ms
-                };
-                f64::from(candidate.adapters_waiting) * costs.slot_queue_ms + full_ms
-            }
-        };
-        f64::from(batched).powi(2) * costs.batch_pair_ms
+        candidate.wait_ms
             + candidate.ready_in_ms as f64
-            + slot_ms
-            + f64::from(queued) * costs.queued_ms
-            + miss_ms
+            + load_ms
             + remote_ms
             + slow_ms
             + excess_failure_share * costs.failure_ms
@@ -171,20 +149,20 @@
 /// Returns the rank of each candidate by rendezvous hashing, 0 first: among all servers for a rare
 /// adapter, among the local or among the remote servers for a popular one.
 fn ranks(affinity: Affinity<'_>, candidates: &[Candidate]) -> Vec<usize> {
-    let scores: Vec<u64> = candidates
+    let mut order: Vec<(u64, usize)> = candidates
         .iter()
-        .map(|candidate| score(affinity.key, &candidate.name))
+        .enumerate()
+        .map(|(index, candidate)| (score(affinity.key, &candidate.name), index))
         .collect();
-    let is_ranked_together = |a: usize, b: usize| {
-        !affinity.is_popular || candidates[a].is_local == candidates[b].is_local
-    };
-    (0..candidates.len())
-        .map(|index| {
-            (0..candidates.len())
-                .filter(|&other| is_ranked_together(index, other) && scores[other] > scores[index])
-                .count()
-        })
-        .collect()
+    order.sort_unstable_by_key(|&(score, index)| (Reverse(score), index));
+    let mut ranks = vec![0; candidates.len()];
+    let mut ranked = [0, 0];
+    for (_, index) in order {
+        let group = usize::from(affinity.is_popular && candidates[index].is_local);
+        ranks[index] = ranked[group];
+        ranked[group] += 1;
+    }
+    ranks
 }
 
 /// Medians over the candidates. Only deviations from them count, so that a cause common to all
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod engine_watch;
+mod expected_wait;
 mod fake_engine;
 mod holdings;
 mod idle_limit;
--- a/crates/magnoliasail-core/tests/gateway/placement.rs
+++ b/crates/magnoliasail-core/tests/gateway/placement.rs
@@ -1,25 +1,29 @@
 //! Placement of requests: consistent ranking, spillover under load, and failing or slow servers.
 
-use magnoliasail_core::gateway::{Affinity, Candidate, Holding, Placement, Popularity};
+use magnoliasail_core::gateway::{
+    Affinity, Candidate, Holding, Placement, Popularity, plain_wait_ms,
+};
 
-fn candidate(name: &str, is_local: bool, load: u32) -> Candidate {
+/// Time to fetch an adapter from an idle weight store, in milliseconds.
+const FETCH_MS: f64 = 250.0;
+
+fn candidate(name: &str, is_local: bool, wait_ms: f64) -> Candidate {
     Candidate {
         name: name.into(),
         is_local,
-        load,
-        slots: 32,
+        wait_ms,
         failure_share: 0.0,
         first_byte_ms: 50.0,
         holding: Holding::Absent,
-        adapters_waiting: 0,
-        has_available_slot: true,
+        copy_load_ms: 25.0,
+        fetch_ms: FETCH_MS,
         ready_in_ms: 0,
     }
 }
 
-fn fleet(load: u32) -> Vec<Candidate> {
+fn fleet(wait_ms: f64) -> Vec<Candidate> {
     (0..18)
-        .map(|index| candidate(&format!("10.0.0.{index}:80"), index < 6, load))
+        .map(|index| candidate(&format!("10.0.0.{index}:80"), index < 6, wait_ms))
         .collect()
 }
 
@@ -39,8 +43,8 @@
 
 #[test]
 fn all_data_centres_pick_the_same_server_for_a_rare_adapter() {
-    let local_view = fleet(3);
-    let mut remote_view = fleet(3);
+    let local_view = fleet(3.0);
+    let mut remote_view = fleet(3.0);
     for candidate in &mut remote_view {
         candidate.is_local = !candidate.is_local;
     }
@@ -57,7 +61,7 @@
 #[test]
 fn a_rare_adapter_goes_to_a_server_that_has_it_rather_than_to_the_first_ranked() {
     let placement = Placement::default();
-    let mut fleet = fleet(3);
+    let mut fleet = fleet(3.0);
     let first = placement.pick(rare("m/a"), &fleet).expect("a server");
     let holder = (first + 7) % fleet.len();
     for holding in [Holding::Copied, Holding::Resident] {
@@ -70,10 +74,10 @@
 #[test]
 fn an_adapter_is_not_loaded_on_a_server_without_free_slots_while_others_have_some() {
     let placement = Placement::default();
-    let mut fleet = fleet(10);
+    let mut fleet = fleet(10.0);
     let first = placement.pick(rare("m/a"), &fleet).expect("a server");
-    fleet[first].has_available_slot = false;
-    fleet[first].adapters_waiting = 2;
+    // Running requests use all slots, and two more adapters wait for one.
+    fleet[first].fetch_ms += 300.0;
     assert_ne!(placement.pick(rare("m/a"), &fleet), Some(first));
     fleet[first].holding = Holding::Resident;
     assert_eq!(placement.pick(rare("m/a"), &fleet), Some(first));
@@ -81,12 +85,12 @@
 
 /// Adapter slots are scarcer than places in the batch, so requests for one adapter share its slot.
 #[test]
-fn a_popular_adapter_stays_on_one_engine_while_its_batch_has_room() {
+fn a_popular_adapter_stays_on_one_engine_while_its_prompts_are_read_soon() {
     let placement = Placement::default();
-    let mut fleet = fleet(4);
+    let mut fleet = fleet(4.0);
     let first = placement.pick(popular("m/a"), &fleet).expect("a server");
     fleet[first].holding = Holding::Resident;
-    fleet[first].load = 14;
+    fleet[first].wait_ms = 50.0;
     assert_eq!(placement.pick(popular("m/a"), &fleet), Some(first));
 }
 
@@ -95,7 +99,9 @@
     let placement = Placement::default();
     for adapter in 0..200 {
         let key = format!("m/a{adapter}");
-        let picked = placement.pick(popular(&key), &fleet(3)).expect("a server");
+        let picked = placement
+            .pick(popular(&key), &fleet(3.0))
+            .expect("a server");
         assert!(picked < 6, "{key} went to server {picked}");
     }
 }
@@ -103,11 +109,13 @@
 #[test]
 fn a_burst_for_one_adapter_spreads_before_its_server_is_full() {
     let placement = Placement::default();
-    let mut fleet = fleet(0);
+    let mut fleet = fleet(0.0);
     let mut counts = [0_u32; 18];
     for _ in 0..60 {
         let picked = placement.pick(popular("m/hot"), &fleet).expect("a server");
-        fleet[picked].load += 1;
+        // Each prompt takes an engine 25 ms to read.
+        fleet[picked].wait_ms += 25.0;
+        fleet[picked].holding = Holding::Resident;
         counts[picked] += 1;
     }
     let max_count = counts.iter().max().copied().unwrap_or(0);
@@ -121,7 +129,7 @@
 #[test]
 fn a_server_that_fails_more_than_its_peers_is_avoided() {
     let placement = Placement::default();
-    let mut fleet = fleet(3);
+    let mut fleet = fleet(3.0);
     let first = placement.pick(popular("m/a"), &fleet).expect("a server");
     fleet[first].failure_share = 0.4;
     assert_ne!(placement.pick(popular("m/a"), &fleet), Some(first));
@@ -130,7 +138,7 @@
 #[test]
 fn failures_common_to_all_servers_do_not_change_the_pick() {
     let placement = Placement::default();
-    let mut fleet = fleet(3);
+    let mut fleet = fleet(3.0);
     let first = placement.pick(popular("m/a"), &fleet);
     for candidate in &mut fleet {
         candidate.failure_share = 0.45;
@@ -141,7 +149,7 @@
 #[test]
 fn an_engine_that_is_loading_its_model_is_picked_only_if_no_other_is_ready() {
     let placement = Placement::default();
-    let mut fleet = fleet(3);
+    let mut fleet = fleet(3.0);
     let first = placement.pick(rare("m/a"), &fleet).expect("a server");
     fleet[first].ready_in_ms = 800;
     assert_ne!(placement.pick(rare("m/a"), &fleet), Some(first));
@@ -154,7 +162,7 @@
 #[test]
 fn a_server_slower_than_its_peers_is_avoided() {
     let placement = Placement::default();
-    let mut fleet = fleet(3);
+    let mut fleet = fleet(3.0);
     let first = placement.pick(popular("m/a"), &fleet).expect("a server");
     fleet[first].first_byte_ms = 400.0;
     assert_ne!(placement.pick(popular("m/a"), &fleet), Some(first));
@@ -170,3 +178,26 @@
     assert!(count > 9.0);
     assert!(popularity.count("m/a", 121_000) < 2.0);
 }
+
+/// While more adapters are asked for than the weight store can deliver, a fetch takes long, and each
+/// further copy of an adapter delays the first copy of another.
+#[test]
+fn a_busy_weight_store_keeps_requests_at_the_engines_that_have_their_adapters() {
+    let placement = Placement::default();
+    let mut fleet = fleet(0.0);
+    let first = placement.pick(popular("m/a"), &fleet).expect("a server");
+    fleet[first].holding = Holding::Resident;
+    fleet[first].wait_ms = 120.0;
+    assert_ne!(placement.pick(popular("m/a"), &fleet), Some(first));
+    for candidate in &mut fleet {
+        candidate.fetch_ms = 4.0 * FETCH_MS;
+    }
+    assert_eq!(placement.pick(popular("m/a"), &fleet), Some(first));
+}
+
+#[test]
+fn a_plain_server_with_queued_requests_costs_more_than_one_with_free_slots() {
+    assert!(plain_wait_ms(5, 6) < plain_wait_ms(7, 6));
+    assert!(plain_wait_ms(0, 6) < plain_wait_ms(1, 6));
+    assert!(plain_wait_ms(3, 0) > 0.0, "a server may report no slots");
+}
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -26,6 +26,8 @@
     tokio::time::{sleep, timeout},
 };
 
+/// Time between comparisons of the engine's state with the one that entries have.
+const STATE_INTERVAL: Duration = Duration::from_millis(250);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between reports while a load is in progress or the engine's state is unknown.
@@ -86,6 +88,14 @@
     }
 }
 
+/// Keeps the entries informed of the engine's state until the process exits.
+pub(super) async fn report_engine_state(state: Rc<AgentState>) {
+    loop {
+        sleep(STATE_INTERVAL).await;
+        state.broadcast_changed_engine_state();
+    }
+}
+
 async fn request_report(state: &AgentState) -> Result<EngineReport, ReportError> {
     let request = report::request(&state.engine_address.to_string());
     let (status, body) = state
@@ -135,8 +145,7 @@
                 Some(Ok(response)) => {
                     let part_timeout =
                         stall_timeouts.map(|stall_timeouts| stall_timeouts.between_parts);
-                    forward_response(&state, link, attempt, started_ms, part_timeout, response)
-                        .await
+                    forward_response(&state, key, started_ms, part_timeout, response).await
                 }
                 Some(Err(error)) => handle_send_error(&state, &error),
                 None => AttemptEnd::Aborted,
@@ -214,12 +223,15 @@
 /// Forwards a response to the entry until it ends or stalls.
 async fn forward_response(
     state: &AgentState,
-    link: u64,
-    attempt: u64,
+    key: u64,
     started_ms: u64,
     part_timeout: Option<Duration>,
     mut response: ServerResponse,
 ) -> AttemptEnd {
+    let request = state.with_request(key, |request| (request.link, request.submit.attempt));
+    let Some((link, attempt)) = request else {
+        return AttemptEnd::Aborted;
+    };
     if headers::proves_not_run(response.status, &response.headers) {
         state.report_requested.notify_one();
         return AttemptEnd::Refused(EngineRefusal::EngineRefused);
@@ -231,7 +243,7 @@
     };
     let head_time_ms = state.clock.now_ms().saturating_sub(started_ms);
     state.metrics.observe_stage(Stage::EngineHead, head_time_ms);
-    state.record_head_time(head_time_ms);
+    state.record_head(key, head_time_ms);
     state.send(link, ToEntryKind::Head(head));
     loop {
         let part = with_stall_timeout(state, part_timeout, response.next_part()).await;
--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -10,8 +10,10 @@
 
 use {
     self::{
-        engine::poll_engine_reports, entry_link::serve_entries,
-        operator_observer::watch_operator_keys, state::AgentState,
+        engine::{poll_engine_reports, report_engine_state},
+        entry_link::serve_entries,
+        operator_observer::watch_operator_keys,
+        state::AgentState,
     },
     super::{metrics::serve_metrics, sockets::listen},
     magnoliasail_platform::settings::NodeSettings,
@@ -42,6 +44,7 @@
     tokio::task::spawn_local(serve_metrics(Rc::clone(&state.metrics), metrics));
     watch_operator_keys(&state);
     tokio::task::spawn_local(poll_engine_reports(Rc::clone(&state)));
+    tokio::task::spawn_local(report_engine_state(Rc::clone(&state)));
     let serving = tokio::task::spawn_local(serve_entries(Rc::clone(&state), listener));
     let _ = draining.wait_for(|&is_draining| is_draining).await;
     state.drain();
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -89,6 +89,8 @@
     was_serving: Cell<bool>,
     /// Whether a base model was being loaded after the last update of the scheduler.
     was_loading: Cell<bool>,
+    /// The engine's state that was last sent to all entries.
+    last_broadcast: Cell<EngineState>,
 }
 
 /// Maximum number of connections to the engine for requests; more than the size of any batch.
@@ -125,6 +127,7 @@
             is_draining: Cell::new(false),
             was_serving: Cell::new(false),
             was_loading: Cell::new(false),
+            last_broadcast: Cell::default(),
         })
     }
 
@@ -189,6 +192,7 @@
             model,
             adapter: adapter.clone(),
             rank: submit.rank,
+            prompt_tokens: metadata.prompt_tokens,
             kv_tokens: metadata.prompt_tokens + metadata.output_tokens,
             arrived_ms: now_ms,
             objective_ms: now_ms + submit.objective_ms,
@@ -408,10 +412,13 @@
         })
     }
 
-    /// Adds a time until a response head, in milliseconds, to the average.
-    pub(super) fn record_head_time(&self, head_time_ms: u64) {
+    /// Records that a request has produced the head of its response `head_time_ms` milliseconds after
+    /// it was sent to the engine.
+    pub(super) fn record_head(&self, key: u64, head_time_ms: u64) {
         /// Weight of the newest time in the moving average.
         const NEWEST_WEIGHT: f64 = 0.1;
+        let now_ms = self.clock.now_ms();
+        self.scheduler.borrow_mut().record_first_event(key, now_ms);
         let mean_ms = self.mean_head_time_ms.get();
         self.mean_head_time_ms
             .set(mean_ms + NEWEST_WEIGHT * (head_time_ms as f64 - mean_ms));
@@ -455,7 +462,16 @@
     }
 
     fn broadcast_engine_state(&self) {
-        self.broadcast(&ToEntryKind::State(self.engine_state()));
+        let state = self.engine_state();
+        self.last_broadcast.set(state);
+        self.broadcast(&ToEntryKind::State(state));
+    }
+
+    /// Sends the engine's state to all entries if it differs from the one that they have.
+    pub(super) fn broadcast_changed_engine_state(&self) {
+        if self.engine_state().differs_from(&self.last_broadcast.get()) {
+            self.broadcast_engine_state();
+        }
     }
 
     fn broadcast(&self, kind: &ToEntryKind) {
@@ -489,14 +505,23 @@
 
     fn engine_state(&self) -> EngineState {
         let scheduler = self.scheduler.borrow();
+        let now_ms = self.clock.now_ms();
+        let clamped = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
         EngineState {
             load: scheduler.load(),
             is_serving: !self.is_draining.get() && scheduler.is_serving(),
             entries: self.links.borrow().len() as u32,
             slots: scheduler.limits().batch_slots,
-            adapters_waiting: scheduler.adapters_waiting(self.clock.now_ms()),
+            adapters_waiting: scheduler.adapters_waiting(now_ms),
             slots_available: scheduler.slots_available(),
-            ready_in_ms: scheduler.ready_in_ms(self.clock.now_ms()).unwrap_or(0),
+            ready_in_ms: scheduler.ready_in_ms(now_ms).unwrap_or(0),
+            urgent_wait_ms: clamped(scheduler.expected_first_event_ms(0)),
+            normal_wait_ms: clamped(scheduler.expected_first_event_ms(1)),
+            bulk_wait_ms: clamped(scheduler.expected_first_event_ms(u32::MAX)),
+            copy_load_ms: clamped(scheduler.expected_copy_load_ms(now_ms)),
+            fetch_ms: clamped(scheduler.expected_fetch_ms(now_ms)),
+            prompt_tokens_per_s: (scheduler.prompt_tokens_per_ms() * 1_000.0) as u32,
+            batch_turnover_us: (scheduler.batch_turnover_ms() * 1_000.0) as u32,
         }
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -135,7 +135,8 @@
         body: outgoing.body.clone(),
         is_resumable: outgoing.kind == RequestKind::ResumableStream && outgoing.has_further_server,
     };
-    let Some((number, updates)) = link.submit(submit) else {
+    let Some((number, updates)) = link.submit(submit, outgoing.metadata.prompt_tokens, now_ms)
+    else {
         return StartOutcome::Unsent;
     };
     let mut attempt = EngineAttempt {
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -271,9 +271,13 @@
                 is_popular: self.is_popular,
             };
             let model = self.outgoing.metadata.model.as_ref();
-            let pick = self
-                .state
-                .pick(&self.route.service, model, affinity, &self.tried);
+            let pick = self.state.pick(
+                &self.route.service,
+                model,
+                self.outgoing.rank,
+                affinity,
+                &self.tried,
+            );
             // Most requests have a pick; the last check, which looks at every server, is for the
             // rest.
             let may_wait = pick.is_none()
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -6,7 +6,7 @@
         gateway::sockets::connect,
     },
     magnoliasail_core::gateway::{
-        EngineRefusal, Holding, Holdings,
+        EngineRefusal, Holding, Holdings, UnreportedWork,
         message::{EngineState, Head, Submit, ToAgent, ToAgentKind, ToEntry, ToEntryKind},
     },
     magnoliasail_wire::{Link, LinkSettings, Outbox},
@@ -51,6 +51,8 @@
     /// The queue of messages to send; `None` while the link is down.
     outbox: RefCell<Option<Outbox<ToAgent>>>,
     state: Cell<EngineState>,
+    /// Requests that `state` does not include yet.
+    unreported: Cell<UnreportedWork>,
     /// When the availability of the engine last changed, through a report or the end of the link;
     /// initially when the link was created.
     state_changed_at: Cell<Instant>,
@@ -69,6 +71,7 @@
             address,
             outbox: RefCell::default(),
             state: Cell::default(),
+            unreported: Cell::default(),
             state_changed_at: Cell::new(Instant::now()),
             changes,
             holdings: RefCell::default(),
@@ -111,8 +114,18 @@
         self.usable_state().is_none() && self.state_changed_at.get().elapsed() < STARTUP_WINDOW
     }
 
+    /// Returns the expected time until the first event of a request of this rank that is sent now, in
+    /// milliseconds.
+    pub(super) fn first_event_ms(&self, rank: u32, now_ms: u64) -> f64 {
+        let (requests, prompt_tokens) = self.unreported.get().totals(now_ms);
+        self.state
+            .get()
+            .first_event_ms(rank, requests, prompt_tokens)
+    }
+
     fn set_state(&self, state: EngineState) {
         let old = self.state.replace(state);
+        self.unreported.set(UnreportedWork::default());
         let availability = |state: EngineState| (state.is_serving, state.ready_in_ms > 0);
         if availability(old) != availability(state) {
             self.state_changed_at.set(Instant::now());
@@ -143,6 +156,8 @@
     pub(super) fn submit(
         &self,
         mut submit: Submit,
+        prompt_tokens: u64,
+        now_ms: u64,
     ) -> Option<(u64, mpsc::Receiver<AttemptUpdate>)> {
         let attempt = self.next_attempt.get();
         self.next_attempt.set(attempt + 1);
@@ -150,6 +165,9 @@
         let (sender, receiver) = mpsc::channel(UPDATE_QUEUE_CAPACITY);
         self.attempts.borrow_mut().insert(attempt, sender);
         if self.send(ToAgentKind::Submit(submit)) {
+            let mut unreported = self.unreported.get();
+            unreported.add(prompt_tokens, now_ms);
+            self.unreported.set(unreported);
             return Some((attempt, receiver));
         }
         self.attempts.borrow_mut().remove(&attempt);
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -9,7 +9,7 @@
     },
     magnoliasail_core::gateway::{
         Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, Popularity,
-        RetryWindow, RouteTable, ServerView, adapter_key,
+        RetryWindow, RouteTable, ServerView, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -126,6 +126,7 @@
         &self,
         service: &str,
         model: Option<&Arc<str>>,
+        rank: u32,
         affinity: Affinity<'_>,
         tried: &[Arc<str>],
     ) -> Option<PickedServer> {
@@ -139,7 +140,7 @@
             return pick_candidate(plain_server_costs(), affinity, picks, candidates);
         }
         let model = model.map(|model| adapter_key(model));
-        let (picks, candidates) = self.engine_candidates(service, model, affinity, tried);
+        let (picks, candidates) = self.engine_candidates(service, model, rank, affinity, tried);
         pick_candidate(PlacementCosts::default(), affinity, picks, candidates)
     }
 
@@ -149,14 +150,16 @@
         &self,
         service: &str,
         model: Option<u64>,
+        rank: u32,
         affinity: Affinity<'_>,
         tried: &[Arc<str>],
     ) -> (Vec<PickedServer>, Vec<Candidate>) {
         let adapter = adapter_key(affinity.key);
+        let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
         let usable: Vec<_> = directory
-            .usable(service, self.clock.now_ms())
+            .usable(service, now_ms)
             .filter_map(|server| {
                 let link = links.get(&server.entry.address.ip())?;
                 let holds_model =
@@ -172,11 +175,10 @@
             .map(|(server, link, state, _)| {
                 let (pick, candidate) = self.plain_candidate(server);
                 let candidate = Candidate {
-                    load: candidate.load.max(state.load),
-                    slots: state.slots,
+                    wait_ms: link.first_event_ms(rank, now_ms),
                     holding: link.holding(adapter),
-                    adapters_waiting: state.adapters_waiting,
-                    has_available_slot: state.slots_available > state.adapters_waiting,
+                    copy_load_ms: f64::from(state.copy_load_ms),
+                    fetch_ms: f64::from(state.fetch_ms),
                     ready_in_ms: state.ready_in_ms,
                     ..candidate
                 };
@@ -216,13 +218,12 @@
         let candidate = Candidate {
             name: Arc::clone(&server.name),
             is_local: server.entry.data_centre == self.settings.data_centre,
-            load: server.load(),
-            slots: server.entry.slots,
+            wait_ms: plain_wait_ms(server.load(), server.entry.slots),
             failure_share: server.health.failure_share(now_ms),
             first_byte_ms: server.health.first_byte_ms(now_ms),
             holding: Holding::Resident,
-            adapters_waiting: 0,
-            has_available_slot: true,
+            copy_load_ms: 0.0,
+            fetch_ms: 0.0,
             ready_in_ms: 0,
         };
         (pick, candidate)
@@ -311,8 +312,6 @@
 /// Returns the placement costs of plain servers, at which adapters cost nothing.
 fn plain_server_costs() -> PlacementCosts {
     PlacementCosts {
-        batch_pair_ms: 1.0,
-        queued_ms: 15.0,
         remote_ms: 12.0,
         ..PlacementCosts::default()
     }
