feat(gateway): keep the weight store for the fetches that can be in time

Of 1,738 loads 341 were from copies on the host, which waited behind fetches, and 340 fetched an adapter that another engine had.

Change: a load from the host's memory neither counts against the limit of fetches nor waits behind them; a request that would miss its objective even if its fetch began at once yields to those that can be in time; the time of a fetch counts in full in placement while the store is busy, also for popular adapters. Fetches and loads from copies are measured apart. Placement also charges the share of the batch in use, so that engines fill evenly.

--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -8,8 +8,8 @@
 
 /// Weight of the newest run in the moving average of run times.
 const NEWEST_RUN_WEIGHT: f64 = 0.05;
-/// Weight of a request that has missed its objective, among those that wait for an adapter; other
-/// requests have the weight 1.
+/// Weight of a request that misses its objective, among those that wait for an adapter; other requests
+/// have the weight 1.
 const LATE_WEIGHT: f64 = 0.05;
 /// Waiting time that adds as much weight to an adapter as one more request for it.
 const AGE_WEIGHT_MS: f64 = 2_000.0;
@@ -206,13 +206,15 @@
 
     /// Returns the adapters of waiting requests for which `is_missing` returns `true`, with the sum
     /// of the requests' weights. A weight grows with the waiting time and is small for a request
-    /// that has missed its objective.
-    pub(super) fn missing_adapters<F>(
+    /// that would miss its objective even if the load, which takes `load_ms`, began at once.
+    pub(super) fn missing_adapters<L, F>(
         &self,
         now_ms: TimeMs,
+        load_ms: L,
         is_missing: F,
     ) -> HashMap<&Arc<str>, f64>
     where
+        L: Fn(&str) -> u64,
         F: Fn(&EngineRequest, &Arc<str>) -> bool,
     {
         let mut missing = HashMap::new();
@@ -223,7 +225,7 @@
             if !is_missing(request, adapter) {
                 continue;
             }
-            let is_late = now_ms > request.objective_ms;
+            let is_late = now_ms + load_ms(adapter) > request.objective_ms;
             let weight = if is_late { LATE_WEIGHT } else { 1.0 };
             let age_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
             *missing.entry(adapter).or_insert(0.0) += weight + age_ms / AGE_WEIGHT_MS;
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -12,9 +12,11 @@
     super::{
         AdapterSlots, EngineAction, EngineLimits, EngineRefusal, EngineReport, EngineRequest,
         Order, OrderKind, OrderOutcome, SchedulerSettings, SlotState, VersionedAdapter,
+        adapter_key,
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
+        holdings::HostCopies,
         load_times::LoadTimes,
         order_tracker::{OrderTracker, PendingOrder},
         replacements::Replacements,
@@ -34,6 +36,8 @@
     settings: SchedulerSettings,
     limits: EngineLimits,
     adapters: AdapterSlots,
+    /// Adapters that left their slots and that the engine's host still caches.
+    copies: HostCopies,
     replacements: Replacements,
     models: BaseModels,
     load_times: LoadTimes,
@@ -53,6 +57,7 @@
             settings,
             limits: EngineLimits::default(),
             adapters: AdapterSlots::default(),
+            copies: HostCopies::default(),
             replacements: Replacements::default(),
             models: BaseModels::default(),
             load_times: LoadTimes::default(),
@@ -123,17 +128,25 @@
     }
 
     /// Returns the expected time to load an adapter of which the host has a copy, in milliseconds:
-    /// the wait for a slot, for the loads ahead, and the load itself.
+    /// the wait for a slot, and the load itself.
     #[must_use]
     pub fn expected_copy_load_ms(&self, now_ms: TimeMs) -> u64 {
-        self.expected_slot_ms(now_ms, self.load_times.mean_copy_load_ms())
+        let adapters_ahead = self.missing_adapters(now_ms).len();
+        let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
+        (wait_ms + self.load_times.mean_copy_load_ms()) as u64
     }
 
-    /// Returns the expected time to fetch an adapter from the weight store, in milliseconds; see
-    /// [`EngineScheduler::expected_copy_load_ms`].
+    /// Returns the expected time to fetch an adapter from the weight store, in milliseconds: the wait
+    /// for a slot, for the loads ahead, and the fetch itself.
     #[must_use]
     pub fn expected_fetch_ms(&self, now_ms: TimeMs) -> u64 {
-        self.expected_slot_ms(now_ms, self.load_times.mean_fetch_ms())
+        let adapters_ahead = self.missing_adapters(now_ms).len();
+        let load_limit = self
+            .load_times
+            .load_limit(self.settings.max_concurrent_loads);
+        let ahead_ms = adapters_ahead as f64 / load_limit as f64 * self.load_times.mean_ms();
+        let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
+        (wait_ms + ahead_ms + self.load_times.mean_fetch_ms()) as u64
     }
 
     /// Returns the rate at which the engine reads prompts, in tokens per millisecond.
@@ -316,9 +329,11 @@
         }
         let model_ms = ready_in_ms.unwrap_or(0);
         let load_ms = self.expected_load_ms(request);
-        if now_ms + model_ms + load_ms > request.objective_ms
-            && load_ms > self.load_times.mean_ms() as u64 * 2
-        {
+        let own_load_ms = request
+            .adapter
+            .as_ref()
+            .map_or(0, |adapter| self.load_ms(adapter) as u64);
+        if now_ms + model_ms + load_ms > request.objective_ms && load_ms > own_load_ms * 2 {
             // The request would miss its objective and take the slot of one that could meet it.
             return Some((EngineRefusal::Overloaded, model_ms + load_ms));
         }
@@ -337,18 +352,26 @@
         self.models.is_loaded(model) || self.models.is_loading_model(model)
     }
 
-    /// Returns the expected wait for an adapter that has no slot, in milliseconds: until a slot is
-    /// free, the loads ahead of it have completed, and its own load of `own_load_ms` has.
-    fn expected_slot_ms(&self, now_ms: TimeMs, own_load_ms: f64) -> u64 {
-        let ahead = self.missing_adapters(now_ms).len() as f64;
-        let load_limit = self
-            .load_times
-            .load_limit(self.settings.max_concurrent_loads);
-        let ahead_ms = ahead / load_limit as f64 * self.load_times.mean_ms();
+    /// Returns the expected wait for a slot of an adapter after `adapters_ahead` others, in
+    /// milliseconds.
+    fn expected_slot_wait_ms(&self, adapters_ahead: usize) -> f64 {
         let slots = f64::from(self.limits.adapter_slots.max(1));
-        let missing_slots = (ahead + 1.0 - f64::from(self.slots_available())).max(0.0);
-        let slot_ms = missing_slots * self.queue.mean_run_ms() / slots;
-        (slot_ms + ahead_ms + own_load_ms) as u64
+        let missing_slots = adapters_ahead as f64 + 1.0 - f64::from(self.slots_available());
+        missing_slots.max(0.0) * self.queue.mean_run_ms() / slots
+    }
+
+    /// Returns whether the engine's host probably caches an adapter.
+    fn is_copied(&self, adapter: &str) -> bool {
+        self.copies.contains(adapter_key(adapter))
+    }
+
+    /// Returns the expected time of a load of an adapter, in milliseconds.
+    fn load_ms(&self, adapter: &str) -> f64 {
+        if self.is_copied(adapter) {
+            self.load_times.mean_copy_load_ms()
+        } else {
+            self.load_times.mean_fetch_ms()
+        }
     }
 
     /// Returns the expected wait of a request until its adapter is loaded, in milliseconds.
@@ -356,12 +379,12 @@
         let Some(adapter) = &request.adapter else {
             return 0;
         };
-        let loads = match self.adapters.state(adapter) {
-            Some(SlotState::Resident) => 0.0,
-            Some(SlotState::Loading) => 1.0,
-            None => return self.expected_slot_ms(request.arrived_ms, self.load_times.mean_ms()),
-        };
-        (loads * self.load_times.mean_ms()) as u64
+        match self.adapters.state(adapter) {
+            Some(SlotState::Resident) => 0,
+            Some(SlotState::Loading) => self.load_times.mean_ms() as u64,
+            None if self.is_copied(adapter) => self.expected_copy_load_ms(request.arrived_ms),
+            None => self.expected_fetch_ms(request.arrived_ms),
+        }
     }
 
     /// Refuses waiting requests: all of them if the engine is down or draining, otherwise those
@@ -423,17 +446,19 @@
         if self.models.is_empty() {
             return self.order_model(now_ms);
         }
-        if self.adapters.loading()
-            >= self
-                .load_times
-                .load_limit(self.settings.max_concurrent_loads)
-        {
+        if self.adapters.loading() >= self.settings.max_concurrent_loads {
             return None;
         }
         if let Some(order) = self.order_replacement(now_ms) {
             return Some(order);
         }
         let missing = self.missing_adapter(now_ms)?;
+        let fetch_limit = self
+            .load_times
+            .load_limit(self.settings.max_concurrent_loads);
+        if !self.is_copied(&missing) && self.adapters.loading() >= fetch_limit {
+            return None;
+        }
         if self.adapters.taken() < self.limits.adapter_slots as usize {
             return Some(self.order_adapter(&missing, now_ms));
         }
@@ -443,23 +468,31 @@
         Some(self.orders.issue_adapter(OrderKind::Unload, &victim, None))
     }
 
-    /// Returns the missing adapter with the highest weight; see [`EngineQueue::missing_adapters`].
+    /// Returns the missing adapter to load next: one of which the host has a copy, which takes little
+    /// time and nothing from the weight store, then the one with the highest weight; see
+    /// [`EngineQueue::missing_adapters`].
     fn missing_adapter(&self, now_ms: TimeMs) -> Option<Arc<str>> {
         self.missing_adapters(now_ms)
             .into_iter()
-            .max_by(|(name_a, weight_a), (name_b, weight_b)| {
-                weight_a
-                    .total_cmp(weight_b)
-                    .then_with(|| name_b.cmp(name_a))
-            })
-            .map(|(name, _)| Arc::clone(name))
+            .map(|(name, weight)| (self.is_copied(name), weight, name))
+            .max_by(
+                |(is_copied_a, weight_a, name_a), (is_copied_b, weight_b, name_b)| {
+                    is_copied_a
+                        .cmp(is_copied_b)
+                        .then_with(|| weight_a.total_cmp(weight_b))
+                        .then_with(|| name_b.cmp(name_a))
+                },
+            )
+            .map(|(.., name)| Arc::clone(name))
     }
 
     /// Returns the adapters for which requests wait and that have no slot, with their weights.
     fn missing_adapters(&self, now_ms: TimeMs) -> HashMap<&Arc<str>, f64> {
-        self.queue.missing_adapters(now_ms, |request, adapter| {
-            self.adapters.state(adapter).is_none() && self.may_serve(&request.model)
-        })
+        let load_ms = |adapter: &str| self.load_ms(adapter) as u64;
+        self.queue
+            .missing_adapters(now_ms, load_ms, |request, adapter| {
+                self.adapters.state(adapter).is_none() && self.may_serve(&request.model)
+            })
     }
 
     /// Issues the order to replace a loaded adapter by its newer version.
@@ -492,7 +525,10 @@
     /// Applies an order that the engine has accepted or completed.
     fn apply_order(&mut self, pending: &PendingOrder) {
         match (&pending.adapter, pending.order.kind) {
-            (Some(adapter), OrderKind::Unload) => self.adapters.free(adapter),
+            (Some(adapter), OrderKind::Unload) => {
+                self.copies.add(adapter_key(adapter));
+                self.adapters.free(adapter);
+            }
             (Some(_), OrderKind::Load) => {}
             (None, _) => self.models.mark_loading(),
         }
@@ -533,6 +569,7 @@
     fn reset_after_restart(&mut self) {
         self.restarts += 1;
         self.adapters.clear();
+        self.copies = HostCopies::default();
         self.models.clear();
         self.orders.clear_sequence();
         self.queue.discard_pins();
--- a/crates/magnoliasail-core/src/gateway/holdings.rs
+++ b/crates/magnoliasail-core/src/gateway/holdings.rs
@@ -63,7 +63,7 @@
 
 /// Adapters that the engine's host probably still caches, because they were in a slot before.
 #[derive(Clone, Debug, Default)]
-struct HostCopies {
+pub(super) struct HostCopies {
     /// Keys in the order in which the adapters left their slots, oldest first.
     order: VecDeque<u64>,
 }
@@ -74,7 +74,7 @@
     const MAX_COPIES: usize = 80;
 
     /// Records that an adapter has left its slot.
-    fn add(&mut self, key: u64) {
+    pub(super) fn add(&mut self, key: u64) {
         self.order.retain(|&other| other != key);
         self.order.push_back(key);
         if self.order.len() > Self::MAX_COPIES {
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns whether the host probably still caches an adapter.
+    pub(super) fn contains(&self, key: u64) -> bool {
+        self.order.contains(&key)
+    }
+
     fn iter(&self) -> impl Iterator<Item = u64> {
         self.order.iter().copied()
     }
--- a/crates/magnoliasail-core/src/gateway/load_times.rs
+++ b/crates/magnoliasail-core/src/gateway/load_times.rs
@@ -9,8 +9,10 @@
 const MIN_FETCH_MS: f64 = 120.0;
 /// Assumed time of a load from a copy on the host until one has completed.
 const INITIAL_COPY_LOAD_MS: f64 = 30.0;
+/// Assumed time of a fetch until one has completed.
+const INITIAL_FETCH_MS: f64 = 250.0;
 /// Assumed time of a fetch from an idle weight store until a shorter one is observed.
-const INITIAL_FETCH_MS: f64 = 400.0;
+const INITIAL_SHORTEST_FETCH_MS: f64 = 400.0;
 
 /// Moving averages of load times, and the shortest fetch from the weight store.
 #[derive(Clone, Copy, Debug)]
@@ -27,7 +29,7 @@
             mean_load_ms: INITIAL_LOAD_MS,
             mean_copy_load_ms: INITIAL_COPY_LOAD_MS,
             mean_fetch_ms: INITIAL_FETCH_MS,
-            shortest_fetch_ms: INITIAL_FETCH_MS,
+            shortest_fetch_ms: INITIAL_SHORTEST_FETCH_MS,
         }
     }
 }
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -202,10 +202,14 @@
             1 => self.normal_wait_ms,
             _ => self.bulk_wait_ms,
         };
+        /// Delay of the first event by the other requests of a full batch.
+        const FULL_BATCH_MS: f64 = 50.0;
+        let fill = f64::from(self.load + sent) / f64::from(self.slots.max(1));
+        let batch_ms = FULL_BATCH_MS * fill.min(1.0).powi(2);
         let queued = (self.load + sent).saturating_sub(self.slots).min(sent);
         let queue_ms = f64::from(queued) * f64::from(self.batch_turnover_us) / 1_000.0;
         let tokens_per_ms = f64::from(self.prompt_tokens_per_s.max(1_000)) / 1_000.0;
-        f64::from(reported_ms) + queue_ms + sent_tokens as f64 / tokens_per_ms
+        f64::from(reported_ms) + batch_ms + queue_ms + sent_tokens as f64 / tokens_per_ms
     }
 
     /// Returns whether placement would notice the difference to another state of the engine.
@@ -226,9 +230,11 @@
             .into_iter()
             .zip(times_ms(other))
             .any(|(a_ms, b_ms)| a_ms.abs_diff(b_ms) >= MIN_DIFFERENCE_MS);
-        let is_queue_different =
-            self.load.max(self.slots) != other.load.max(other.slots) || self.slots != other.slots;
-        is_time_different || is_queue_different || self.entries != other.entries
+        let min_load_difference = (self.slots / 8).max(1);
+        let is_load_different = self.load.abs_diff(other.load) > min_load_difference;
+        is_time_different
+            || is_load_different
+            || (self.slots, self.entries) != (other.slots, other.entries)
     }
 }
 
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -52,9 +52,12 @@
 /// Weights of the components of a candidate's cost.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementCosts {
-    /// The share of the time of a fetch that a request for a popular adapter is charged. It is low
-    /// because later requests share the fetch.
-    pub popular_fetch_share: f64,
+    /// Reduction of the cost of a fetch of a popular adapter, which later requests share, in
+    /// milliseconds. It doesn't grow with the time of the fetch: while the weight store is busy, each
+    /// further copy of an adapter delays the first copy of another.
+    pub popular_fetch_discount_ms: f64,
+    /// The smallest cost of a fetch, in milliseconds.
+    pub min_fetch_ms: f64,
     /// Cost of each rank below the first, for a server that does not have the adapter, in
     /// milliseconds.
     pub rank_step_ms: f64,
@@ -70,7 +73,8 @@
 impl Default for PlacementCosts {
     fn default() -> Self {
         Self {
-            popular_fetch_share: 0.25,
+            popular_fetch_discount_ms: 190.0,
+            min_fetch_ms: 40.0,
             rank_step_ms: 10.0,
             remote_ms: 60.0,
             rare_remote_ms: 8.0,
@@ -124,15 +128,18 @@
         typical: Typical,
     ) -> f64 {
         let costs = &self.costs;
-        let (fetch_share, distance_ms) = if affinity.is_popular {
-            (costs.popular_fetch_share, costs.remote_ms)
+        let (discount_ms, distance_ms) = if affinity.is_popular {
+            (costs.popular_fetch_discount_ms, costs.remote_ms)
         } else {
-            (1.0, costs.rare_remote_ms)
+            (0.0, costs.rare_remote_ms)
         };
         let load_ms = match candidate.holding {
             Holding::Resident => 0.0,
             Holding::Copied => candidate.copy_load_ms,
-            Holding::Absent => candidate.fetch_ms * fetch_share + rank as f64 * costs.rank_step_ms,
+            Holding::Absent => {
+                (candidate.fetch_ms - discount_ms).max(costs.min_fetch_ms)
+                    + rank as f64 * costs.rank_step_ms
+            }
         };
         let remote_ms = if candidate.is_local { 0.0 } else { distance_ms };
         let slow_ms = (candidate.first_byte_ms - 2.0 * typical.first_byte_ms).max(0.0);
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -28,9 +28,13 @@
 
 impl Harness {
     fn new() -> Self {
+        Self::with_settings(SchedulerSettings::default())
+    }
+
+    fn with_settings(settings: SchedulerSettings) -> Self {
         let mut scheduler = EngineScheduler::new(SchedulerSettings {
             replacement_spread_ms: 1,
-            ..SchedulerSettings::default()
+            ..settings
         });
         scheduler.configure(limits());
         let mut harness = Self {
@@ -409,6 +413,49 @@
     assert_eq!((before, harness.engine.loading.len()), (0, 1));
 }
 
+/// When popularity shifts, more adapters are asked for than the weight store delivers in time.
+#[test]
+fn a_request_that_would_be_late_anyway_does_not_delay_one_that_can_be_in_time() {
+    let mut harness = Harness::with_settings(SchedulerSettings {
+        initial_run_ms: 100.0,
+        ..SchedulerSettings::default()
+    });
+    for adapter in ["a", "b", "c", "d"] {
+        harness.submit(adapter, 1);
+        harness.now_ms += 250;
+        harness.complete_loads();
+    }
+    let late = harness.submit("late", 1);
+    harness.now_ms += 400;
+    let fresh = harness.submit("fresh", 1);
+    harness.finish(harness.started[0]);
+    harness.complete_loads();
+    assert!(harness.started.contains(&fresh));
+    assert!(!harness.started.contains(&late));
+    harness.finish(harness.started[1]);
+    harness.complete_loads();
+    assert!(harness.started.contains(&late), "it waits, and is served");
+}
+
+/// A load from the host's memory uses nothing of the weight store.
+#[test]
+fn a_copy_on_the_host_loads_while_the_weight_store_is_busy() {
+    let mut harness = Harness::new();
+    for round in 0..40 {
+        let key = harness.submit_within(&round.to_string(), 1, 60_000, 1);
+        harness.now_ms += if round == 0 { 250 } else { 1_000 };
+        harness.complete_loads();
+        harness.finish(key);
+    }
+    harness.submit_within("fetched", 1, 60_000, 1);
+    harness.submit_within("next", 1, 60_000, 1);
+    let fetched: Vec<_> = harness.engine.loading.keys().cloned().collect();
+    assert_eq!(fetched, ["fetched".into()], "one fetch at a time");
+    harness.submit_within("30", 1, 60_000, 1);
+    assert!(harness.engine.loading.contains_key("30"));
+    assert!(!harness.engine.loading.contains_key("next"));
+}
+
 #[test]
 fn a_request_whose_adapter_cannot_be_loaded_in_time_is_refused_at_once() {
     let mut harness = Harness::new();
