feat(gateway): judge popularity by the fleet, and spread equal choices

Cause: an entry counted requests by itself, so that a rate looked a sixth of what it is with six entries and a sixty-eighth with 68. Requests for the base model were ranked like those for a missing adapter and all went to one engine of the fleet; where several engines were equally good, all entries picked the same one.

Change: agents report how often their adapters were used by all entries, and an entry adds the counts up; the entry's own count is gone. Requests for the base model may run on any engine near them. Equal choices are spread by the id of the request.

--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -185,9 +185,11 @@
         self.slots.clear();
     }
 
-    /// Returns the full names of the adapters that have a slot.
-    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.slots.keys()
+    /// Returns the full names of the adapters that have a slot, with their decayed use counts.
+    pub fn uses(&self, now_ms: TimeMs) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        self.slots
+            .iter()
+            .map(move |(name, slot)| (name, slot.uses_at(now_ms)))
     }
 }
 
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -172,9 +172,11 @@
         &self.limits
     }
 
-    /// Returns the names of the loaded base models, and the full names of the adapters in slots.
-    pub fn loaded_names(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.models.names().chain(self.adapters.names())
+    /// Returns the names of the loaded base models, and the full names of the adapters in slots, with
+    /// the decayed use counts of the adapters.
+    pub fn loaded_names(&self, now_ms: TimeMs) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let models = self.models.names().map(|name| (name, 0.0));
+        models.chain(self.adapters.uses(now_ms))
     }
 
     /// Returns the version of an adapter on which a request that starts now must run, or `None` if
--- a/crates/magnoliasail-core/src/gateway/holdings.rs
+++ b/crates/magnoliasail-core/src/gateway/holdings.rs
@@ -4,8 +4,8 @@
 //! sends to its entries. An entry applies them to its own [`Holdings`] of the engine.
 
 use {
-    super::message::HoldingsUpdate,
-    std::collections::{HashMap, HashSet, VecDeque},
+    super::message::{AdapterUses, HoldingsUpdate},
+    std::collections::{HashMap, VecDeque},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Holdings {
     by_key: HashMap<u64, Holding>,
+    /// Use counts of adapters that are used often.
+    uses: HashMap<u64, u32>,
 }
 
 impl Holdings {
@@ -38,6 +40,7 @@
     pub fn apply(&mut self, update: &HoldingsUpdate) {
         if update.is_whole {
             self.by_key.clear();
+            self.uses.clear();
         }
         let changes = [
             (&update.resident, Some(Holding::Resident)),
@@ -52,6 +55,18 @@
                 };
             }
         }
+        for &AdapterUses { key, uses } in &update.uses {
+            match uses {
+                0 => self.uses.remove(&key),
+                uses => self.uses.insert(key, uses),
+            };
+        }
+    }
+
+    /// Returns how often the adapter with this key was used recently at the engine; 0 if seldom.
+    #[must_use]
+    pub fn uses(&self, key: u64) -> u32 {
+        self.uses.get(&key).copied().unwrap_or(0)
     }
 
     /// Returns where the engine has the adapter with this key.
@@ -97,13 +112,18 @@
 pub struct HoldingsTracker {
     copies: HostCopies,
     sent: HashMap<u64, Holding>,
+    sent_uses: HashMap<u64, u32>,
 }
 
 impl HoldingsTracker {
-    /// Takes the keys that are resident now; returns the changes since the last call, if any.
-    pub fn update(&mut self, resident: &HashSet<u64>) -> Option<HoldingsUpdate> {
+    /// Use counts below this are not reported: the adapter is rare wherever the threshold is.
+    const MIN_REPORTED_USES: u32 = 4;
+
+    /// Takes the adapters that are resident now, with their recent use counts; returns the changes
+    /// since the last call, if any.
+    pub fn update(&mut self, resident: &HashMap<u64, u32>) -> Option<HoldingsUpdate> {
         for (&key, &holding) in &self.sent {
-            if holding == Holding::Resident && !resident.contains(&key) {
+            if holding == Holding::Resident && !resident.contains_key(&key) {
                 self.copies.add(key);
             }
         }
@@ -112,7 +132,7 @@
             .iter()
             .map(|key| (key, Holding::Copied))
             .collect();
-        current.extend(resident.iter().map(|&key| (key, Holding::Resident)));
+        current.extend(resident.keys().map(|&key| (key, Holding::Resident)));
         let mut update = HoldingsUpdate::default();
         for (&key, &holding) in &current {
             if self.sent.get(&key) != Some(&holding) {
@@ -126,9 +146,36 @@
             .absent
             .extend(self.sent.keys().filter(|key| !current.contains_key(key)));
         self.sent = current;
-        let has_changes =
-            !(update.resident.is_empty() && update.copied.is_empty() && update.absent.is_empty());
-        has_changes.then_some(update)
+        update.uses = self.changed_uses(resident);
+        (update != HoldingsUpdate::default()).then_some(update)
+    }
+
+    /// Returns the use counts that have changed by more than a third since they were last sent.
+    fn changed_uses(&mut self, resident: &HashMap<u64, u32>) -> Vec<AdapterUses> {
+        let mut changed = Vec::new();
+        for (&key, &uses) in resident {
+            let sent = self.sent_uses.get(&key).copied().unwrap_or(0);
+            let uses = if uses < Self::MIN_REPORTED_USES {
+                0
+            } else {
+                uses
+            };
+            if uses.abs_diff(sent) * 3 > uses.max(sent) {
+                changed.push(AdapterUses { key, uses });
+            }
+        }
+        let unloaded = self
+            .sent_uses
+            .keys()
+            .filter(|key| !resident.contains_key(key));
+        changed.extend(unloaded.map(|&key| AdapterUses { key, uses: 0 }));
+        for &AdapterUses { key, uses } in &changed {
+            match uses {
+                0 => self.sent_uses.remove(&key),
+                uses => self.sent_uses.insert(key, uses),
+            };
+        }
+        changed
     }
 
     /// Discards the copies after a restart of the engine, whose host then keeps none. Adapters that
@@ -155,6 +202,11 @@
             resident: keys(Holding::Resident),
             copied: keys(Holding::Copied),
             absent: Vec::new(),
+            uses: self
+                .sent_uses
+                .iter()
+                .map(|(&key, &uses)| AdapterUses { key, uses })
+                .collect(),
         }
     }
 }
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -254,4 +254,18 @@
     /// Adapters that are neither resident nor copied any more.
     #[prost(fixed64, repeated, tag = "4")]
     pub absent: Vec<u64>,
+    /// Use counts of resident adapters that have changed much.
+    #[prost(message, repeated, tag = "5")]
+    pub uses: Vec<AdapterUses>,
+}
+
+/// How often an adapter was used at an engine.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct AdapterUses {
+    /// The key of the adapter.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// The number of recent requests, which decays over time.
+    #[prost(uint32, tag = "2")]
+    pub uses: u32,
 }
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -29,7 +29,6 @@
 mod order;
 mod order_tracker;
 mod placement;
-mod popularity;
 mod prompt_rate;
 mod replacements;
 mod request_metadata;
@@ -58,7 +57,6 @@
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
-    popularity::Popularity,
     request_metadata::RequestMetadata,
     retry_window::RetryWindow,
     route_table::{RouteMatch, RouteTable},
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -45,8 +45,27 @@
 pub struct Affinity<'a> {
     /// The key that is hashed for ranking: the full name of the adapter.
     pub key: &'a str,
-    /// Whether requests with this key are frequent at this entry.
+    /// Whether requests with this key are frequent in the fleet.
     pub is_popular: bool,
+    /// The id of the request, by which requests are spread over servers that are equally good.
+    pub request: &'a str,
+}
+
+impl<'a> Affinity<'a> {
+    /// Recent uses in the fleet from which on an adapter is popular: an engine in each data centre
+    /// then saves more bytes between data centres than its fetch costs.
+    const POPULAR_USES: u32 = 20;
+
+    /// Creates the affinity of a request for an adapter that was used `uses` times recently in the
+    /// fleet, as the agents report.
+    #[must_use]
+    pub const fn new(key: &'a str, uses: u32, request: &'a str) -> Self {
+        Self {
+            key,
+            is_popular: uses >= Self::POPULAR_USES,
+            request,
+        }
+    }
 }
 
 /// Weights of the components of a candidate's cost.
@@ -134,7 +153,7 @@
             (0.0, costs.rare_remote_ms)
         };
         let load_ms = match candidate.holding {
-            Holding::Resident => 0.0,
+            Holding::Resident => spread_ms(affinity, candidate),
             Holding::Copied => candidate.copy_load_ms,
             Holding::Absent => {
                 (candidate.fetch_ms - discount_ms).max(costs.min_fetch_ms)
@@ -153,6 +172,14 @@
     }
 }
 
+/// Returns a small cost that differs between requests, so that entries that see the same servers
+/// free do not all pick the same one.
+fn spread_ms(affinity: Affinity<'_>, candidate: &Candidate) -> f64 {
+    const MAX_SPREAD_MS: f64 = 15.0;
+    let share = score(affinity.request, &candidate.name) as f64 / u64::MAX as f64;
+    share * MAX_SPREAD_MS
+}
+
 /// Returns the rank of each candidate by rendezvous hashing, 0 first: among all servers for a rare
 /// adapter, among the local or among the remote servers for a popular one.
 fn ranks(affinity: Affinity<'_>, candidates: &[Candidate]) -> Vec<usize> {
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -486,8 +486,8 @@
         let resident = self
             .scheduler
             .borrow()
-            .loaded_names()
-            .map(|name| adapter_key(name))
+            .loaded_names(self.clock.now_ms())
+            .map(|(name, uses)| (adapter_key(name), uses as u32))
             .collect();
         let restarts = self.scheduler.borrow().restarts();
         if self.known_restarts.replace(restarts) != restarts {
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -21,15 +21,13 @@
     },
     bytes::BytesMut,
     hyper::{HeaderMap, Response, StatusCode},
-    magnoliasail_core::gateway::{Affinity, RouteMatch},
+    magnoliasail_core::gateway::RouteMatch,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// Longest wait of a request for agents that are still connecting or have just connected.
 const MAX_AGENT_WAIT: Duration = Duration::from_millis(600);
-/// Count of recent requests at one entry above which an adapter is popular.
-const POPULARITY_THRESHOLD: f64 = 5.0;
 /// Servers and agents that are asked before a request is refused.
 const MAX_PLACEMENTS: usize = 3;
 
@@ -40,10 +38,8 @@
     pub(super) outgoing: OutgoingRequest,
     /// The time of arrival by the entry's clock.
     arrived_ms: u64,
-    /// The full name of the adapter: `model/adapter`.
+    /// The full name of the adapter, `model/adapter`, or of the base model.
     affinity_key: String,
-    /// Whether recent requests at this entry used the adapter often.
-    is_popular: bool,
     /// Ids of the servers that were asked, or whose agents were.
     tried: Vec<Arc<str>>,
     /// Number of servers that received the request.
@@ -69,26 +65,17 @@
 }
 
 impl Dispatch {
-    /// Creates the dispatch of a request that was read completely, and counts it towards the
-    /// popularity of its adapter.
+    /// Creates the dispatch of a request that was read completely.
     pub(super) fn new(
         state: &Rc<EntryState>,
         route: RouteMatch,
         outgoing: OutgoingRequest,
         arrived_ms: u64,
     ) -> Self {
-        let adapter = outgoing.metadata.adapter.as_deref().unwrap_or_default();
         let model = outgoing.metadata.model.as_deref().unwrap_or_default();
-        let affinity_key = format!("{model}/{adapter}");
-        let is_popular = match &outgoing.metadata.model {
-            Some(_) => {
-                let requests = state
-                    .popularity
-                    .borrow_mut()
-                    .count(&affinity_key, arrived_ms);
-                requests > POPULARITY_THRESHOLD
-            }
-            None => true,
+        let affinity_key = match &outgoing.metadata.adapter {
+            Some(adapter) => format!("{model}/{adapter}"),
+            None => model.to_owned(),
         };
         Self {
             state: Rc::clone(state),
@@ -96,7 +83,6 @@
             outgoing,
             arrived_ms,
             affinity_key,
-            is_popular,
             tried: Vec::new(),
             servers_reached: 0,
             is_attempt_in_flight: false,
@@ -266,16 +252,10 @@
         let limit = started_at + MAX_AGENT_WAIT;
         let mut has_waited = false;
         loop {
-            let affinity = Affinity {
-                key: &self.affinity_key,
-                is_popular: self.is_popular,
-            };
-            let model = self.outgoing.metadata.model.as_ref();
             let pick = self.state.pick(
                 &self.route.service,
-                model,
-                self.outgoing.rank,
-                affinity,
+                &self.affinity_key,
+                &self.outgoing,
                 &self.tried,
             );
             // Most requests have a pick; the last check, which looks at every server, is for the
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -138,6 +138,11 @@
         self.holdings.borrow().holding(key)
     }
 
+    /// Returns how often the adapter with this key was used recently at the engine.
+    pub(super) fn uses(&self, key: u64) -> u32 {
+        self.holdings.borrow().uses(key)
+    }
+
     /// Returns whether no attempt is in flight.
     pub(super) fn is_idle(&self) -> bool {
         self.attempts.borrow().is_empty()
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -1,15 +1,15 @@
 //! State shared by the tasks of an entry.
 
 use {
-    super::{engine_link::EngineLink, refusal::RefusalCause},
+    super::{attempt::OutgoingRequest, engine_link::EngineLink, refusal::RefusalCause},
     crate::gateway::{
         metrics::{GatewayMetrics, RetryCause},
         pool::{Pool, SharedIdleLimit},
         steady_clock::SteadyClock,
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, Popularity,
-        RetryWindow, RouteTable, ServerView, adapter_key, plain_wait_ms,
+        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryWindow,
+        RouteTable, ServerView, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -41,7 +41,6 @@
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     idle_limit: SharedIdleLimit,
     retry_windows: RefCell<HashMap<Arc<str>, RetryWindow>>,
-    pub(super) popularity: RefCell<Popularity>,
     /// Number of answered requests since the process started.
     answered_count: Cell<u64>,
     /// Whether the server list has been read at least once.
@@ -74,7 +73,6 @@
             pools: RefCell::default(),
             idle_limit: SharedIdleLimit::default(),
             retry_windows: RefCell::default(),
-            popularity: RefCell::default(),
             answered_count: Cell::new(0),
             has_server_list: Cell::new(false),
             is_store_lost: Cell::new(false),
@@ -125,36 +123,50 @@
     pub(super) fn pick(
         &self,
         service: &str,
-        model: Option<&Arc<str>>,
-        rank: u32,
-        affinity: Affinity<'_>,
+        adapter: &str,
+        outgoing: &OutgoingRequest,
         tried: &[Arc<str>],
     ) -> Option<PickedServer> {
         let now_ms = self.clock.now_ms();
+        let request = outgoing.metadata.id.as_deref().unwrap_or_default();
         if self.table.borrow().engine(service).is_none() {
             let directory = self.directory.borrow();
             let untried = directory
                 .usable(service, now_ms)
                 .filter(|server| !tried.contains(&server.entry.id));
             let (picks, candidates) = untried.map(|server| self.plain_candidate(server)).unzip();
+            // A plain server has whatever a request needs.
+            let affinity = Affinity::new(adapter, u32::MAX, request);
             return pick_candidate(plain_server_costs(), affinity, picks, candidates);
         }
-        let model = model.map(|model| adapter_key(model));
-        let (picks, candidates) = self.engine_candidates(service, model, rank, affinity, tried);
+        let uses = match outgoing.metadata.adapter {
+            Some(_) => self.fleet_uses(adapter),
+            // Every engine has the base model, so that there is no need to leave the data centre.
+            None => u32::MAX,
+        };
+        let affinity = Affinity::new(adapter, uses, request);
+        let (picks, candidates) = self.engine_candidates(service, adapter, outgoing, tried);
         pick_candidate(PlacementCosts::default(), affinity, picks, candidates)
     }
 
+    /// Returns how often an adapter was used recently at all engines together.
+    fn fleet_uses(&self, adapter: &str) -> u32 {
+        let key = adapter_key(adapter);
+        let links = self.links.borrow();
+        links.values().map(|link| link.uses(key)).sum()
+    }
+
     /// Returns the untried engines that accept requests; if any engine that accepts requests has
     /// the model, only those that have it.
     fn engine_candidates(
         &self,
         service: &str,
-        model: Option<u64>,
-        rank: u32,
-        affinity: Affinity<'_>,
+        adapter: &str,
+        outgoing: &OutgoingRequest,
         tried: &[Arc<str>],
     ) -> (Vec<PickedServer>, Vec<Candidate>) {
-        let adapter = adapter_key(affinity.key);
+        let model = outgoing.metadata.model.as_deref().map(adapter_key);
+        let adapter = adapter_key(adapter);
         let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
@@ -175,7 +187,7 @@
             .map(|(server, link, state, _)| {
                 let (pick, candidate) = self.plain_candidate(server);
                 let candidate = Candidate {
-                    wait_ms: link.first_event_ms(rank, now_ms),
+                    wait_ms: link.first_event_ms(outgoing.rank, now_ms),
                     holding: link.holding(adapter),
                     copy_load_ms: f64::from(state.copy_load_ms),
                     fetch_ms: f64::from(state.fetch_ms),
