feat(gateway): follow the store with one watch per entry

Change: one watch covers both, with a pause of two fifths of the drain time. An entry that starts while the store cannot be read names a later time to retry.

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -106,15 +106,8 @@
         self.models.ready_in_ms(now_ms)
     }
 
-    /// Returns the number of adapters for which requests wait and that have no slot.
-    #[must_use]
-    pub fn adapters_waiting(&self, now_ms: TimeMs) -> u32 {
-        self.missing_adapters(now_ms).len() as u32
-    }
-
     /// Returns the number of adapter slots that are free or whose adapter is not in use.
-    #[must_use]
-    pub fn slots_available(&self) -> u32 {
+    fn slots_available(&self) -> u32 {
         let free = (self.limits.adapter_slots as usize).saturating_sub(self.adapters.taken());
         (free + self.adapters.unused()) as u32
     }
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -162,12 +162,6 @@
     /// unknown.
     #[prost(uint64, tag = "5")]
     pub ready_in_ms: u64,
-    /// The number of adapters that wait for a slot.
-    #[prost(uint32, tag = "6")]
-    pub adapters_waiting: u32,
-    /// The number of slots that are free or whose adapter is not in use.
-    #[prost(uint32, tag = "7")]
-    pub slots_available: u32,
     /// The expected time until the first event of a request of rank 0 with a short prompt, in
     /// milliseconds.
     #[prost(uint32, tag = "8")]
@@ -215,8 +209,11 @@
     /// Returns whether placement would notice the difference to another state of the engine.
     #[must_use]
     pub fn differs_from(&self, other: &Self) -> bool {
-        /// Difference of times that does not matter beside the latency objectives of requests.
-        const MIN_DIFFERENCE_MS: u32 = 20;
+        /// Difference of times that does not matter beside the latency objectives of requests. Each
+        /// report goes to all entries, most of them in other data centres.
+        const MIN_DIFFERENCE_MS: u32 = 40;
+        /// Part of the batch by which the load must differ.
+        const MIN_LOAD_PART: u32 = 4;
         let times_ms = |state: &Self| {
             [
                 state.urgent_wait_ms,
@@ -230,7 +227,7 @@
             .into_iter()
             .zip(times_ms(other))
             .any(|(a_ms, b_ms)| a_ms.abs_diff(b_ms) >= MIN_DIFFERENCE_MS);
-        let min_load_difference = (self.slots / 8).max(1);
+        let min_load_difference = (self.slots / MIN_LOAD_PART).max(1);
         let is_load_different = self.load.abs_diff(other.load) > min_load_difference;
         is_time_different
             || is_load_different
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -512,8 +512,6 @@
             is_serving: !self.is_draining.get() && scheduler.is_serving(),
             entries: self.links.borrow().len() as u32,
             slots: scheduler.limits().batch_slots,
-            adapters_waiting: scheduler.adapters_waiting(now_ms),
-            slots_available: scheduler.slots_available(),
             ready_in_ms: scheduler.ready_in_ms(now_ms).unwrap_or(0),
             urgent_wait_ms: clamped(scheduler.expected_first_event_ms(0)),
             normal_wait_ms: clamped(scheduler.expected_first_event_ms(1)),
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -21,7 +21,7 @@
 mod store_observer;
 
 use {
-    self::{callers::serve_callers, state::EntryState, store_observer::start_followers},
+    self::{callers::serve_callers, state::EntryState, store_observer::follow_store},
     super::{metrics::serve_metrics, sockets::listen},
     magnoliasail_platform::settings::NodeSettings,
     std::rc::Rc,
@@ -47,7 +47,7 @@
     let metrics = listen(&metrics).map_err(|error| error.to_string())?;
     let state = EntryState::new(settings, draining.clone());
     tokio::task::spawn_local(serve_metrics(Rc::clone(&state.metrics), metrics));
-    start_followers(&state);
+    follow_store(&state);
     tokio::task::spawn_local(callers::serve_readiness(Rc::clone(&state), readiness));
     serve_callers(state, callers, draining).await;
     Ok(())
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -25,6 +25,9 @@
 
 /// Range of the retry delay for callers of an entry that is not initialized yet.
 const STARTUP_RETRY_MS: Range<u64> = 400..1_000;
+/// The same while the store cannot be read, which usually takes seconds to end. A caller that returns
+/// too soon may have no retry left.
+const STORE_LOST_RETRY_MS: Range<u64> = 1_200..2_000;
 
 /// Handles a request of a caller, from its arrival to its response or the start of its stream.
 pub(super) async fn handle_request(
@@ -41,8 +44,13 @@
     let mut response = match prepare(&state, request, metadata).await {
         Ok(dispatch) => dispatch.run().await,
         Err(cause) => {
+            let retry_ms = if state.is_store_lost.get() {
+                STORE_LOST_RETRY_MS
+            } else {
+                STARTUP_RETRY_MS
+            };
             let retry_after_ms = (cause == RefusalCause::NoConfiguration)
-                .then(|| rand::rng().random_range(STARTUP_RETRY_MS));
+                .then(|| rand::rng().random_range(retry_ms));
             log_refusal(id.as_deref(), cause, retry_after_ms, 0);
             metrics.count_refusal(cause.into());
             refusal_response(cause, retry_after_ms)
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -16,6 +16,7 @@
         collections::HashSet,
         net::{IpAddr, SocketAddr},
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::time::timeout,
@@ -24,82 +25,79 @@
 /// Duration of a long poll. A connection that has gone silent is noticed only after it, and changes
 /// must take effect within seconds.
 const LONG_POLL: Duration = Duration::from_secs(3);
-/// Pause after each read of configuration changes, well within the time in which one must take
-/// effect.
-const CONFIGURATION_PAUSE: Duration = Duration::from_millis(250);
-/// Maximum pause after each read of server list changes. The list changes whenever an engine loads
-/// an adapter, and each call to the store has a cost.
-const MAX_SERVER_LIST_PAUSE_MS: u64 = 1_500;
+/// Share of the drain time that may pass between two reads of changes. An entry must see that a
+/// server is draining well before the time from which it must send it no new requests.
+const PAUSE_DRAIN_SHARE: f64 = 0.4;
+/// Maximum pause after each read, well within the time in which a configuration must take effect.
+/// Each call to the store has a cost, and some server changes at nearly any time, because its entry
+/// names the adapters that it has.
+const MAX_PAUSE_MS: u64 = 2_000;
 /// Longest time between checks for links to open or close.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Applies changes of the operator's configuration.
-struct ConfigurationObserver(Rc<EntryState>);
-
-/// Applies changes of the server list.
-struct ServerListObserver(Rc<EntryState>);
+/// Applies changes of the operator's configuration and of the server list.
+struct StoreObserver(Rc<EntryState>);
 
 /// Starts the tasks that follow the store and maintain the links, for the lifetime of the process.
-pub(super) fn start_followers(state: &Rc<EntryState>) {
+///
+/// One watch covers the configuration and the server list, so that an entry makes half as many calls
+/// as with two.
+pub(super) fn follow_store(state: &Rc<EntryState>) {
     let Some(pool) = store_pool(&state.settings) else {
         return;
     };
-    let host = &state.settings.store_address;
-    let configuration = Follower::new(
-        Rc::clone(&pool),
-        host,
-        configuration::KEY,
-        WatchTiming {
-            long_poll: LONG_POLL,
-            pause: CONFIGURATION_PAUSE,
-        },
-        Rc::new(ConfigurationObserver(Rc::clone(state))),
-    );
-    let servers = Follower::new(
+    let pause_ms = (state.settings.drain_ms as f64 * PAUSE_DRAIN_SHARE) as u64;
+    let follower = Follower::new(
         pool,
-        host,
-        registry::SERVER_KEY_PREFIX,
+        &state.settings.store_address,
+        registry::ALL_KEYS_PREFIX,
         WatchTiming {
             long_poll: LONG_POLL,
-            // An entry must see that a server is draining well before the time from which it must
-            // send it no new requests.
-            pause: Duration::from_millis(
-                (state.settings.drain_ms / 2).min(MAX_SERVER_LIST_PAUSE_MS),
-            ),
+            pause: Duration::from_millis(pause_ms.min(MAX_PAUSE_MS)),
         },
-        Rc::new(ServerListObserver(Rc::clone(state))),
+        Rc::new(StoreObserver(Rc::clone(state))),
     );
-    tokio::task::spawn_local(configuration.run());
-    tokio::task::spawn_local(servers.run());
+    tokio::task::spawn_local(follower.run());
     tokio::task::spawn_local(maintain_links(Rc::clone(state)));
 }
 
-impl ChangeObserver for ConfigurationObserver {
+impl ChangeObserver for StoreObserver {
     fn on_change(&self, change: &Change) {
-        let state = &self.0;
-        apply_configuration(change, &state.metrics, |configuration| {
-            let is_newer = state.table.borrow_mut().apply(configuration);
-            if is_newer {
-                state.changes.notify_waiters();
-            }
-            is_newer
-        });
+        if change.key == configuration::KEY {
+            self.apply_configuration(change);
+        } else if let Some(id) = registry::server_id(&change.key) {
+            self.apply_server(id, change);
+        }
     }
 
     fn on_store_error(&self) {
+        let now_ms = self.0.clock.now_ms();
+        self.0.metrics.store_troubles.inc();
+        self.0.directory.borrow_mut().mark_list_unreliable(now_ms);
         self.0.mark_store_lost();
     }
 
     fn on_caught_up(&self) {
         self.0.is_store_lost.set(false);
+        if !self.0.has_server_list.replace(true) {
+            self.0.changes.notify_waiters();
+        }
     }
 }
 
-impl ChangeObserver for ServerListObserver {
-    fn on_change(&self, change: &Change) {
-        let Some(id) = registry::server_id(&change.key) else {
-            return;
-        };
+impl StoreObserver {
+    fn apply_configuration(&self, change: &Change) {
+        let state = &self.0;
+        apply_configuration(change, &state.metrics, |configuration| {
+            let is_newer = state.table.borrow_mut().apply(configuration);
+            if is_newer {
+                state.changes.notify_waiters();
+            }
+            is_newer
+        });
+    }
+
+    fn apply_server(&self, id: Arc<str>, change: &Change) {
         let now_ms = self.0.clock.now_ms();
         let mut directory = self.0.directory.borrow_mut();
         let Some(value) = change.value.as_ref().filter(|_| !change.is_removed) else {
@@ -127,20 +125,6 @@
             ),
         }
     }
-
-    fn on_store_error(&self) {
-        let now_ms = self.0.clock.now_ms();
-        self.0.metrics.store_troubles.inc();
-        self.0.directory.borrow_mut().mark_list_unreliable(now_ms);
-        self.0.mark_store_lost();
-    }
-
-    fn on_caught_up(&self) {
-        self.0.is_store_lost.set(false);
-        if !self.0.has_server_list.replace(true) {
-            self.0.changes.notify_waiters();
-        }
-    }
 }
 
 /// Maintains a link to the agent of each engine in the server list.
