feat(gateway): spread requests over the engines that have their adapter

Cause: between two reports all entries see the same engine free. A replay of a fleet that is two thirds full, with 68 entries and 74 engines, queued without end: all requests of a quarter second went to the few engines that the last reports showed empty, and only 4,398 of 5,200 were answered. A cost of up to 15 ms by the request's hash was too small beside the differences between reports.

Change: the engines that have the adapter are ranked by the hash of the request, with 20 ms for each rank, as those that do not have it are ranked by the hash of the adapter. A cost is computed once for each candidate instead of twice for each comparison.

The host's copies are tracked in one place, the scheduler. Refusals for which nothing ran (no route, too long or incomplete body) say so.

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -16,7 +16,7 @@
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
-        holdings::HostCopies,
+        host_copies::HostCopies,
         load_times::LoadTimes,
         order_tracker::{OrderTracker, PendingOrder},
         replacements::Replacements,
@@ -172,6 +172,11 @@
         models.chain(self.adapters.uses(now_ms))
     }
 
+    /// Returns the keys of the adapters that have no slot and that the engine's host still caches.
+    pub fn copied_keys(&self) -> impl Iterator<Item = u64> {
+        self.copies.iter()
+    }
+
     /// Returns the version of an adapter on which a request that starts now must run, or `None` if
     /// the version is unknown.
     #[must_use]
--- a/crates/magnoliasail-core/src/gateway/holdings.rs
+++ b/crates/magnoliasail-core/src/gateway/holdings.rs
@@ -5,7 +5,7 @@
 
 use {
     super::message::{AdapterUses, HoldingsUpdate},
-    std::collections::{HashMap, VecDeque},
+    std::collections::HashMap,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -76,41 +76,9 @@
     }
 }
 
-/// Adapters that the engine's host probably still caches, because they were in a slot before.
-#[derive(Clone, Debug, Default)]
-pub(super) struct HostCopies {
-    /// Keys in the order in which the adapters left their slots, oldest first.
-    order: VecDeque<u64>,
-}
-
-impl HostCopies {
-    /// Assumed number of copies that a host keeps; where it keeps fewer, a load is slower than
-    /// expected.
-    const MAX_COPIES: usize = 80;
-
-    /// Records that an adapter has left its slot.
-    pub(super) fn add(&mut self, key: u64) {
-        self.order.retain(|&other| other != key);
-        self.order.push_back(key);
-        if self.order.len() > Self::MAX_COPIES {
-            self.order.pop_front();
-        }
-    }
-
-    /// Returns whether the host probably still caches an adapter.
-    pub(super) fn contains(&self, key: u64) -> bool {
-        self.order.contains(&key)
-    }
-
-    fn iter(&self) -> impl Iterator<Item = u64> {
-        self.order.iter().copied()
-    }
-}
-
 /// Tracks the holdings that an agent has sent to its entries, and derives updates from changes.
 #[derive(Clone, Debug, Default)]
 pub struct HoldingsTracker {
-    copies: HostCopies,
     sent: HashMap<u64, Holding>,
     sent_uses: HashMap<u64, u32>,
 }
@@ -119,19 +87,14 @@
     /// Use counts below this are not reported: the adapter is rare wherever the threshold is.
     const MIN_REPORTED_USES: u32 = 4;
 
-    /// Takes the adapters that are resident now, with their recent use counts; returns the changes
-    /// since the last call, if any.
-    pub fn update(&mut self, resident: &HashMap<u64, u32>) -> Option<HoldingsUpdate> {
-        for (&key, &holding) in &self.sent {
-            if holding == Holding::Resident && !resident.contains_key(&key) {
-                self.copies.add(key);
-            }
-        }
-        let mut current: HashMap<u64, Holding> = self
-            .copies
-            .iter()
-            .map(|key| (key, Holding::Copied))
-            .collect();
+    /// Takes the adapters that are resident now, with their recent use counts, and those of which only
+    /// the host has a copy; returns the changes since the last call, if any.
+    pub fn update(
+        &mut self,
+        resident: &HashMap<u64, u32>,
+        copied: impl Iterator<Item = u64>,
+    ) -> Option<HoldingsUpdate> {
+        let mut current: HashMap<u64, Holding> = copied.map(|key| (key, Holding::Copied)).collect();
         current.extend(resident.keys().map(|&key| (key, Holding::Resident)));
         let mut update = HoldingsUpdate::default();
         for (&key, &holding) in &current {
@@ -178,15 +141,6 @@
         changed
     }
 
-    /// Discards the copies after a restart of the engine, whose host then keeps none. Adapters that
-    /// were resident do not become copies with the next update either.
-    pub fn discard_copies(&mut self) {
-        self.copies = HostCopies::default();
-        for holding in self.sent.values_mut() {
-            *holding = Holding::Copied;
-        }
-    }
-
     /// Returns the complete holdings as sent so far, for an entry that has just connected.
     #[must_use]
     pub fn snapshot(&self) -> HoldingsUpdate {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod engine_watch;
 mod event_stream;
 mod holdings;
+mod host_copies;
 mod idle_limit;
 mod load_times;
 mod order;
--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -13,7 +13,7 @@
 use {
     super::Holding,
     crate::score,
-    std::{cmp::Ordering, cmp::Reverse, sync::Arc},
+    std::{cmp::Reverse, sync::Arc},
 };
 
 /// State of a backend server to which a request may be sent.
@@ -80,6 +80,10 @@
     /// Cost of each rank below the first, for a server that does not have the adapter, in
     /// milliseconds.
     pub rank_step_ms: f64,
+    /// Cost of each rank below the first among the servers that have the adapter, in milliseconds.
+    /// These ranks differ between requests, so that entries that see the same server free for a while
+    /// do not all pick it.
+    pub spread_step_ms: f64,
     /// Cost of a server in another data centre for a popular adapter, in milliseconds.
     pub remote_ms: f64,
     /// Cost of a server in another data centre for a rare adapter, in milliseconds.
@@ -95,6 +99,7 @@
             popular_fetch_discount_ms: 190.0,
             min_fetch_ms: 40.0,
             rank_step_ms: 10.0,
+            spread_step_ms: 20.0,
             remote_ms: 60.0,
             rare_remote_ms: 8.0,
             failure_ms: 600.0,
@@ -130,13 +135,16 @@
     /// `None` if there are no candidates.
     #[must_use]
     pub fn pick(&self, affinity: Affinity<'_>, candidates: &[Candidate]) -> Option<usize> {
-        let ranks = ranks(affinity, candidates);
+        let ranks = Ranks::of(affinity, candidates);
         let typical = Typical::of(candidates);
-        (0..candidates.len()).min_by(|&a, &b| {
-            let cost_a = self.cost_ms(affinity, &candidates[a], ranks[a], typical);
-            let cost_b = self.cost_ms(affinity, &candidates[b], ranks[b], typical);
-            cost_a.partial_cmp(&cost_b).unwrap_or(Ordering::Equal)
-        })
+        let costs_ms = candidates.iter().enumerate().map(|(index, candidate)| {
+            let rank = ranks.rank(index, candidate);
+            self.cost_ms(affinity, candidate, rank, typical)
+        });
+        costs_ms
+            .enumerate()
+            .min_by(|(_, a_ms), (_, b_ms)| a_ms.total_cmp(b_ms))
+            .map(|(index, _)| index)
     }
 
     fn cost_ms(
@@ -153,7 +161,7 @@
             (0.0, costs.rare_remote_ms)
         };
         let load_ms = match candidate.holding {
-            Holding::Resident => spread_ms(affinity, candidate),
+            Holding::Resident => rank as f64 * costs.spread_step_ms,
             Holding::Copied => candidate.copy_load_ms,
             Holding::Absent => {
                 (candidate.fetch_ms - discount_ms).max(costs.min_fetch_ms)
@@ -172,29 +180,59 @@
     }
 }
 
-/// Returns a small cost that differs between requests, so that entries that see the same servers
-/// free do not all pick the same one.
-fn spread_ms(affinity: Affinity<'_>, candidate: &Candidate) -> f64 {
-    const MAX_SPREAD_MS: f64 = 15.0;
-    let share = score(affinity.request, &candidate.name) as f64 / u64::MAX as f64;
-    share * MAX_SPREAD_MS
+/// Ranks of candidates by rendezvous hashing, 0 first.
+struct Ranks {
+    /// Ranks by the adapter: among all servers for a rare adapter, among the local or among the
+    /// remote servers for a popular one.
+    by_adapter: Vec<usize>,
+    /// Ranks by the request, among the servers that have the adapter.
+    by_request: Vec<usize>,
 }
 
-/// Returns the rank of each candidate by rendezvous hashing, 0 first: among all servers for a rare
-/// adapter, among the local or among the remote servers for a popular one.
-fn ranks(affinity: Affinity<'_>, candidates: &[Candidate]) -> Vec<usize> {
+impl Ranks {
+    fn of(affinity: Affinity<'_>, candidates: &[Candidate]) -> Self {
+        let place = |candidate: &Candidate| usize::from(affinity.is_popular && candidate.is_local);
+        Self {
+            by_adapter: ranks(affinity.key, candidates, place),
+            by_request: ranks(affinity.request, candidates, |candidate| {
+                match candidate.holding {
+                    Holding::Resident => place(candidate),
+                    Holding::Copied | Holding::Absent => OTHERS,
+                }
+            }),
+        }
+    }
+
+    /// Returns the rank of a candidate among those that have the adapter if it has it, otherwise
+    /// among those that may load it.
+    fn rank(&self, index: usize, candidate: &Candidate) -> usize {
+        match candidate.holding {
+            Holding::Resident => self.by_request[index],
+            Holding::Copied | Holding::Absent => self.by_adapter[index],
+        }
+    }
+}
+
+/// The group of candidates that do not have the adapter, after those by place.
+const OTHERS: usize = 2;
+
+/// Returns the rank of each candidate in its group by the hash of `key` and its name.
+fn ranks<F>(key: &str, candidates: &[Candidate], group: F) -> Vec<usize>
+where
+    F: Fn(&Candidate) -> usize,
+{
     let mut order: Vec<(u64, usize)> = candidates
         .iter()
         .enumerate()
-        .map(|(index, candidate)| (score(affinity.key, &candidate.name), index))
+        .map(|(index, candidate)| (score(key, &candidate.name), index))
         .collect();
     order.sort_unstable_by_key(|&(score, index)| (Reverse(score), index));
     let mut ranks = vec![0; candidates.len()];
-    let mut ranked = [0, 0];
+    let mut ranked = [0; OTHERS + 1];
     for (_, index) in order {
-        let group = usize::from(affinity.is_popular && candidates[index].is_local);
-        ranks[index] = ranked[group];
-        ranked[group] += 1;
+        let next_rank = &mut ranked[group(&candidates[index])];
+        ranks[index] = *next_rank;
+        *next_rank += 1;
     }
     ranks
 }
--- /dev/null
+++ b/crates/magnoliasail-core/tests/gateway/load_replay.rs
@@ -0,0 +1,206 @@
+//! Replay of a load that fills most of a large fleet: 68 entries with lagging reports of 74 engines.
+//!
+//! Each entry sends so few requests to each engine that it must rely on the agents' reports. If it
+//! learned of an engine's load only with its own answers, some engines would have long queues while
+//! others stood empty.
+
+use {
+    super::fake_engine::{FakeEngine, MODEL, limits},
+    magnoliasail_core::gateway::{
+        Affinity, Candidate, EngineAction, EngineLimits, EngineRequest, EngineScheduler, Holding,
+        Placement, SchedulerSettings, UnreportedWork, message::EngineState,
+    },
+    std::collections::{BTreeMap, VecDeque},
+};
+
+const ENTRIES: usize = 68;
+const ENGINES: usize = 74;
+const BATCH_SLOTS: u32 = 12;
+const REPORT_INTERVAL_MS: u64 = 250;
+const PROMPT_TOKENS: u64 = 640;
+const TOKENS_PER_MS: u64 = 20;
+/// Time that a request runs after its first event.
+const RUN_MS: u64 = 400;
+const OBJECTIVE_MS: u64 = 500;
+/// Requests that arrive in ten milliseconds: two thirds of what the engines can run.
+const ARRIVALS_PER_10_MS: u64 = 13;
+const REPLAY_MS: u64 = 4_000;
+
+/// An engine that reads prompts one after another, with its scheduler.
+struct Engine {
+    scheduler: EngineScheduler,
+    /// Keys of the requests whose prompts are read, with the tokens left.
+    reading: VecDeque<(u64, u64)>,
+    /// Keys of running requests by the time at which they end.
+    ends: BTreeMap<(u64, u64), ()>,
+    reported: EngineState,
+}
+
+impl Engine {
+    fn new() -> Self {
+        let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
+        scheduler.configure(EngineLimits {
+            batch_slots: BATCH_SLOTS,
+            kv_tokens: 1_000_000,
+            ..limits()
+        });
+        let ticket = scheduler.report_ticket();
+        let report = FakeEngine::with_model().report();
+        scheduler.apply_report(&report, ticket, 0, &mut Vec::new());
+        Self {
+            scheduler,
+            reading: VecDeque::new(),
+            ends: BTreeMap::new(),
+            reported: EngineState::default(),
+        }
+    }
+
+    fn state(&self) -> EngineState {
+        let wait_ms = self.scheduler.expected_first_event_ms(0) as u32;
+        EngineState {
+            load: self.scheduler.load(),
+            is_serving: true,
+            slots: BATCH_SLOTS,
+            urgent_wait_ms: wait_ms,
+            normal_wait_ms: wait_ms,
+            bulk_wait_ms: wait_ms,
+            prompt_tokens_per_s: (self.scheduler.prompt_tokens_per_ms() * 1_000.0) as u32,
+            batch_turnover_us: (self.scheduler.batch_turnover_ms() * 1_000.0) as u32,
+            ..EngineState::default()
+        }
+    }
+
+    fn start(&mut self, actions: &[EngineAction]) {
+        for action in actions {
+            match action {
+                EngineAction::Start { key } => self.reading.push_back((*key, PROMPT_TOKENS)),
+                EngineAction::Refuse { .. } | EngineAction::Order(_) => {
+                    panic!("the fleet has room for all requests: {action:?}")
+                }
+            }
+        }
+    }
+
+    /// Advances the engine by a millisecond, and returns the keys of requests that have produced
+    /// their first event.
+    fn advance(&mut self, now_ms: u64) -> Option<u64> {
+        let mut actions = Vec::new();
+        while let Some((&(end_ms, key), ())) = self.ends.first_key_value()
+            && end_ms <= now_ms
+        {
+            self.ends.pop_first();
+            self.scheduler.finish(key, true, now_ms, &mut actions);
+        }
+        self.start(&actions);
+        let (key, tokens) = self.reading.front_mut()?;
+        *tokens = tokens.saturating_sub(TOKENS_PER_MS);
+        if *tokens > 0 {
+            return None;
+        }
+        let key = *key;
+        self.reading.pop_front();
+        self.scheduler.record_first_event(key, now_ms);
+        self.ends.insert((now_ms + RUN_MS, key), ());
+        Some(key)
+    }
+}
+
+/// What one entry knows of the engines.
+struct Entry {
+    states: Vec<EngineState>,
+    unreported: Vec<UnreportedWork>,
+}
+
+impl Entry {
+    fn pick(&self, request: &str, now_ms: u64) -> usize {
+        let candidates: Vec<Candidate> = self
+            .states
+            .iter()
+            .zip(&self.unreported)
+            .enumerate()
+            .map(|(index, (state, unreported))| {
+                let (sent, tokens) = unreported.totals(now_ms);
+                Candidate {
+                    name: format!("10.0.0.{index}:80").into(),
+                    is_local: true,
+                    wait_ms: state.first_event_ms(0, sent, tokens),
+                    failure_share: 0.0,
+                    first_byte_ms: 50.0,
+                    holding: Holding::Resident,
+                    copy_load_ms: 25.0,
+                    fetch_ms: 250.0,
+                    ready_in_ms: 0,
+                }
+            })
+            .collect();
+        let affinity = Affinity::new(MODEL, u32::MAX, request);
+        Placement::default()
+            .pick(affinity, &candidates)
+            .expect("there are engines")
+    }
+}
+
+/// Plays the load, and returns the time from each request's arrival to its first event, sorted.
+fn play() -> Vec<u64> {
+    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::new()).collect();
+    let mut entries: Vec<Entry> = (0..ENTRIES)
+        .map(|_| Entry {
+            states: vec![EngineState::default(); ENGINES],
+            unreported: vec![UnreportedWork::default(); ENGINES],
+        })
+        .collect();
+    let mut arrivals_ms = BTreeMap::new();
+    let mut waits_ms = Vec::new();
+    let mut key = 0;
+    for now_ms in 1..REPLAY_MS {
+        for (index, engine) in engines.iter_mut().enumerate() {
+            if let Some(key) = engine.advance(now_ms) {
+                waits_ms.push(now_ms - arrivals_ms[&key]);
+            }
+            let is_report_due = (now_ms + index as u64 * 7).is_multiple_of(REPORT_INTERVAL_MS);
+            let state = engine.state();
+            if is_report_due && state.differs_from(&engine.reported) {
+                engine.reported = state;
+                for entry in &mut entries {
+                    entry.states[index] = state;
+                    entry.unreported[index] = UnreportedWork::default();
+                }
+            }
+        }
+        let arrivals = ARRIVALS_PER_10_MS * now_ms / 10 - ARRIVALS_PER_10_MS * (now_ms - 1) / 10;
+        for _ in 0..arrivals {
+            key += 1;
+            arrivals_ms.insert(key, now_ms);
+            // A multiplicative hash spreads the requests over the entries in a fixed order.
+            let entry = &mut entries[(key.wrapping_mul(0x9E37_79B9) >> 8) as usize % ENTRIES];
+            let index = entry.pick(&key.to_string(), now_ms);
+            entry.unreported[index].add(PROMPT_TOKENS, now_ms);
+            let request = EngineRequest {
+                key,
+                model: MODEL.into(),
+                adapter: None,
+                rank: 0,
+                prompt_tokens: PROMPT_TOKENS,
+                kv_tokens: PROMPT_TOKENS,
+                arrived_ms: now_ms,
+                objective_ms: now_ms + OBJECTIVE_MS,
+                deadline_ms: now_ms + 5_000,
+            };
+            let mut actions = Vec::new();
+            let engine = &mut engines[index];
+            engine.scheduler.submit(request, now_ms, &mut actions);
+            engine.start(&actions);
+        }
+    }
+    waits_ms.sort_unstable();
+    waits_ms
+}
+
+#[test]
+fn most_first_events_meet_their_objective_while_the_fleet_is_two_thirds_full() {
+    let waits_ms = play();
+    let sent = ARRIVALS_PER_10_MS * REPLAY_MS / 10;
+    assert!(waits_ms.len() as u64 > sent * 9 / 10, "{}", waits_ms.len());
+    let p95_ms = waits_ms[waits_ms.len() * 95 / 100];
+    assert!(p95_ms <= OBJECTIVE_MS, "95 in 100 within {p95_ms} ms");
+}
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod fake_engine;
 mod holdings;
 mod idle_limit;
+mod load_replay;
 mod placement;
 mod retries;
 mod routes;
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -5,7 +5,7 @@
     arbtest::arbtest,
     magnoliasail_core::gateway::{
         AdapterVersion, EngineAction, EngineRefusal, EngineRequest, EngineScheduler, OrderKind,
-        OrderOutcome, SchedulerSettings,
+        OrderOutcome, SchedulerSettings, adapter_key,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -437,6 +437,37 @@
     assert!(harness.started.contains(&late), "it waits, and is served");
 }
 
+/// Loads an adapter and lets a request use it.
+fn use_adapter(harness: &mut Harness, adapter: &str) {
+    let key = harness.submit_within(adapter, 1, 60_000, 1);
+    harness.complete_loads();
+    harness.finish(key);
+}
+
+#[test]
+fn an_evicted_adapter_becomes_a_copy_of_the_host_until_a_restart() {
+    let mut harness = Harness::new();
+    for adapter in ["a", "b", "c", "d", "e"] {
+        use_adapter(&mut harness, adapter);
+    }
+    let copies: Vec<u64> = harness.scheduler.copied_keys().collect();
+    assert_eq!(copies, [adapter_key("m/a")]);
+    harness.engine.restart();
+    harness.report();
+    assert_eq!(harness.scheduler.copied_keys().count(), 0);
+}
+
+#[test]
+fn only_the_newest_copies_of_the_host_are_kept() {
+    let mut harness = Harness::new();
+    for round in 0..300 {
+        use_adapter(&mut harness, &round.to_string());
+    }
+    let copies: Vec<u64> = harness.scheduler.copied_keys().collect();
+    assert!(!copies.contains(&adapter_key("m/1")));
+    assert!(copies.contains(&adapter_key("m/295")));
+}
+
 /// A load from the host's memory uses nothing of the weight store.
 #[test]
 fn a_copy_on_the_host_loads_while_the_weight_store_is_busy() {
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -78,8 +78,6 @@
     active_requests: RefCell<HashMap<u64, ActiveRequest>>,
     links: RefCell<HashMap<LinkId, Outbox<ToEntry>>>,
     holdings: RefCell<HoldingsTracker>,
-    /// The number of engine restarts when the holdings were last updated.
-    known_restarts: Cell<u64>,
     next_key: Cell<u64>,
     next_link: Cell<LinkId>,
     /// Moving average of the time from sending a request to its response head, in milliseconds.
@@ -120,7 +118,6 @@
             active_requests: RefCell::default(),
             links: RefCell::default(),
             holdings: RefCell::default(),
-            known_restarts: Cell::default(),
             next_key: Cell::new(1),
             next_link: Cell::new(1),
             mean_head_time_ms: Cell::new(INITIAL_HEAD_TIME_MS),
@@ -483,17 +480,17 @@
 
     /// Sends all entries the changes since the last update of what the engine has loaded.
     fn broadcast_holdings_update(&self) {
-        let resident = self
-            .scheduler
-            .borrow()
+        let scheduler = self.scheduler.borrow();
+        let resident = scheduler
             .loaded_names(self.clock.now_ms())
             .map(|(name, uses)| (adapter_key(name), uses as u32))
             .collect();
-        let restarts = self.scheduler.borrow().restarts();
-        if self.known_restarts.replace(restarts) != restarts {
-            self.holdings.borrow_mut().discard_copies();
-        }
-        let Some(update) = self.holdings.borrow_mut().update(&resident) else {
+        let update = self
+            .holdings
+            .borrow_mut()
+            .update(&resident, scheduler.copied_keys());
+        drop(scheduler);
+        let Some(update) = update else {
             return;
         };
         self.broadcast(&ToEntryKind::Holdings(update));
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether the request has not run and will not run.
+    const fn is_not_run(self) -> bool {
+        !matches!(self, Self::ExpiredRunning | Self::BrokenOff)
+    }
+
     const fn message(self) -> &'static str {
         match self {
             Self::NoConfiguration => "this entry has just started; retry later",
@@ -78,8 +83,11 @@
     retry_after_ms: Option<u64>,
 ) -> Response<ResponseBody> {
     let name: &'static str = cause.into();
-    let is_not_run = cause.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let outcome = if is_not_run { "not_run" } else { "unknown" };
+    let outcome = if cause.is_not_run() {
+        "not_run"
+    } else {
+        "unknown"
+    };
     let body = serde_json::json!({
         "error": { "code": name, "message": cause.message(), "outcome": outcome },
     });
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -324,6 +324,7 @@
 /// Returns the placement costs of plain servers, at which adapters cost nothing.
 fn plain_server_costs() -> PlacementCosts {
     PlacementCosts {
+        spread_step_ms: 5.0,
         remote_ms: 12.0,
         ..PlacementCosts::default()
     }
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -345,6 +345,7 @@
         )
         .await;
         assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+        assert!(answer.contains(r#""outcome":"not_run""#), "{answer}");
     });
 }
 
