fix(gateway): apply the configured connection limit to plain servers

Cause: each entry opened up to 64 connections to a plain server, whatever the configuration said. 68 entries together may open 4,352 where a server of the large site accepts 470 and resets the rest.

Change: an entry opens its share of four fifths of the configured number, at least 4 and at most 64.

Test: entries together stay below the limit, also without a known limit. It could not be stated before, as the decision had no place of its own.

--- a/crates/magnoliasail-core/src/gateway/route_table.rs
+++ b/crates/magnoliasail-core/src/gateway/route_table.rs
@@ -90,6 +90,23 @@
         self.services.get(service)?.engine.as_ref()
     }
 
+    /// Returns the maximum number of connections that one of `entries` entries may open to a server of
+    /// a service. Together they stay below what the server accepts.
+    #[must_use]
+    pub fn connections_per_entry(&self, service: &str, entries: u32) -> usize {
+        /// Share of the server's connections that entries use, which leaves room for those that are
+        /// being closed.
+        const USED_SHARE: f64 = 0.8;
+        /// Enough for any entry to use the slots of a server for a short burst.
+        const MIN_CONNECTIONS: usize = 4;
+        const MAX_CONNECTIONS: usize = 64;
+        let Some(limits) = self.services.get(service) else {
+            return MIN_CONNECTIONS;
+        };
+        let share = limits.max_connections as f64 * USED_SHARE / f64::from(entries.max(1));
+        (share as usize).clamp(MIN_CONNECTIONS, MAX_CONNECTIONS)
+    }
+
     /// Finds the route with the longest matching prefix. The hash of `request_id` picks one of the
     /// route's services in proportion to their weights.
     #[must_use]
--- a/crates/magnoliasail-core/tests/gateway/routes.rs
+++ b/crates/magnoliasail-core/tests/gateway/routes.rs
@@ -1,7 +1,9 @@
 //! Route lookup by longest prefix, split weights, and configuration versions.
 
 use {
-    magnoliasail_core::gateway::{Configuration, RequestKind, Route, RouteTable, Split},
+    magnoliasail_core::gateway::{
+        Configuration, RequestKind, Route, RouteTable, ServiceLimits, Split,
+    },
     std::collections::HashMap,
 };
 
@@ -89,3 +91,27 @@
     assert!((8_800..=9_200).contains(&counts["big"]), "{counts:?}");
     assert!(!counts.contains_key("none"));
 }
+
+/// Servers reset connections beyond those that they accept, from all entries together.
+#[test]
+fn entries_together_open_no_more_connections_than_a_server_accepts() {
+    let mut table = RouteTable::default();
+    let limits = |name: &str, max_connections| ServiceLimits {
+        name: name.into(),
+        max_connections,
+        engine: None,
+    };
+    assert!(table.apply(Configuration {
+        version: 1,
+        services: vec![limits("large", 470), limits("none", 0)],
+        ..Configuration::default()
+    }));
+    for entries in [1, 5, 25, 68] {
+        let connections = table.connections_per_entry("large", entries);
+        assert!(connections * entries as usize <= 470, "{entries} entries");
+        assert!(connections >= 4, "{entries} entries");
+    }
+    for service in ["none", "unknown"] {
+        assert!(table.connections_per_entry(service, 0) > 0, "{service}");
+    }
+}
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -188,7 +188,7 @@
     *request.headers_mut() = outgoing.headers.clone();
     headers::set_attempt_headers(request.headers_mut(), &attempt_headers);
     let may_repeat = outgoing.kind.is_idempotent();
-    let pool = state.pool(pick.address);
+    let pool = state.pool(&pick.service, pick.address);
     let sent = pool.send(request, outgoing.metadata.id.as_deref(), may_repeat);
     let sent = match stall_timeout(state, pick, outgoing) {
         Some(limit) => match timeout(limit, sent).await {
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -24,10 +24,6 @@
     tokio::sync::{Notify, watch},
 };
 
-/// Maximum number of connections of one entry to one plain server. The `max_connections` of the
-/// configuration is not applied.
-const MAX_CONNECTIONS: usize = 64;
-
 /// State shared by the tasks of an entry.
 pub(super) struct EntryState {
     pub(super) settings: Rc<NodeSettings>,
@@ -55,6 +51,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PickedServer {
     pub(super) id: Arc<str>,
+    pub(super) service: Arc<str>,
     pub(super) address: SocketAddr,
     /// Whether the server is an engine, which is reached through its agent.
     pub(super) is_engine: bool,
@@ -107,12 +104,17 @@
         answered_count.is_multiple_of(LOG_SAMPLE_INTERVAL)
     }
 
-    /// Returns the pool of connections to a plain server.
-    pub(super) fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+    /// Returns the pool of connections to a plain server of a service.
+    pub(super) fn pool(&self, service: &str, address: SocketAddr) -> Rc<Pool> {
+        let max_open = self
+            .table
+            .borrow()
+            .connections_per_entry(service, self.entry_count());
         let mut pools = self.pools.borrow_mut();
         let pool = pools
             .entry(address)
-            .or_insert_with(|| Pool::new(address, MAX_CONNECTIONS, Rc::clone(&self.idle_limit)));
+            .or_insert_with(|| Pool::new(address, max_open, Rc::clone(&self.idle_limit)));
+        pool.set_max_open(max_open);
         Rc::clone(pool)
     }
 
@@ -224,6 +226,7 @@
         let now_ms = self.clock.now_ms();
         let pick = PickedServer {
             id: Arc::clone(&server.entry.id),
+            service: Arc::clone(&server.entry.service),
             address: server.entry.address,
             is_engine: false,
         };
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -154,6 +154,12 @@
         })
     }
 
+    /// Sets the maximum number of open connections. Connections beyond it stay open until they are
+    /// idle for too long.
+    pub(super) fn set_max_open(&self, max_open: usize) {
+        self.max_open.set(max_open);
+    }
+
     /// Sends a request and returns the head of its response.
     ///
     /// If `is_idempotent`, a connection that has been idle for long may be reused. The server may
