perf(gateway): rank servers only where a rank can change the choice

Change: servers that have the adapter are ranked among themselves, and the others only if one of them might be cheaper. Ranks come from the function that the own interface uses. `cargo xtask capacity` measures the gateway's decision too. The choices are the same.

--- a/crates/magnoliasail-core/src/gateway/placement.rs
+++ b/crates/magnoliasail-core/src/gateway/placement.rs
@@ -12,8 +12,8 @@
 
 use {
     super::Holding,
-    crate::score,
-    std::{cmp::Reverse, sync::Arc},
+    crate::{Named, rank},
+    std::sync::Arc,
 };
 
 /// State of a backend server to which a request may be sent.
@@ -40,6 +40,12 @@
     pub ready_in_ms: u64,
 }
 
+impl Named for &Candidate {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
 /// The affinity of a request for servers, from the adapter that it needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Affinity<'a> {
@@ -135,25 +141,64 @@
     /// `None` if there are no candidates.
     #[must_use]
     pub fn pick(&self, affinity: Affinity<'_>, candidates: &[Candidate]) -> Option<usize> {
-        let ranks = Ranks::of(affinity, candidates);
         let typical = Typical::of(candidates);
-        let costs_ms = candidates.iter().enumerate().map(|(index, candidate)| {
-            let rank = ranks.rank(index, candidate);
-            self.cost_ms(affinity, candidate, rank, typical)
-        });
-        costs_ms
-            .enumerate()
-            .min_by(|(_, a_ms), (_, b_ms)| a_ms.total_cmp(b_ms))
-            .map(|(index, _)| index)
+        let mut costs_ms: Vec<f64> = candidates
+            .iter()
+            .map(|candidate| self.cost_ms(affinity, candidate, typical))
+            .collect();
+        let (holders, others): (Vec<usize>, Vec<usize>) = (0..candidates.len())
+            .partition(|&index| candidates[index].holding == Holding::Resident);
+        self.charge_holder_ranks(affinity, candidates, &holders, &mut costs_ms);
+        let best_holder = cheapest(&holders, &costs_ms);
+        let best_other = cheapest(&others, &costs_ms);
+        if let (Some(holder), Some(other)) = (best_holder, best_other)
+            && costs_ms[holder] <= costs_ms[other]
+        {
+            // Most requests end here, and ranking all servers takes most of the time of a choice.
+            return Some(holder);
+        }
+        self.charge_fetch_ranks(affinity, candidates, &mut costs_ms);
+        let all: Vec<usize> = (0..candidates.len()).collect();
+        cheapest(&all, &costs_ms)
+    }
+
+    /// Adds the cost of the ranks of the servers that have the adapter, which differ between requests.
+    fn charge_holder_ranks(
+        &self,
+        affinity: Affinity<'_>,
+        candidates: &[Candidate],
+        holders: &[usize],
+        costs_ms: &mut [f64],
+    ) {
+        let servers: Vec<&Candidate> = holders.iter().map(|&index| &candidates[index]).collect();
+        let mut next_ranks = NextRanks::default();
+        for position in rank(affinity.request, &servers) {
+            let next_rank = next_ranks.of(affinity, servers[position]);
+            costs_ms[holders[position]] += f64::from(next_rank) * self.costs.spread_step_ms;
+        }
     }
 
-    fn cost_ms(
+    /// Adds the cost of the ranks of the servers that would fetch the adapter, which are the same for
+    /// all requests: among all servers for a rare adapter, among the local or among the remote servers
+    /// for a popular one.
+    fn charge_fetch_ranks(
         &self,
         affinity: Affinity<'_>,
-        candidate: &Candidate,
-        rank: usize,
-        typical: Typical,
-    ) -> f64 {
+        candidates: &[Candidate],
+        costs_ms: &mut [f64],
+    ) {
+        let servers: Vec<&Candidate> = candidates.iter().collect();
+        let mut next_ranks = NextRanks::default();
+        for index in rank(affinity.key, &servers) {
+            let next_rank = next_ranks.of(affinity, servers[index]);
+            if servers[index].holding == Holding::Absent {
+                costs_ms[index] += f64::from(next_rank) * self.costs.rank_step_ms;
+            }
+        }
+    }
+
+    /// Returns the cost of a candidate without that of its rank, in milliseconds.
+    fn cost_ms(&self, affinity: Affinity<'_>, candidate: &Candidate, typical: Typical) -> f64 {
         let costs = &self.costs;
         let (discount_ms, distance_ms) = if affinity.is_popular {
             (costs.popular_fetch_discount_ms, costs.remote_ms)
@@ -161,12 +206,9 @@
             (0.0, costs.rare_remote_ms)
         };
         let load_ms = match candidate.holding {
-            Holding::Resident => rank as f64 * costs.spread_step_ms,
+            Holding::Resident => 0.0,
             Holding::Copied => candidate.copy_load_ms,
-            Holding::Absent => {
-                (candidate.fetch_ms - discount_ms).max(costs.min_fetch_ms)
-                    + rank as f64 * costs.rank_step_ms
-            }
+            Holding::Absent => (candidate.fetch_ms - discount_ms).max(costs.min_fetch_ms),
         };
         let remote_ms = if candidate.is_local { 0.0 } else { distance_ms };
         let slow_ms = (candidate.first_byte_ms - 2.0 * typical.first_byte_ms).max(0.0);
@@ -180,61 +222,26 @@
     }
 }
 
-/// Ranks of candidates by rendezvous hashing, 0 first.
-struct Ranks {
-    /// Ranks by the adapter: among all servers for a rare adapter, among the local or among the
-    /// remote servers for a popular one.
-    by_adapter: Vec<usize>,
-    /// Ranks by the request, among the servers that have the adapter.
-    by_request: Vec<usize>,
+/// The next rank to give among the local and among the remote servers.
+#[derive(Default)]
+struct NextRanks {
+    ranks: [u32; 2],
 }
 
-impl Ranks {
-    fn of(affinity: Affinity<'_>, candidates: &[Candidate]) -> Self {
-        let place = |candidate: &Candidate| usize::from(affinity.is_popular && candidate.is_local);
-        Self {
-            by_adapter: ranks(affinity.key, candidates, place),
-            by_request: ranks(affinity.request, candidates, |candidate| {
-                match candidate.holding {
-                    Holding::Resident => place(candidate),
-                    Holding::Copied | Holding::Absent => OTHERS,
-                }
-            }),
-        }
-    }
-
-    /// Returns the rank of a candidate among those that have the adapter if it has it, otherwise
-    /// among those that may load it.
-    fn rank(&self, index: usize, candidate: &Candidate) -> usize {
-        match candidate.holding {
-            Holding::Resident => self.by_request[index],
-            Holding::Copied | Holding::Absent => self.by_adapter[index],
-        }
+impl NextRanks {
+    /// Returns the rank of a server and counts it. For a rare adapter, all servers are ranked together.
+    fn of(&mut self, affinity: Affinity<'_>, server: &Candidate) -> u32 {
+        let place = usize::from(affinity.is_popular && server.is_local);
+        let next_rank = &mut self.ranks[place];
+        *next_rank += 1;
+        *next_rank - 1
     }
 }
 
-/// The group of candidates that do not have the adapter, after those by place.
-const OTHERS: usize = 2;
-
-/// Returns the rank of each candidate in its group by the hash of `key` and its name.
-fn ranks<F>(key: &str, candidates: &[Candidate], group: F) -> Vec<usize>
-where
-    F: Fn(&Candidate) -> usize,
-{
-    let mut order: Vec<(u64, usize)> = candidates
-        .iter()
-        .enumerate()
-        .map(|(index, candidate)| (score(key, &candidate.name), index))
-        .collect();
-    order.sort_unstable_by_key(|&(score, index)| (Reverse(score), index));
-    let mut ranks = vec![0; candidates.len()];
-    let mut ranked = [0; OTHERS + 1];
-    for (_, index) in order {
-        let next_rank = &mut ranked[group(&candidates[index])];
-        ranks[index] = *next_rank;
-        *next_rank += 1;
-    }
-    ranks
+/// Returns the index with the lowest cost, or `None` if there are no indices.
+fn cheapest(indices: &[usize], costs_ms: &[f64]) -> Option<usize> {
+    let costs = indices.iter().copied();
+    costs.min_by(|&a, &b| costs_ms[a].total_cmp(&costs_ms[b]))
 }
 
 /// Medians over the candidates. Only deviations from them count, so that a cause common to all
--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -8,6 +8,7 @@
     magnoliasail_core::{
         AdapterRef, Entry, EntryEvent, EntrySettings, Placement, PlacementContext, Router, Servers,
         entry::{RequestKind, Submission},
+        gateway,
         job::{JobAnswer, JobKey, JobLedger},
         message::{Adapter, LoadReport},
         table::{Deployment, Pages, PublishedTable, Table},
@@ -36,6 +37,7 @@
 /// Measures and prints everything; with `is_checking`, compares the byte counts with their bounds.
 pub(crate) fn run(is_checking: bool) -> ExitCode {
     measure_decisions();
+    measure_gateway_decisions();
     let adapter_bytes = measure_adapters();
     let engine_bytes = measure_engines();
     let request_bytes = measure_requests();
@@ -137,6 +139,45 @@
     }
 }
 
+/// Prints the mean time of a placement decision of the gateway, for an adapter that three engines
+/// have and for one that must be fetched.
+fn measure_gateway_decisions() {
+    for engines in ENGINE_COUNTS {
+        for holders in [3, 0] {
+            let candidates = gateway_candidates(engines, holders);
+            let placement = gateway::Placement::default();
+            let started_at = Instant::now();
+            for request in 0..DECISION_COUNT {
+                let affinity = gateway::Affinity::new("model/adapter", 0, "request");
+                black_box((request, placement.pick(affinity, &candidates)));
+            }
+            let decision_us = started_at.elapsed().as_secs_f64() * 1e6 / DECISION_COUNT as f64;
+            println!("gateway decision: {engines} engines, {holders} holders: {decision_us:.1} us");
+        }
+    }
+}
+
+/// Returns engines of which the first `holders` have the requested adapter.
+fn gateway_candidates(engines: usize, holders: usize) -> Vec<gateway::Candidate> {
+    (0..engines)
+        .map(|index| gateway::Candidate {
+            name: format!("10.0.{}.{}:80", index / 250, index % 250).into(),
+            is_local: index % 5 == 0,
+            wait_ms: (index % 40) as f64,
+            failure_share: 0.0,
+            first_byte_ms: 50.0,
+            holding: if index < holders {
+                gateway::Holding::Resident
+            } else {
+                gateway::Holding::Absent
+            },
+            copy_load_ms: 25.0,
+            fetch_ms: 250.0,
+            ready_in_ms: 0,
+        })
+        .collect()
+}
+
 fn pages(adapters: usize) -> Pages {
     let mut pages = Pages::default();
     for page in 0..ADAPTER_PAGES {
