fix(gateway): read the store soon after it was silent

Cause: a call to a store that does not respond was given up only after the long poll, 3.7 s.

Change: while the store is lost, a watch waits 250 ms and ends within a second.

Test with real processes, failing first (404 after 2.5 s).

--- a/crates/magnoliasail/src/gateway/follower.rs
+++ b/crates/magnoliasail/src/gateway/follower.rs
@@ -25,6 +25,9 @@
 
 /// Time beyond the long poll after which a watch without a response times out.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Wait of a watch while the store is lost. A call to a store that does not respond must end soon, so
+/// that changes are read soon after its return.
+const LOST_STORE_POLL: Duration = Duration::from_millis(250);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
 const INITIAL_BACKOFF_MS: u64 = 100;
 const MAX_BACKOFF_MS: u64 = 1_000;
@@ -106,7 +109,8 @@
         loop {
             let result = match revision {
                 None => self.list().await,
-                Some(revision) => self.watch(revision).await,
+                Some(revision) if is_lost => self.watch(revision, LOST_STORE_POLL).await,
+                Some(revision) => self.watch(revision, self.long_poll).await,
             };
             match result {
                 Ok(new_revision) => {
@@ -181,15 +185,12 @@
         }
     }
 
-    /// Waits for changes after `revision` and returns the revision from which to watch next.
-    async fn watch(&mut self, revision: u64) -> Result<u64, FollowError> {
-        let request = watch_request(
-            &self.host,
-            self.prefix,
-            revision,
-            self.long_poll.as_millis() as u64,
-        );
-        let limit = self.long_poll + WATCH_MARGIN;
+    /// Waits at most `wait` for changes after `revision`, and returns the revision from which to watch
+    /// next.
+    async fn watch(&mut self, revision: u64, wait: Duration) -> Result<u64, FollowError> {
+        let wait_ms = wait.as_millis() as u64;
+        let request = watch_request(&self.host, self.prefix, revision, wait_ms);
+        let limit = wait + WATCH_MARGIN;
         let batch = self.call(request, limit).await?;
         for change in &batch.changes {
             self.notify(change);
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -349,6 +349,28 @@
     });
 }
 
+/// A call that a silent store left unanswered must not delay what is read after its return.
+#[test]
+fn new_configuration_applies_soon_after_a_silent_store_responds_again() {
+    with_fleet(77, |mut fleet| async move {
+        fleet.store.set_mode(StoreMode::Unresponsive);
+        while !fleet.output().contains("store_lost") {
+            sleep(Duration::from_millis(20)).await;
+        }
+        // The next call has been sent, and is not answered either.
+        sleep(Duration::from_millis(300)).await;
+        fleet.store.set_mode(StoreMode::Up);
+        fleet.publish_configuration(&["/added/"]);
+        sleep(PROPAGATION_TIME).await;
+        let answer = send_raw(
+            &fleet,
+            "GET /added/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: added\r\n\r\n",
+        )
+        .await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
 /// Guards against request smuggling: a request in the body of another must not run, also if the
 /// outer request gives its length in two ways.
 #[test]
