--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -144,6 +144,8 @@
 }
 
 /// State of the agent's engine, as used for placement.
+///
+/// Tags 6 and 7 had other meanings in earlier versions and stay unused.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct EngineState {
     /// The number of requests that run on the engine or wait at the agent.
@@ -191,13 +193,13 @@
     /// `sent` others with `sent_tokens` prompt tokens in total, which the state does not include yet.
     #[must_use]
     pub fn first_event_ms(&self, rank: u32, sent: u32, sent_tokens: u64) -> f64 {
+        /// Delay of the first event by the other requests of a full batch.
+        const FULL_BATCH_MS: f64 = 50.0;
         let reported_ms = match rank {
             0 => self.urgent_wait_ms,
             1 => self.normal_wait_ms,
             _ => self.bulk_wait_ms,
         };
-        /// Delay of the first event by the other requests of a full batch.
-        const FULL_BATCH_MS: f64 = 50.0;
         let fill = f64::from(self.load + sent) / f64::from(self.slots.max(1));
         let batch_ms = FULL_BATCH_MS * fill.min(1.0).powi(2);
         let queued = (self.load + sent).saturating_sub(self.slots).min(sent);
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -333,17 +333,9 @@
         fleet.publish_configuration(&["/added/"]);
         fleet.store.compact();
         sleep(PROPAGATION_TIME).await;
-        let answer = send_raw(
-            &fleet,
-            "GET /added/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: added\r\n\r\n",
-        )
-        .await;
+        let answer = get(&fleet, "added").await;
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-        let answer = send_raw(
-            &fleet,
-            "GET /absent/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: absent\r\n\r\n",
-        )
-        .await;
+        let answer = get(&fleet, "absent").await;
         assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
         assert!(answer.contains(r#""outcome":"not_run""#), "{answer}");
     });
@@ -362,11 +354,7 @@
         fleet.store.set_mode(StoreMode::Up);
         fleet.publish_configuration(&["/added/"]);
         sleep(PROPAGATION_TIME).await;
-        let answer = send_raw(
-            &fleet,
-            "GET /added/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: added\r\n\r\n",
-        )
-        .await;
+        let answer = get(&fleet, "added").await;
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     });
 }
@@ -440,6 +428,13 @@
     });
 }
 
+/// Requests `/NAME/x` with the request id `NAME`, and returns the answer as text.
+async fn get(fleet: &Fleet, name: &str) -> String {
+    let request =
+        format!("GET /{name}/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: {name}\r\n\r\n");
+    send_raw(fleet, &request).await
+}
+
 async fn send_raw(fleet: &Fleet, text: &str) -> String {
     send_raw_to(fleet.entry_address(0), text).await
 }
