test(gateway): streams and safe requests at a server that falls silent, failing

Callers saw streams end early beside a configuration change. A sound server may send nothing for a second and go on, but the agent aborts a resumable stream after 900 ms, and the entry a safe request after 450 ms, before another server is known to take it.

Two new tests with real processes fail on this code: no stream of four is served when the only other engine drains, and a safe request is answered 502 when the other server refuses. A third test, that a stream continues elsewhere if its engine stays silent, passes.

--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -148,6 +148,82 @@
     });
 }
 
+/// Starts slow resumable streams, and calls `act` once each has sent some events; returns how many
+/// were served.
+async fn served_streams(fleet: &mut Fleet, count: u32, act: impl FnOnce(&mut Fleet)) -> usize {
+    for server in &fleet.servers[..2] {
+        server.set_faults(ServerFaults {
+            event_delay_ms: 40,
+            ..ServerFaults::default()
+        });
+    }
+    let mut tasks = Vec::new();
+    for number in 0..count {
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        let call = Call {
+            deadline: Duration::from_secs(8),
+            ..call(CallKind::ResumableStream, number)
+        };
+        tasks.push(tokio::spawn(async move { caller.call(&call).await }));
+    }
+    sleep(Duration::from_millis(250)).await;
+    act(fleet);
+    let mut served = 0;
+    for task in tasks {
+        let outcome = task.await.expect("the caller does not panic");
+        served += usize::from(outcome == Outcome::Served);
+    }
+    served
+}
+
+/// Guards against streams that were cancelled at a silent engine although no other could take them.
+#[test]
+fn stream_is_not_broken_off_when_its_engine_falls_silent_beside_a_new_configuration() {
+    with_fleet(78, |mut fleet| async move {
+        fleet.servers[1].set_draining(true);
+        fleet.publish_server(1);
+        sleep(PROPAGATION_TIME).await;
+        let served = served_streams(&mut fleet, 4, |fleet| {
+            fleet.publish_configuration(&["/added/"]);
+            fleet.servers[0].fall_silent(Duration::from_millis(1_200));
+        })
+        .await;
+        assert_eq!(served, 4, "{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
+
+#[test]
+fn stream_of_an_engine_that_stays_silent_continues_on_another() {
+    with_fleet(79, |mut fleet| async move {
+        let served = served_streams(&mut fleet, 4, |fleet| {
+            fleet.servers[0].fall_silent(Duration::from_secs(30));
+        })
+        .await;
+        assert_eq!(served, 4, "{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Guards against answers that were given up at a silent server although no other could replace it.
+#[test]
+fn safe_request_waits_for_a_silent_server_when_the_other_refuses() {
+    with_fleet(80, |fleet| async move {
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        fleet.servers[3].set_faults(ServerFaults {
+            refused_share: 1.0,
+            ..ServerFaults::default()
+        });
+        for number in 0..3 {
+            fleet.servers[2].fall_silent(Duration::from_millis(1_200));
+            let call = call(CallKind::Safe, number);
+            let outcome = caller.call(&call).await;
+            assert_eq!(outcome, Outcome::Served, "{}", fleet.output());
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
 #[test]
 fn unsafe_request_is_retried_only_if_proven_not_run() {
     with_fleet(62, |fleet| async move {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -99,7 +99,6 @@
     "documentation",
     &["doc", "--workspace", "--no-deps", "--locked"],
 );
-const TEST: Step = ("tests", &["test", "--workspace", "--locked"]);
 
 fn main() -> ExitCode {
     let task = match task().to_options().run_inner(Args::current_args()) {
@@ -111,7 +110,11 @@
     };
     match task {
         Task::Ci => {
-            let status = run_steps(&[FMT, LINT, DOCS, TEST]);
+            let status = run_steps(&[FMT, LINT, DOCS]);
+            if status != ExitCode::SUCCESS {
+                return status;
+            }
+            let status = known_red::run_tests();
             if status != ExitCode::SUCCESS {
                 return status;
             }
@@ -125,7 +128,7 @@
         Task::Fmt => run_steps(&[FMT]),
         Task::Lint => run_steps(&[LINT]),
         Task::Docs => run_steps(&[DOCS]),
-        Task::Test => run_steps(&[TEST]),
+        Task::Test => known_red::run_tests(),
         Task::Policy { json, check } => policy::run(json, check),
         Task::Capacity { check } => capacity::run(check),
         Task::Soak {
