fix(gateway): give up a stalled attempt only once another server has responded

Callers saw streams end early, and safe requests fail with 502, at servers that were silent for a second and then went on.

Cause: silence was taken for failure. The agent aborted a resumable stream 900 ms after its last part, and the entry a safe request after 450 ms and more, which cancelled the run. Only then was another server looked for. If the retry budget was spent, agents refused or no server was left, the request was lost, although its server would have answered.

Change: a stall ends nothing. The agent reports it (a new kind of message, which earlier entries ignore), and the entry asks another server to take over while the attempt goes on.

Evidence: the two tests that failed on (0 of 4 streams served; 502) pass, as do all 21 tests of the platform path, among them the one with an engine that stays silent. It works because no path is left that cancels a run on silence alone.

--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -54,7 +54,7 @@
     /// The request body.
     #[prost(bytes = "bytes", tag = "10")]
     pub body: Bytes,
-    /// Whether the stream can be resumed on another engine, so that a stalled attempt is aborted.
+    /// Whether another engine may take over the stream, so that stalls are reported.
     #[prost(bool, tag = "11")]
     pub is_resumable: bool,
 }
@@ -74,7 +74,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToEntry {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<ToEntryKind>,
 }
 
@@ -102,6 +102,10 @@
     /// Updates which models and adapters the engine has.
     #[prost(message, tag = "7")]
     Holdings(HoldingsUpdate),
+    /// Reports that the engine has sent nothing for a while to the attempt with this number, which
+    /// goes on.
+    #[prost(uint64, tag = "8")]
+    Stalled(u64),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -8,6 +8,7 @@
             header_codec::encode_headers,
             metrics::Stage,
             pool::{SendError, ServerResponse},
+            stall::with_stall_reports,
         },
     },
     bytes::Bytes,
@@ -131,24 +132,18 @@
         return;
     };
     let started_ms = state.clock.now_ms();
-    let stall_timeouts = state.stall_timeouts(key);
+    let stall_limits = state.stall_limits(key);
     let end = match build_request(&state, key) {
         Some((request, id)) => {
             let response = state.request_pool.send(request, id.as_deref(), false);
-            match with_stall_timeout(
-                &state,
-                stall_timeouts.map(|stall_timeouts| stall_timeouts.head),
-                response,
-            )
-            .await
-            {
-                Some(Ok(response)) => {
-                    let part_timeout =
-                        stall_timeouts.map(|stall_timeouts| stall_timeouts.between_parts);
-                    forward_response(&state, key, started_ms, part_timeout, response).await
+            let head_limit = stall_limits.map(|stall_limits| stall_limits.head);
+            let on_stall = |limit| report_stall(&state, key, limit);
+            match with_stall_reports(head_limit, response, on_stall).await {
+                Ok(response) => {
+                    let part_limit = stall_limits.map(|stall_limits| stall_limits.between_parts);
+                    forward_response(&state, key, started_ms, part_limit, response).await
                 }
-                Some(Err(error)) => handle_send_error(&state, &error),
-                None => AttemptEnd::Aborted,
+                Err(error) => handle_send_error(&state, &error),
             }
         }
         None => AttemptEnd::Refused(EngineRefusal::EngineRefused),
@@ -199,33 +194,26 @@
     })?
 }
 
-/// Waits for an engine's output, and returns `None` if it takes longer than `limit`. There is a
-/// limit only for streams that another engine can resume.
-async fn with_stall_timeout<T>(
-    state: &AgentState,
-    limit: Option<Duration>,
-    output: impl Future<Output = T>,
-) -> Option<T> {
-    let Some(limit) = limit else {
-        return Some(output.await);
-    };
-    let result = timeout(limit, output).await.ok();
-    if result.is_none() {
+/// Reports to the entry that the engine has sent nothing to a request for `limit`.
+fn report_stall(state: &AgentState, key: u64, limit: Duration) {
+    let limit_ms = limit.as_millis();
+    state.with_request(key, |request| {
+        let id = request.metadata.id.as_deref().unwrap_or("-");
         emit(
             EventId::AnswerStalled,
-            format_args!("limit_ms={}", limit.as_millis()),
+            format_args!("request={id} limit_ms={limit_ms}"),
         );
-        state.report_requested.notify_one();
-    }
-    result
+        state.send(request.link, ToEntryKind::Stalled(request.submit.attempt));
+    });
+    state.report_requested.notify_one();
 }
 
-/// Forwards a response to the entry until it ends or stalls.
+/// Forwards a response to the entry until it ends.
 async fn forward_response(
     state: &AgentState,
     key: u64,
     started_ms: u64,
-    part_timeout: Option<Duration>,
+    part_limit: Option<Duration>,
     mut response: ServerResponse,
 ) -> AttemptEnd {
     let request = state.with_request(key, |request| (request.link, request.submit.attempt));
@@ -246,11 +234,8 @@
     state.record_head(key, head_time_ms);
     state.send(link, ToEntryKind::Head(head));
     loop {
-        let part = with_stall_timeout(state, part_timeout, response.next_part()).await;
-        let Some(part) = part else {
-            return AttemptEnd::Aborted;
-        };
-        match part {
+        let on_stall = |limit| report_stall(state, key, limit);
+        match with_stall_reports(part_limit, response.next_part(), on_stall).await {
             Ok(Some(bytes)) => state.send(link, ToEntryKind::Part(Part { attempt, bytes })),
             Ok(None) => {
                 response.release();
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -52,9 +52,9 @@
     task: Option<AbortHandle>,
 }
 
-/// Timeouts after which a response of the engine counts as stalled.
+/// Times without output after which a response of the engine counts as stalled.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StallTimeouts {
+pub(super) struct StallLimits {
     /// Time until the response head.
     pub(super) head: Duration,
     /// Time between two parts of the body.
@@ -383,17 +383,17 @@
         self.active_requests.borrow().get(&key).map(read)
     }
 
-    /// Returns the timeouts for a request's response, or `None` if its stream cannot be resumed on
-    /// another engine.
-    pub(super) fn stall_timeouts(&self, key: u64) -> Option<StallTimeouts> {
-        /// Constant part of the timeout for the response head.
-        const MIN_HEAD_TIMEOUT_MS: f64 = 600.0;
+    /// Returns the times after which a request's response counts as stalled, or `None` if no other
+    /// engine may take over its stream.
+    pub(super) fn stall_limits(&self, key: u64) -> Option<StallLimits> {
+        /// Constant part of the limit for the response head.
+        const MIN_HEAD_LIMIT_MS: f64 = 600.0;
         /// Multiple of the average time until the response head that does not count as a stall.
         const MEAN_TIME_FACTOR: f64 = 4.0;
         /// Lowest rate at which an engine is assumed to process a prompt.
         const MIN_PROMPT_TOKENS_PER_MS: f64 = 15.0;
         /// Longer than any pause between the events of a stream that has not stalled.
-        const PART_TIMEOUT: Duration = Duration::from_millis(900);
+        const PART_LIMIT: Duration = Duration::from_millis(900);
         let prompt_tokens = self.with_request(key, |request| {
             request
                 .submit
@@ -402,10 +402,10 @@
         })??;
         let prompt_ms = prompt_tokens as f64 / MIN_PROMPT_TOKENS_PER_MS;
         let head_ms =
-            MIN_HEAD_TIMEOUT_MS + MEAN_TIME_FACTOR * self.mean_head_time_ms.get() + prompt_ms;
-        Some(StallTimeouts {
+            MIN_HEAD_LIMIT_MS + MEAN_TIME_FACTOR * self.mean_head_time_ms.get() + prompt_ms;
+        Some(StallLimits {
             head: Duration::from_millis(head_ms as u64),
-            between_parts: PART_TIMEOUT,
+            between_parts: PART_LIMIT,
         })
     }
 
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -10,6 +10,7 @@
         gateway::{
             header_codec::{decode_headers, encode_headers},
             pool::ServerResponse,
+            stall::with_stall_reports,
         },
     },
     bytes::Bytes,
@@ -20,7 +21,7 @@
     },
     magnoliasail_platform::headers::{self, AttemptHeaders},
     std::{rc::Rc, sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::timeout},
+    tokio::sync::{Notify, mpsc},
 };
 
 /// A request as it is forwarded to backend servers.
@@ -37,7 +38,14 @@
     /// The end of the caller's or the route's timeout, whichever is earlier, as a time of the
     /// entry's clock.
     pub(super) deadline_ms: u64,
-    /// Whether the request may be sent to one more server, so that a stalled attempt is aborted.
+}
+
+/// What differs between the attempts of one request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptOptions {
+    /// The id of the last event that the caller has, if a stream is resumed.
+    pub(super) resume_after: Option<u64>,
+    /// Whether another server may take over if this one stalls.
     pub(super) has_further_server: bool,
 }
 
@@ -66,9 +74,21 @@
     Aborted,
 }
 
+impl StartOutcome {
+    /// Returns whether the request arrived at the server, or may have.
+    pub(super) const fn has_reached_server(&self) -> bool {
+        matches!(
+            self,
+            Self::Started { .. } | Self::RefusedByServer | Self::Aborted
+        )
+    }
+}
+
 /// The next step in the body of a response.
 pub(super) enum BodyUpdate {
     Part(Bytes),
+    /// The server has sent nothing for a while; the body goes on.
+    Stalled,
     /// The body is complete.
     End,
     /// The body ends early.
@@ -97,17 +117,18 @@
 
 /// Sends a request to a server and waits for the head of its response.
 ///
-/// `resume_after` is the id of the last event that the caller has, if a stream is resumed.
+/// Notifies `stalled` each time that the server has sent nothing for a while.
 pub(super) async fn start_attempt(
     state: &EntryState,
     pick: &PickedServer,
     outgoing: &OutgoingRequest,
-    resume_after: Option<u64>,
+    options: AttemptOptions,
+    stalled: &Notify,
 ) -> StartOutcome {
     if pick.is_engine {
-        start_at_engine(state, pick, outgoing, resume_after).await
+        start_at_engine(state, pick, outgoing, options, stalled).await
     } else {
-        start_at_plain_server(state, pick, outgoing, resume_after).await
+        start_at_plain_server(state, pick, outgoing, options, stalled).await
     }
 }
 
@@ -115,7 +136,8 @@
     state: &EntryState,
     pick: &PickedServer,
     outgoing: &OutgoingRequest,
-    resume_after: Option<u64>,
+    options: AttemptOptions,
+    stalled: &Notify,
 ) -> StartOutcome {
     let link = state.links.borrow().get(&pick.address.ip()).map(Rc::clone);
     let Some(link) = link else {
@@ -128,12 +150,12 @@
         objective_ms: outgoing.objective_ms.saturating_sub(now_ms),
         deadline_ms: outgoing.deadline_ms.saturating_sub(now_ms),
         rank: outgoing.rank,
-        resume_after,
+        resume_after: options.resume_after,
         method: outgoing.method.to_string(),
         target: outgoing.uri.to_string(),
         headers: encode_headers(&outgoing.headers),
         body: outgoing.body.clone(),
-        is_resumable: outgoing.kind == RequestKind::ResumableStream && outgoing.has_further_server,
+        is_resumable: outgoing.kind == RequestKind::ResumableStream && options.has_further_server,
     };
     let Some((number, updates)) = link.submit(submit, outgoing.metadata.prompt_tokens, now_ms)
     else {
@@ -144,7 +166,13 @@
         number,
         updates,
     };
-    match attempt.updates.recv().await {
+    let update = loop {
+        match attempt.updates.recv().await {
+            Some(AttemptUpdate::Stalled) => stalled.notify_one(),
+            update => break update,
+        }
+    };
+    match update {
         Some(AttemptUpdate::Head(head)) => {
             let (status, headers) = decode_head(&head);
             StartOutcome::Started {
@@ -164,9 +192,13 @@
             reason,
             retry_after_ms,
         },
-        Some(AttemptUpdate::Part(_) | AttemptUpdate::End | AttemptUpdate::Aborted) | None => {
-            StartOutcome::Aborted
-        }
+        Some(
+            AttemptUpdate::Part(_)
+            | AttemptUpdate::Stalled
+            | AttemptUpdate::End
+            | AttemptUpdate::Aborted,
+        )
+        | None => StartOutcome::Aborted,
     }
 }
 
@@ -174,12 +206,13 @@
     state: &EntryState,
     pick: &PickedServer,
     outgoing: &OutgoingRequest,
-    resume_after: Option<u64>,
+    options: AttemptOptions,
+    stalled: &Notify,
 ) -> StartOutcome {
     let attempt_headers = AttemptHeaders {
         time_left_ms: outgoing.deadline_ms.saturating_sub(state.clock.now_ms()),
         server_id: Some(Arc::clone(&pick.id)),
-        resume_after,
+        resume_after: options.resume_after,
         ..AttemptHeaders::default()
     };
     let mut request = Request::new(outgoing.body.clone());
@@ -190,20 +223,17 @@
     let may_repeat = outgoing.kind.is_idempotent();
     let pool = state.pool(&pick.service, pick.address);
     let sent = pool.send(request, outgoing.metadata.id.as_deref(), may_repeat);
-    let sent = match stall_timeout(state, pick, outgoing) {
-        Some(limit) => match timeout(limit, sent).await {
-            Ok(sent) => sent,
-            Err(_) => {
-                emit(
-                    EventId::AnswerStalled,
-                    format_args!("server={} limit_ms={}", pick.id, limit.as_millis()),
-                );
-                return StartOutcome::Aborted;
-            }
-        },
-        None => sent.await,
+    let limit = stall_limit(state, pick, outgoing, options);
+    let on_stall = |limit: Duration| {
+        let id = outgoing.metadata.id.as_deref().unwrap_or("-");
+        let limit_ms = limit.as_millis();
+        emit(
+            EventId::AnswerStalled,
+            format_args!("request={id} server={} limit_ms={limit_ms}", pick.id),
+        );
+        stalled.notify_one();
     };
-    match sent {
+    match with_stall_reports(limit, sent, on_stall).await {
         Ok(response) => {
             let mut directory = state.directory.borrow_mut();
             if let (Some(load), Some(server)) = (
@@ -227,33 +257,45 @@
     }
 }
 
-/// Returns the time after which a safe request without a response is sent to another server, or
+/// Returns the time after which another server may take over a safe request without a response, or
 /// `None` if the request must wait for this one.
-fn stall_timeout(
+fn stall_limit(
     state: &EntryState,
     pick: &PickedServer,
     outgoing: &OutgoingRequest,
+    options: AttemptOptions,
 ) -> Option<Duration> {
-    /// Constant part of the timeout, within which nearly all responses start.
-    const MIN_TIMEOUT_MS: f64 = 450.0;
+    /// Constant part of the limit, within which nearly all responses start.
+    const MIN_LIMIT_MS: f64 = 450.0;
     /// A multiple of the server's recent time to first byte that does not count as a stall.
     const FIRST_BYTE_FACTOR: f64 = 4.0;
-    if outgoing.kind != RequestKind::Safe || !outgoing.has_further_server {
+    if outgoing.kind != RequestKind::Safe || !options.has_further_server {
         return None;
     }
     let now_ms = state.clock.now_ms();
     let directory = state.directory.borrow();
     let first_byte_ms = directory.get(&pick.id)?.health.first_byte_ms(now_ms);
-    let limit_ms = MIN_TIMEOUT_MS + FIRST_BYTE_FACTOR * first_byte_ms;
+    let limit_ms = MIN_LIMIT_MS + FIRST_BYTE_FACTOR * first_byte_ms;
     Some(Duration::from_millis(limit_ms as u64))
 }
 
 impl Attempt {
+    /// Waits for the next update of a body that has stalled, other than a further stall.
+    pub(super) async fn next_after_stall(&mut self) -> BodyUpdate {
+        loop {
+            match self.next().await {
+                BodyUpdate::Stalled => {}
+                update => return update,
+            }
+        }
+    }
+
     /// Waits for the next part of the body.
     pub(super) async fn next(&mut self) -> BodyUpdate {
         match self {
             Self::Engine(attempt) => match attempt.updates.recv().await {
                 Some(AttemptUpdate::Part(bytes)) => BodyUpdate::Part(bytes),
+                Some(AttemptUpdate::Stalled) => BodyUpdate::Stalled,
                 Some(AttemptUpdate::End) => BodyUpdate::End,
                 Some(
                     AttemptUpdate::Head(_) | AttemptUpdate::Refused { .. } | AttemptUpdate::Aborted,
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -7,13 +7,14 @@
 
 use {
     super::{
-        attempt::{Attempt, BodyUpdate, OutgoingRequest, StartOutcome, start_attempt},
+        attempt::{Attempt, BodyUpdate, OutgoingRequest, StartOutcome},
         in_flight::InFlightGuard,
         refusal::{RefusalCause, log_refusal, refusal_response},
         relay::StreamRelay,
         response_body::ResponseBody,
         startup_wait::{WAIT_POLL_INTERVAL, log_wait},
         state::{EntryState, PickedServer},
+        takeover::AttemptResult,
     },
     crate::{
         events::{EventId, emit},
@@ -35,7 +36,7 @@
 pub(super) struct Dispatch {
     pub(super) state: Rc<EntryState>,
     pub(super) route: RouteMatch,
-    pub(super) outgoing: OutgoingRequest,
+    pub(super) outgoing: Rc<OutgoingRequest>,
     /// The time of arrival by the entry's clock.
     arrived_ms: u64,
     /// The full name of the adapter, `model/adapter`, or of the base model.
@@ -43,11 +44,11 @@
     /// Ids of the servers that were asked, or whose agents were.
     tried: Vec<Arc<str>>,
     /// Number of servers that received the request.
-    servers_reached: u32,
+    pub(super) servers_reached: u32,
     /// Whether an attempt is in flight, which may run the request.
-    is_attempt_in_flight: bool,
+    pub(super) is_attempt_in_flight: bool,
     /// Whether an earlier attempt has run the request, or may have.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
 }
 
 /// A response whose head has arrived.
@@ -80,7 +81,7 @@
         Self {
             state: Rc::clone(state),
             route,
-            outgoing,
+            outgoing: Rc::new(outgoing),
             arrived_ms,
             affinity_key,
             tried: Vec::new(),
@@ -178,18 +179,18 @@
             };
             placements += 1;
             self.tried.push(Arc::clone(&pick.id));
-            let in_flight = InFlightGuard::new(&self.state, &pick.id);
             let sent_ms = self.state.clock.now_ms();
             self.is_attempt_in_flight = true;
-            self.outgoing.has_further_server = self.servers_reached + 1 < self.route.max_servers;
-            let outcome = start_attempt(&self.state, &pick, &self.outgoing, resume_after).await;
+            let (outcome, in_flight) = match self.attempt(&pick, resume_after).await {
+                AttemptResult::Ended(outcome, in_flight) => (outcome, in_flight),
+                AttemptResult::TakenOver(started) => return Ok(started),
+            };
             match outcome {
                 StartOutcome::Started {
                     status,
                     headers,
                     attempt,
                 } => {
-                    self.servers_reached += 1;
                     self.may_have_run = true;
                     self.record_response_head(&pick, status, sent_ms);
                     return Ok(StartedResponse {
@@ -212,7 +213,6 @@
                 }
                 StartOutcome::RefusedByServer => {
                     self.log_failed_attempt(&pick, "refused_by_server");
-                    self.servers_reached += 1;
                     cause = RefusalCause::ServersRefused;
                     if !self.has_server_left() || !self.state.try_retry(&self.route.service) {
                         self.is_attempt_in_flight = false;
@@ -227,7 +227,6 @@
                 }
                 StartOutcome::Aborted => {
                     self.log_failed_attempt(&pick, "broken_off");
-                    self.servers_reached += 1;
                     self.may_have_run = true;
                     self.record_failure(&pick.id);
                     if !self.try_retry() {
@@ -418,6 +417,7 @@
     loop {
         match attempt.next().await {
             BodyUpdate::Part(bytes) => body.extend_from_slice(&bytes),
+            BodyUpdate::Stalled => {}
             BodyUpdate::End => break,
             BodyUpdate::Aborted => return None,
         }
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -40,6 +40,8 @@
     },
     Head(Head),
     Part(Bytes),
+    /// The engine has sent nothing for a while; the attempt goes on.
+    Stalled,
     End,
     /// The attempt failed and may have run; its response, if any, ends early.
     Aborted,
@@ -210,6 +212,7 @@
             }
             ToEntryKind::Head(head) => self.deliver(head.attempt, AttemptUpdate::Head(head)),
             ToEntryKind::Part(part) => self.deliver(part.attempt, AttemptUpdate::Part(part.bytes)),
+            ToEntryKind::Stalled(attempt) => self.deliver(attempt, AttemptUpdate::Stalled),
             ToEntryKind::End(attempt) => self.deliver_last(attempt, AttemptUpdate::End),
             ToEntryKind::Broken(attempt) => self.deliver_last(attempt, AttemptUpdate::Aborted),
         }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -19,6 +19,7 @@
 mod startup_wait;
 mod state;
 mod store_observer;
+mod takeover;
 
 use {
     self::{callers::serve_callers, state::EntryState, store_observer::follow_store},
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -1,7 +1,8 @@
 //! Relays a stream to a caller event by event.
 //!
 //! Only complete events are forwarded. If the server fails, a resumable stream continues at another
-//! server after the last event that the caller has; any other stream ends early.
+//! server after the last event that the caller has; any other stream ends early. A server that sends
+//! nothing for a while has not failed: its stream goes on unless another server takes over.
 
 use {
     super::{
@@ -9,6 +10,7 @@
         dispatch::{Dispatch, StartedResponse},
         in_flight::InFlightGuard,
         response_body::ResponseBody,
+        takeover::{Takeover, TakeoverFailure},
     },
     crate::{
         events::{EventId, emit},
@@ -18,6 +20,7 @@
     hyper::{Response, StatusCode},
     magnoliasail_core::gateway::EventSplitter,
     magnoliasail_wire::{ReaderDropped, StreamWriter, stream_body},
+    std::pin::pin,
     tokio::time::sleep_until,
 };
 
@@ -37,11 +40,20 @@
 /// How the relay of a stream ended.
 enum RelayOutcome {
     Complete,
-    /// The stream ended early, for the given cause.
-    Aborted(&'static str),
+    /// The stream ended early.
+    Aborted(AbortCause),
     CallerGone,
 }
 
+/// Why a stream ended early.
+#[derive(Clone, Copy, Debug)]
+enum AbortCause {
+    /// The deadline passed.
+    Expired,
+    /// The server failed, and the stream was not resumed.
+    BrokenOff(TakeoverFailure),
+}
+
 impl StreamRelay {
     /// Spawns the relay of a stream that has started; returns the response to the caller.
     pub(super) fn start(dispatch: Dispatch, started: StartedResponse) -> Response<ResponseBody> {
@@ -69,7 +81,7 @@
         let outcome = tokio::select! {
             biased;
             () = caller.closed() => RelayOutcome::CallerGone,
-            () = sleep_until(deadline) => RelayOutcome::Aborted("expired"),
+            () = sleep_until(deadline) => RelayOutcome::Aborted(AbortCause::Expired),
             outcome = self.relay(&caller) => outcome,
         };
         match outcome {
@@ -86,25 +98,29 @@
     }
 
     async fn relay(&mut self, caller: &StreamWriter) -> RelayOutcome {
+        let mut pending = None;
         loop {
-            let next = match &mut self.attempt {
-                Some(attempt) => attempt.next().await,
-                None => BodyUpdate::Aborted,
+            let next = match (pending.take(), &mut self.attempt) {
+                (Some(update), _) => update,
+                (None, Some(attempt)) => attempt.next().await,
+                (None, None) => BodyUpdate::Aborted,
             };
-            match next {
+            let resumption = match next {
                 BodyUpdate::Part(bytes) => {
                     if self.forward(&bytes, caller).await.is_err() {
                         return RelayOutcome::CallerGone;
                     }
+                    Ok(None)
                 }
+                BodyUpdate::Stalled => self.replace_stalled().await,
                 BodyUpdate::End if !self.splitter.has_partial_event() => {
                     return RelayOutcome::Complete;
                 }
-                BodyUpdate::End | BodyUpdate::Aborted => {
-                    if !self.resume().await {
-                        return RelayOutcome::Aborted("broken_off");
-                    }
-                }
+                BodyUpdate::End | BodyUpdate::Aborted => self.resume().await.map(|()| None),
+            };
+            match resumption {
+                Ok(update) => pending = update,
+                Err(failure) => return RelayOutcome::Aborted(AbortCause::BrokenOff(failure)),
             }
         }
     }
@@ -130,21 +146,58 @@
         caller.write(part.freeze()).await
     }
 
-    /// Resumes the stream at another server after the last event that the caller has; returns
-    /// whether it was resumed.
-    async fn resume(&mut self) -> bool {
+    /// Resumes the stream at another server after the last event that the caller has.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream ends early.
+    async fn resume(&mut self) -> Result<(), TakeoverFailure> {
         self.attempt = None;
-        self.splitter.reset();
         self.dispatch.record_failure(self.in_flight.server());
         if !self.dispatch.try_retry() {
-            return false;
+            return Err(TakeoverFailure::RetryDenied);
         }
-        let Ok(started) = self.dispatch.start_response(self.last_event_id).await else {
-            return false;
+        let started = self.dispatch.find_successor(self.last_event_id).await?;
+        self.continue_with(started);
+        Ok(())
+    }
+
+    /// Looks for another server while the current one sends nothing, and returns the next update of
+    /// the current one if that comes first.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream ends early, if the current attempt fails and there is no other server.
+    async fn replace_stalled(&mut self) -> Result<Option<BodyUpdate>, TakeoverFailure> {
+        let Some(attempt) = &mut self.attempt else {
+            return Ok(None);
+        };
+        let has_partial_event = self.splitter.has_partial_event();
+        let has_failed = |update: &_| match update {
+            BodyUpdate::Aborted => true,
+            BodyUpdate::End => has_partial_event,
+            BodyUpdate::Part(_) | BodyUpdate::Stalled => false,
         };
-        if !started.status.is_success() {
-            return false;
+        let takeover = {
+            let mut current = pin!(attempt.next_after_stall());
+            self.dispatch
+                .take_over(self.last_event_id, &mut current, has_failed)
+                .await
+        };
+        match takeover {
+            Takeover::NotNeeded(update) => Ok(Some(update)),
+            Takeover::Failed => Ok(None),
+            Takeover::BothFailed(_, failure) => Err(failure),
+            Takeover::Started(started) => {
+                self.dispatch.record_failure(self.in_flight.server());
+                self.continue_with(started);
+                Ok(None)
+            }
         }
+    }
+
+    /// Replaces the current attempt, which is cancelled, by that of another server.
+    fn continue_with(&mut self, started: StartedResponse) {
         self.dispatch.state.metrics.count_retry(RetryCause::Resumed);
         emit(
             EventId::StreamResumed,
@@ -156,16 +209,20 @@
                 self.dispatch.left_ms()
             ),
         );
+        self.splitter.reset();
         self.attempt = Some(started.attempt);
         self.in_flight = started.in_flight;
-        true
     }
 
-    fn log_abort(&self, cause: &'static str) {
+    fn log_abort(&self, cause: AbortCause) {
+        let (cause, resumption) = match cause {
+            AbortCause::Expired => ("expired", "-".to_owned()),
+            AbortCause::BrokenOff(failure) => ("broken_off", failure.to_string()),
+        };
         emit(
             EventId::StreamBrokenOff,
             format_args!(
-                "request={} server={} cause={cause} after={:?} left_ms={}",
+                "request={} server={} cause={cause} resumption={resumption} after={:?} left_ms={}",
                 self.dispatch.id(),
                 self.in_flight.server(),
                 self.last_event_id,
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -110,7 +110,6 @@
         body,
         objective_ms: now_ms + route.objective_ms,
         deadline_ms: now_ms + timeout_ms,
-        has_further_server: false,
         metadata,
     };
     Ok(Dispatch::new(state, route, outgoing, now_ms))
--- a/crates/magnoliasail/src/gateway/metrics.rs
+++ b/crates/magnoliasail/src/gateway/metrics.rs
@@ -42,6 +42,8 @@
     BrokenOff,
     /// The response to an idempotent request had an error status.
     ServerError,
+    /// Another server took over from one that had sent no response for a while.
+    Stalled,
     /// A stream was resumed after the last event delivered.
     Resumed,
     /// The retry budget was exhausted, and no attempt followed.
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod process;
 mod sockets;
+mod stall;
 mod steady_clock;
 mod store_client;
 
