--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -201,8 +201,13 @@
                 self.fleet.signal(process, "CONT");
             }
             3 => {
-                self.record_fault(format!("reload process {process}"));
+                self.record_fault(format!(
+                    "reload process {process}, publish a configuration, server {server} falls \
+                     silent for {duration:?}"
+                ));
                 self.fleet.signal(process, "HUP");
+                self.fleet.servers[server].fall_silent(duration);
+                self.publish_next_configuration();
             }
             4 => {
                 self.record_fault(format!("crash server {server} for {duration:?}"));
