fix(gateway): spend no retry on a stall for which there is no other server

Cause: each report of a stall took a retry before it was known whether another server was free, so that streams at one silent engine used up the budget that failures need; and a report that had waited behind other output counted an attempt that was never made.

Change: the stalled attempt is looked at first; a retry that reached no server goes back to the budget; attempts in flight are counted, so that a cancelled search accounts for just those it had sent. Another server may answer a stalled plain request with any status but a server error. Event 515 says how each search ended, and 513 names the server that responded.

Evidence: a new test stalls 60 safe requests twice while no other server is free; none is denied a retry.

--- a/crates/magnoliasail-core/src/gateway/retry_window.rs
+++ b/crates/magnoliasail-core/src/gateway/retry_window.rs
@@ -64,6 +64,19 @@
         true
     }
 
+    /// Returns a retry that was spent and not sent to any server.
+    pub fn refund(&mut self, now_ms: TimeMs) {
+        let _ = self.bucket(now_ms);
+        let spent = self
+            .buckets
+            .iter_mut()
+            .rev()
+            .find(|bucket| bucket.retries > 0);
+        if let Some(bucket) = spent {
+            bucket.retries -= 1;
+        }
+    }
+
     /// Returns the bucket of the current time, and drops those that have left the window.
     fn bucket(&mut self, now_ms: TimeMs) -> &mut Bucket {
         let start_ms = now_ms - now_ms % BUCKET_MS;
--- a/crates/magnoliasail-core/tests/gateway/retries.rs
+++ b/crates/magnoliasail-core/tests/gateway/retries.rs
@@ -53,3 +53,22 @@
         "{retries}"
     );
 }
+
+#[test]
+fn returned_retry_can_be_spent_again() {
+    let mut window = RetryWindow::new(RATIO, 10.0, WINDOW_MS);
+    let now_ms = 60_000;
+    while window.try_retry(1, now_ms) {}
+    window.refund(now_ms + 600);
+    assert!(window.try_retry(1, now_ms + 600));
+    assert!(!window.try_retry(1, now_ms + 600));
+}
+
+#[test]
+fn more_returned_than_spent_retries_add_nothing_to_the_budget() {
+    let mut window = RetryWindow::new(RATIO, 10.0, WINDOW_MS);
+    let now_ms = 60_000;
+    window.refund(now_ms);
+    let spent = (0..).take_while(|_| window.try_retry(1, now_ms)).count();
+    assert_eq!(spent, 7);
+}
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -113,6 +113,8 @@
     RequestAnswered = 513,
     /// A request waited for an entry or an agent that had just started.
     RequestWaited = 514,
+    /// The search for a server to take over from a stalled one ended.
+    TakeoverEnded = 515,
 }
 
 impl EventId {
@@ -173,7 +175,8 @@
             | Self::RequestAnswered
             | Self::RequestWaited
             | Self::StreamResumed
-            | Self::StreamBrokenOff => Level::Info,
+            | Self::StreamBrokenOff
+            | Self::TakeoverEnded => Level::Info,
         }
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -45,10 +45,12 @@
     tried: Vec<Arc<str>>,
     /// Number of servers that received the request.
     pub(super) servers_reached: u32,
-    /// Whether an attempt is in flight, which may run the request.
-    pub(super) is_attempt_in_flight: bool,
+    /// Number of attempts in flight, each of which may run the request.
+    pub(super) attempts_in_flight: u32,
     /// Whether an earlier attempt has run the request, or may have.
     pub(super) may_have_run: bool,
+    /// The id of the server that responded last.
+    responding_server: Option<Arc<str>>,
 }
 
 /// A response whose head has arrived.
@@ -86,7 +88,8 @@
             affinity_key,
             tried: Vec::new(),
             servers_reached: 0,
-            is_attempt_in_flight: false,
+            attempts_in_flight: 0,
+            responding_server: None,
             may_have_run: false,
         }
     }
@@ -100,7 +103,8 @@
         let refusal = match outcome {
             Ok(Ok(ReceivedResponse::Complete(response))) => {
                 self.record_stage(Stage::PlainWhole);
-                self.log_answered(response.status());
+                let server = self.responding_server.as_deref().unwrap_or("-");
+                self.log_answered(response.status(), server);
                 return response;
             }
             Ok(Ok(ReceivedResponse::Started(started))) => {
@@ -132,6 +136,7 @@
             }
             let is_server_error = started.status.is_server_error();
             let server = Arc::clone(started.in_flight.server());
+            self.responding_server = Some(Arc::clone(&server));
             let complete = collect_response(started).await;
             if is_server_error || complete.is_none() {
                 self.record_failure(&server);
@@ -180,8 +185,10 @@
             placements += 1;
             self.tried.push(Arc::clone(&pick.id));
             let sent_ms = self.state.clock.now_ms();
-            self.is_attempt_in_flight = true;
-            let (outcome, in_flight) = match self.attempt(&pick, resume_after).await {
+            self.attempts_in_flight += 1;
+            let result = self.attempt(&pick, resume_after).await;
+            self.attempts_in_flight -= 1;
+            let (outcome, in_flight) = match result {
                 AttemptResult::Ended(outcome, in_flight) => (outcome, in_flight),
                 AttemptResult::TakenOver(started) => return Ok(started),
             };
@@ -215,7 +222,6 @@
                     self.log_failed_attempt(&pick, "refused_by_server");
                     cause = RefusalCause::ServersRefused;
                     if !self.has_server_left() || !self.state.try_retry(&self.route.service) {
-                        self.is_attempt_in_flight = false;
                         return Err(self.refusal(cause, retry_after_ms));
                     }
                     self.state.metrics.count_retry(RetryCause::ServerRefused);
@@ -238,7 +244,6 @@
                     self.state.metrics.count_retry(RetryCause::BrokenOff);
                 }
             }
-            self.is_attempt_in_flight = false;
         }
     }
 
@@ -276,7 +281,7 @@
 
     /// Creates the refusal of a request whose deadline has passed.
     const fn expired(&self) -> Refusal {
-        let cause = if self.is_attempt_in_flight || self.may_have_run {
+        let cause = if self.attempts_in_flight > 0 || self.may_have_run {
             RefusalCause::ExpiredRunning
         } else {
             RefusalCause::ExpiredUnrun
@@ -352,7 +357,7 @@
     }
 
     /// Logs the response of a server: each server error, and a sample of the others.
-    pub(super) fn log_answered(&self, status: StatusCode) {
+    pub(super) fn log_answered(&self, status: StatusCode, server: &str) {
         let is_sampled = self.state.count_answered();
         if !is_sampled && !status.is_server_error() {
             return;
@@ -361,11 +366,10 @@
         emit(
             EventId::RequestAnswered,
             format_args!(
-                "request={} status={} service={} server={} sent={} took_ms={took_ms}",
+                "request={} status={} service={} server={server} sent={} took_ms={took_ms}",
                 self.id(),
                 status.as_u16(),
                 self.route.service,
-                self.tried.last().map_or("-", |server| server),
                 self.servers_reached
             ),
         );
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -88,7 +88,8 @@
             RelayOutcome::Complete => {
                 caller.end();
                 self.dispatch.record_stage(Stage::StreamWhole);
-                self.dispatch.log_answered(StatusCode::OK);
+                self.dispatch
+                    .log_answered(StatusCode::OK, self.in_flight.server());
             }
             // Dropping the writer aborts the response.
             RelayOutcome::Aborted(cause) => self.log_abort(cause),
@@ -154,10 +155,10 @@
     async fn resume(&mut self) -> Result<(), TakeoverFailure> {
         self.attempt = None;
         self.dispatch.record_failure(self.in_flight.server());
-        if !self.dispatch.try_retry() {
-            return Err(TakeoverFailure::RetryDenied);
-        }
-        let started = self.dispatch.find_successor(self.last_event_id).await?;
+        let started = self
+            .dispatch
+            .find_successor(self.last_event_id, |status| status.is_success())
+            .await?;
         self.continue_with(started);
         Ok(())
     }
@@ -181,12 +182,14 @@
         let takeover = {
             let mut current = pin!(attempt.next_after_stall());
             self.dispatch
-                .take_over(self.last_event_id, &mut current, has_failed)
+                .take_over(self.last_event_id, &mut current, has_failed, |status| {
+                    status.is_success()
+                })
                 .await
         };
         match takeover {
             Takeover::NotNeeded(update) => Ok(Some(update)),
-            Takeover::Failed => Ok(None),
+            Takeover::Failed(_) => Ok(None),
             Takeover::BothFailed(_, failure) => Err(failure),
             Takeover::Started(started) => {
                 self.dispatch.record_failure(self.in_flight.server());
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -282,6 +282,11 @@
         is_granted
     }
 
+    /// Returns a retry to the budget because it was not sent to any server.
+    pub(super) fn refund_retry(&self, service: &Arc<str>) {
+        self.with_retry_window(service, RetryWindow::refund);
+    }
+
     fn with_retry_window<T>(
         &self,
         service: &Arc<str>,
--- a/crates/magnoliasail/src/gateway/entry/takeover.rs
+++ b/crates/magnoliasail/src/gateway/entry/takeover.rs
@@ -11,10 +11,14 @@
         refusal::RefusalCause,
         state::PickedServer,
     },
-    crate::gateway::metrics::RetryCause,
+    crate::{
+        events::{EventId, emit},
+        gateway::metrics::RetryCause,
+    },
     hyper::StatusCode,
     std::{
         fmt::{self, Display, Formatter},
+        future::ready,
         pin::pin,
         rc::Rc,
     },
@@ -61,7 +65,7 @@
     /// Another server responded.
     Started(StartedResponse),
     /// There is no other server, and the stalled attempt is still in progress.
-    Failed,
+    Failed(TakeoverFailure),
     /// The stalled attempt failed with this output, and there is no other server.
     BothFailed(T, TakeoverFailure),
 }
@@ -84,6 +88,8 @@
         let stalled = Notify::new();
         let mut current = pin!(start_attempt(&state, pick, &outgoing, options, &stalled));
         let mut is_counted = false;
+        let has_failed = |outcome: &_| !matches!(outcome, StartOutcome::Started { .. });
+        let may_respond = |status: StatusCode| !status.is_server_error();
         let outcome = loop {
             tokio::select! {
                 biased;
@@ -94,9 +100,11 @@
                 self.servers_reached += 1;
                 is_counted = true;
             }
-            let has_failed = |outcome: &_| !matches!(outcome, StartOutcome::Started { .. });
-            match self.take_over(resume_after, &mut current, has_failed).await {
-                Takeover::Failed => {}
+            match self
+                .take_over(resume_after, &mut current, has_failed, may_respond)
+                .await
+            {
+                Takeover::Failed(_) => {}
                 Takeover::NotNeeded(outcome) | Takeover::BothFailed(outcome, _) => break outcome,
                 Takeover::Started(started) => {
                     self.record_failure(&pick.id);
@@ -104,6 +112,8 @@
                     return AttemptResult::TakenOver(started);
                 }
             }
+            // A stall during the search is that of which the search has ended.
+            take_permit(&stalled).await;
         };
         if outcome.has_reached_server() && !is_counted {
             self.servers_reached += 1;
@@ -113,17 +123,23 @@
 
     /// Looks for another server to take over from a stalled attempt, until there is one or the
     /// attempt, `current`, goes on. The caller cancels the attempt once another server has started.
+    /// `may_respond` states with which status another server may take over.
     pub(super) async fn take_over<T>(
         &mut self,
         resume_after: Option<u64>,
         current: &mut (impl Future<Output = T> + Unpin),
         has_failed: impl Fn(&T) -> bool,
+        may_respond: impl Fn(StatusCode) -> bool,
     ) -> Takeover<T> {
-        if !self.try_retry() {
-            return Takeover::Failed;
+        // The report of the stall may have waited behind other work while the attempt went on.
+        tokio::select! {
+            biased;
+            output = &mut *current => return Takeover::NotNeeded(output),
+            () = ready(()) => {}
         }
+        let in_flight_before = self.attempts_in_flight;
         // The search may stall and look for a further server, so its future contains itself.
-        let mut search = Box::pin(self.find_successor(resume_after));
+        let mut search = Box::pin(self.find_successor(resume_after, may_respond));
         let takeover = tokio::select! {
             biased;
             output = current => {
@@ -139,18 +155,16 @@
             }
             result = &mut search => {
                 drop(search);
-                result.map_or(Takeover::Failed, Takeover::Started)
+                result.map_or_else(Takeover::Failed, Takeover::Started)
             }
         };
-        match takeover {
-            Takeover::NotNeeded(_) => self.abandon_successor(),
-            Takeover::Failed => self.is_attempt_in_flight = true,
-            Takeover::Started(_) | Takeover::BothFailed(..) => {}
-        }
+        self.abandon_attempts(in_flight_before);
+        self.log_takeover(&takeover);
         takeover
     }
 
-    /// Sends the request to further servers until one starts a successful response.
+    /// Sends the request to further servers until one starts a response with an accepted status.
+    /// It takes a retry, which is returned if the request is sent to no server.
     ///
     /// # Errors
     ///
@@ -158,20 +172,57 @@
     pub(super) async fn find_successor(
         &mut self,
         resume_after: Option<u64>,
+        may_respond: impl Fn(StatusCode) -> bool,
     ) -> Result<StartedResponse, TakeoverFailure> {
-        match self.start_response(resume_after).await {
-            Ok(started) if started.status.is_success() => Ok(started),
+        if !self.try_retry() {
+            return Err(TakeoverFailure::RetryDenied);
+        }
+        let reached_before = self.servers_reached;
+        let result = self.start_response(resume_after).await;
+        if self.servers_reached == reached_before {
+            self.state.refund_retry(&self.route.service);
+        }
+        match result {
+            Ok(started) if may_respond(started.status) => Ok(started),
             Ok(started) => Err(TakeoverFailure::ErrorStatus(started.status)),
             Err(refusal) => Err(TakeoverFailure::Refused(refusal.cause)),
         }
     }
 
-    /// Accounts for a successor whose attempt was cancelled because it is not needed. It may have
-    /// reached its server and run.
-    const fn abandon_successor(&mut self) {
-        if self.is_attempt_in_flight {
-            self.servers_reached += 1;
+    /// Accounts for attempts of a search that was cancelled. Each may have reached its server and
+    /// run.
+    const fn abandon_attempts(&mut self, in_flight_before: u32) {
+        let abandoned = self.attempts_in_flight - in_flight_before;
+        if abandoned > 0 {
+            self.attempts_in_flight = in_flight_before;
+            self.servers_reached += abandoned;
             self.may_have_run = true;
         }
     }
+
+    fn log_takeover<T>(&self, takeover: &Takeover<T>) {
+        let outcome = match takeover {
+            Takeover::NotNeeded(_) => "not_needed".to_owned(),
+            Takeover::Started(started) => format!("started server={}", started.in_flight.server()),
+            Takeover::Failed(failure) => format!("failed cause={failure}"),
+            Takeover::BothFailed(_, failure) => format!("both_failed cause={failure}"),
+        };
+        emit(
+            EventId::TakeoverEnded,
+            format_args!(
+                "request={} left_ms={} outcome={outcome}",
+                self.id(),
+                self.left_ms()
+            ),
+        );
+    }
+}
+
+/// Takes the permit of a notification that nobody waited for, if there is one.
+async fn take_permit(notify: &Notify) {
+    tokio::select! {
+        biased;
+        () = notify.notified() => {}
+        () = ready(()) => {}
+    }
 }
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -205,6 +205,34 @@
     });
 }
 
+/// Guards against a retry budget that is used up by stalls during which no other server is free.
+#[test]
+fn stalls_without_another_server_leave_the_retry_budget_to_failures() {
+    with_fleet(81, |fleet| async move {
+        fleet.servers[3].set_draining(true);
+        fleet.publish_server(3);
+        sleep(PROPAGATION_TIME).await;
+        fleet.servers[2].fall_silent(Duration::from_millis(1_200));
+        let mut tasks = Vec::new();
+        for number in 0..60 {
+            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+            let call = call(CallKind::Safe, number);
+            tasks.push(tokio::spawn(async move { caller.call(&call).await }));
+        }
+        for task in tasks {
+            let outcome = task.await.expect("the caller does not panic");
+            assert_eq!(outcome, Outcome::Served, "{}", fleet.output());
+        }
+        let output = fleet.output();
+        assert!(
+            output.contains("failed cause=refused:no_server"),
+            "{output}"
+        );
+        assert!(!output.contains("cause=retry_denied"), "{output}");
+        assert_no_violations(&fleet);
+    });
+}
+
 /// Guards against answers that were given up at a silent server although no other could replace it.
 #[test]
 fn safe_request_waits_for_a_silent_server_when_the_other_refuses() {
