fix(gateway): read the whole request before refusing it

Callers got neither an answer nor a refusal: a request whose route had just been removed, or was not there yet, was refused before its body was read, and the connection was then closed with unread bytes. The close resets the connection, and what the caller has not read of the refusal is lost.

Cause: the route was looked up before the body was read. Class of fault: a connection closed with unread data. Change: the body is read first, within the operator's limit; the same holds for an entry that has just started.

--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -75,32 +75,30 @@
 }
 
 /// Reads a request completely and finds its route.
+///
+/// The body is read before anything else decides on the request: a connection that is closed with
+/// unread bytes is reset, and the caller may lose the refusal.
 async fn prepare(
     state: &Rc<EntryState>,
     request: Request<Incoming>,
     metadata: RequestMetadata,
 ) -> Result<Dispatch, RefusalCause> {
     let now_ms = state.clock.now_ms();
+    let (head, body) = request.into_parts();
+    let max_body_bytes = state.table.borrow().limits().max_body_bytes;
+    let body = read_body(body, max_body_bytes).await?;
     if !state.is_initialized() && !wait_until_initialized(state, metadata.id.as_deref()).await {
         return Err(RefusalCause::NoConfiguration);
     }
-    let (head, body) = request.into_parts();
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let id = metadata.id.as_deref().unwrap_or_default();
-    let (route, max_body_bytes) = {
-        let table = state.table.borrow();
-        let route = table.find(host, head.uri.path(), id);
-        (
-            route.ok_or(RefusalCause::NoRoute)?,
-            table.limits().max_body_bytes,
-        )
-    };
+    let route = state.table.borrow().find(host, head.uri.path(), id);
+    let route = route.ok_or(RefusalCause::NoRoute)?;
     let timeout_ms = metadata
         .deadline_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
-    let body = read_body(body, max_body_bytes).await?;
     let outgoing = OutgoingRequest {
         kind: route.kind,
         rank: route.rank,
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -539,6 +539,41 @@
     send_raw(fleet, &request).await
 }
 
+/// Guards against a refusal that is lost because its connection is closed with unread bytes.
+#[test]
+fn long_request_without_a_route_gets_its_whole_refusal() {
+    with_fleet(82, |fleet| async move {
+        let chunk = format!("{:x}\r\n{}\r\n", 16_000, "x".repeat(16_000));
+        for number in 0..10 {
+            let mut stream = TcpStream::connect(fleet.entry_address(0))
+                .await
+                .expect("the entry accepts a connection");
+            let head = format!(
+                "POST /absent/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: long-{number}\r\n\
+                 transfer-encoding: chunked\r\n\r\n"
+            );
+            stream
+                .write_all(head.as_bytes())
+                .await
+                .expect("the head is sent");
+            for _ in 0..6 {
+                stream
+                    .write_all(chunk.as_bytes())
+                    .await
+                    .expect("the body is sent");
+                sleep(Duration::from_millis(5)).await;
+            }
+            stream
+                .write_all(b"0\r\n\r\n")
+                .await
+                .expect("the body is sent");
+            let answer = read_answer(&mut stream).await;
+            assert!(answer.starts_with("HTTP/1.1 404"), "{number}: {answer}");
+            assert!(answer.contains(r#""outcome":"not_run""#), "{answer}");
+        }
+    });
+}
+
 async fn send_raw(fleet: &Fleet, text: &str) -> String {
     send_raw_to(fleet.entry_address(0), text).await
 }
@@ -553,6 +588,11 @@
         .write_all(text.as_bytes())
         .await
         .expect("the request is sent");
+    read_answer(&mut stream).await
+}
+
+/// Returns what is received until the connection ends or stays silent for a second.
+async fn read_answer(stream: &mut TcpStream) -> String {
     let mut answer = Vec::new();
     let mut buffer = [0; 16_384];
     while let Ok(Ok(length)) =
