feat(gateway): name software versions and resumed attempts in the log

Two software versions of a backend server may serve one service. No log line named a server's version, so the lines could not show whether a stream had gone on at another version than the one that began it, nor whether the entry or the caller had resumed it.

Events 330, 501, 511, 512 and 513 now name the software version of the server, and 513 also the attempt that the request resumes. Nothing is decided by the version yet.

--- a/crates/magnoliasail-core/src/gateway/request_metadata.rs
+++ b/crates/magnoliasail-core/src/gateway/request_metadata.rs
@@ -7,6 +7,10 @@
 pub struct RequestMetadata {
     /// The id that the caller assigned to this attempt.
     pub id: Option<Arc<str>>,
+    /// The id of the attempt that brought the first event, if the caller resumes a stream.
+    pub resumes: Option<Arc<str>>,
+    /// The id of the last event that the caller has, if it resumes a stream.
+    pub last_event_id: Option<u64>,
     /// The time that the caller waits for the answer, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// The name of the base model.
--- a/crates/magnoliasail-core/src/gateway/server_entry.rs
+++ b/crates/magnoliasail-core/src/gateway/server_entry.rs
@@ -19,6 +19,8 @@
     pub is_draining: bool,
     /// The start time of the process, in milliseconds since the Unix epoch.
     pub started_ms: Option<u64>,
+    /// The version of its software; absent if it does not publish one.
+    pub software_version: Option<Arc<str>>,
     /// The base models that were loaded when it wrote the row.
     pub models: Vec<Arc<str>>,
 }
--- a/crates/magnoliasail-core/tests/gateway/directory.rs
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -11,6 +11,7 @@
         slots: 4,
         is_draining: false,
         started_ms: Some(1_000),
+        software_version: None,
         models: Vec::new(),
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -42,6 +42,8 @@
     affinity_key: String,
     /// Ids of the servers that were asked, or whose agents were.
     tried: Vec<Arc<str>>,
+    /// The software version of the last of them.
+    software_version: Option<Arc<str>>,
     /// Number of servers that received the request.
     servers_reached: u32,
     /// Whether an attempt is in flight, which may run the request.
@@ -84,6 +86,7 @@
             arrived_ms,
             affinity_key,
             tried: Vec::new(),
+            software_version: None,
             servers_reached: 0,
             is_attempt_in_flight: false,
             may_have_run: false,
@@ -178,6 +181,7 @@
             };
             placements += 1;
             self.tried.push(Arc::clone(&pick.id));
+            self.software_version.clone_from(&pick.software_version);
             let in_flight = InFlightGuard::new(&self.state, &pick.id);
             let sent_ms = self.state.clock.now_ms();
             self.is_attempt_in_flight = true;
@@ -344,9 +348,10 @@
         emit(
             EventId::AttemptFailed,
             format_args!(
-                "request={} server={} outcome={outcome} left_ms={left_ms} sent={}",
+                "request={} server={} software_version={} outcome={outcome} left_ms={left_ms} sent={}",
                 self.id(),
                 pick.id,
+                self.software_version_text(),
                 self.servers_reached
             ),
         );
@@ -362,11 +367,13 @@
         emit(
             EventId::RequestAnswered,
             format_args!(
-                "request={} status={} service={} server={} sent={} took_ms={took_ms}",
+                "request={} status={} service={} server={} software_version={} resumes={} sent={} took_ms={took_ms}",
                 self.id(),
                 status.as_u16(),
                 self.route.service,
                 self.tried.last().map_or("-", |server| server),
+                self.software_version_text(),
+                self.outgoing.metadata.resumes.as_deref().unwrap_or("-"),
                 self.servers_reached
             ),
         );
@@ -391,6 +398,11 @@
         self.outgoing.metadata.id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the software version of the server that was asked last, as logged.
+    pub(super) fn software_version_text(&self) -> &str {
+        self.software_version.as_deref().unwrap_or("-")
+    }
+
     /// Returns the time left to the deadline, in milliseconds.
     pub(super) fn left_ms(&self) -> u64 {
         self.outgoing
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -149,9 +149,10 @@
         emit(
             EventId::StreamResumed,
             format_args!(
-                "request={} server={} after={:?} left_ms={}",
+                "request={} server={} software_version={} after={:?} left_ms={}",
                 self.dispatch.id(),
                 started.in_flight.server(),
+                self.dispatch.software_version_text(),
                 self.last_event_id,
                 self.dispatch.left_ms()
             ),
@@ -165,9 +166,10 @@
         emit(
             EventId::StreamBrokenOff,
             format_args!(
-                "request={} server={} cause={cause} after={:?} left_ms={}",
+                "request={} server={} software_version={} cause={cause} after={:?} left_ms={}",
                 self.dispatch.id(),
                 self.in_flight.server(),
+                self.dispatch.software_version_text(),
                 self.last_event_id,
                 self.dispatch.left_ms()
             ),
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -53,6 +53,7 @@
     pub(super) id: Arc<str>,
     pub(super) service: Arc<str>,
     pub(super) address: SocketAddr,
+    pub(super) software_version: Option<Arc<str>>,
     /// Whether the server is an engine, which is reached through its agent.
     pub(super) is_engine: bool,
 }
@@ -228,6 +229,7 @@
             id: Arc::clone(&server.entry.id),
             service: Arc::clone(&server.entry.service),
             address: server.entry.address,
+            software_version: server.entry.software_version.clone(),
             is_engine: false,
         };
         let candidate = Candidate {
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -113,8 +113,12 @@
                 emit(
                     EventId::ServerListed,
                     format_args!(
-                        "server={} address={} draining={} revision={}",
-                        entry.id, entry.address, entry.is_draining, change.revision
+                        "server={} address={} software_version={} draining={} revision={}",
+                        entry.id,
+                        entry.address,
+                        entry.software_version.as_deref().unwrap_or("-"),
+                        entry.is_draining,
+                        change.revision
                     ),
                 );
                 directory.insert(entry);
