test(gateway): streams stay at the software version that began them

Engines of two software versions serve one service. The stand-ins publish their version and write it into each event; callers resume a broken stream at another entry with resumes and last-event-id; the ledger reports a stream that holds events of two versions. The soak does the same with its engines.

Five tests with real processes fail on this code and are listed in KNOWN-RED.txt: a resumption within an answer, a killed entry, a lost engine VM, a version that is gone, and a version that is unknown. So both hypotheses, a caller's retry at any version and a resumption that crosses versions, are reproduced.

--- a/crates/magnoliasail-soak/src/caller.rs
+++ b/crates/magnoliasail-soak/src/caller.rs
@@ -1,7 +1,10 @@
 //! A caller that reuses its connection and checks every answer.
 
 use {
-    crate::{ledger::Ledger, standin::event_count},
+    crate::{
+        ledger::Ledger,
+        standin::{event_count, stream_event},
+    },
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
     hyper::{
@@ -68,6 +71,33 @@
     /// Time from the start of the call until the caller abandons it. Entries receive it in the
     /// `deadline-ms` header.
     pub deadline: Duration,
+    /// The stream that the call resumes, if any.
+    pub resumption: Option<Resumption>,
+}
+
+/// How far a caller has received a stream that it resumes.
+#[derive(Clone, Debug)]
+pub struct Resumption {
+    /// The id of the call that brought the first event.
+    pub first_call: String,
+    /// The id of the last event received.
+    pub last_event_id: u64,
+}
+
+impl Call {
+    /// Returns the id of the call that brought the first event of the stream.
+    fn stream_id(&self) -> &str {
+        match &self.resumption {
+            Some(resumption) => &resumption.first_call,
+            None => &self.id,
+        }
+    }
+
+    fn last_event_id(&self) -> u64 {
+        self.resumption
+            .as_ref()
+            .map_or(0, |resumption| resumption.last_event_id)
+    }
 }
 
 /// The outcome of a call.
@@ -91,6 +121,8 @@
     address: SocketAddr,
     ledger: Ledger,
     sender: Option<SendRequest<Full<Bytes>>>,
+    /// The body received in the latest call.
+    received: Vec<u8>,
 }
 
 impl Caller {
@@ -101,11 +133,13 @@
             address,
             ledger,
             sender: None,
+            received: Vec::new(),
         }
     }
 
     /// Makes a call, checks its answer and records it in the ledger.
     pub async fn call(&mut self, call: &Call) -> Outcome {
+        self.received.clear();
         let outcome = match timeout(call.deadline, self.send(call)).await {
             Ok(Some(outcome)) => outcome,
             Ok(None) => Outcome::ConnectionFailed,
@@ -117,12 +151,41 @@
         ) {
             self.sender = None;
         }
+        if call.kind.is_stream() && outcome != Outcome::NotRun {
+            self.record_software_versions(call);
+        }
         let is_reported_not_run = outcome == Outcome::NotRun;
         self.ledger
             .record_answer(&call.id, is_reported_not_run, !call.kind.is_at_most_once());
         outcome
     }
 
+    /// Returns the call that resumes a stream which broke off after its first event, or `None` if
+    /// the latest call, `call`, had another outcome.
+    #[must_use]
+    pub fn resumed_call(&self, call: &Call, outcome: Outcome) -> Option<Call> {
+        let is_broken_off = call.kind == CallKind::ResumableStream
+            && matches!(outcome, Outcome::ConnectionFailed | Outcome::TimedOut);
+        let last_event = received_events(&self.received).last()?;
+        let last_event_id = last_event.id?;
+        is_broken_off.then(|| Call {
+            id: format!("{}-resumed", call.id),
+            resumption: Some(Resumption {
+                first_call: call.stream_id().to_owned(),
+                last_event_id,
+            }),
+            ..call.clone()
+        })
+    }
+
+    /// Records which software versions wrote the events received in the latest call.
+    fn record_software_versions(&self, call: &Call) {
+        for event in received_events(&self.received) {
+            self.ledger
+                .record_software_version(call.stream_id(), event.software_version);
+        }
+    }
+
     async fn send(&mut self, call: &Call) -> Option<Outcome> {
         let mut sender = match self.sender.take().filter(|sender| !sender.is_closed()) {
             Some(sender) => sender,
@@ -131,10 +194,11 @@
         sender.ready().await.ok()?;
         let response = sender.send_request(build_request(call)).await.ok()?;
         let (head, body) = response.into_parts();
-        let body = read_body(body).await;
+        let is_complete = self.read_body(body).await;
         self.sender = Some(sender);
         match head.status {
-            StatusCode::OK => self.check_answer(call, &head.headers, &body?),
+            StatusCode::OK if is_complete => self.check_answer(call, &head.headers),
+            StatusCode::OK => None,
             StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::TOO_MANY_REQUESTS
             | StatusCode::REQUEST_TIMEOUT
@@ -143,10 +207,14 @@
         }
     }
 
-    fn check_answer(&self, call: &Call, headers: &HeaderMap, body: &[u8]) -> Option<Outcome> {
+    fn check_answer(&self, call: &Call, headers: &HeaderMap) -> Option<Outcome> {
+        let body = &self.received;
         let expected = if call.kind.is_stream() {
-            (1..=event_count(&call.id))
-                .map(|number| format!("id: {number}\ndata: {} {number}\n\n", call.id))
+            let stream_id = call.stream_id();
+            let first_event = received_events(body).next();
+            let version = first_event.map_or("", |event| event.software_version);
+            (call.last_event_id() + 1..=event_count(stream_id))
+                .map(|number| stream_event(stream_id, number, version))
                 .collect()
         } else {
             format!("answer of {}", call.id)
@@ -157,7 +225,7 @@
                 format!("{} has no response-stamp header", call.id),
             );
         }
-        if body != expected.as_bytes() {
+        if *body != expected.as_bytes() {
             let body = String::from_utf8_lossy(body).into_owned();
             self.ledger.record_violation(
                 "complete answer to the same request",
@@ -167,6 +235,17 @@
         Some(Outcome::Served)
     }
 
+    /// Reads a body into `received`; returns whether it is complete.
+    async fn read_body(&mut self, mut body: Incoming) -> bool {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            if let Some(bytes) = frame.data_ref() {
+                self.received.extend_from_slice(bytes);
+            }
+        }
+        true
+    }
+
     async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
         let stream = TcpStream::connect(self.address).await.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -178,8 +257,27 @@
     }
 }
 
-async fn read_body(body: Incoming) -> Option<Bytes> {
-    Some(body.collect().await.ok()?.to_bytes())
+/// An event of a stream, as received.
+struct ReceivedEvent<'a> {
+    id: Option<u64>,
+    software_version: &'a str,
+}
+
+/// Returns the complete events of a stream in order.
+fn received_events(body: &[u8]) -> impl Iterator<Item = ReceivedEvent<'_>> {
+    let text = str::from_utf8(body).unwrap_or_default();
+    let end = text.rfind("\n\n").unwrap_or(0);
+    let events = text[..end].split("\n\n").filter(|event| !event.is_empty());
+    events.map(|event| {
+        let id = event
+            .lines()
+            .next()
+            .and_then(|line| line.strip_prefix("id: "));
+        ReceivedEvent {
+            id: id.and_then(|id| id.parse().ok()),
+            software_version: event.rsplit(' ').next().unwrap_or_default(),
+        }
+    })
 }
 
 fn build_request(call: &Call) -> Request<Full<Bytes>> {
@@ -205,5 +303,10 @@
             .header("token-count", "100,50")
             .header("prompt-prefix", "aa:60,bb:40");
     }
+    if let Some(resumption) = &call.resumption {
+        request = request
+            .header("resumes", &resumption.first_call)
+            .header("last-event-id", resumption.last_event_id);
+    }
     request.body(Full::new(body)).expect("the parts are valid")
 }
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -44,6 +44,8 @@
     pub entries: u8,
     /// Number of model engines, each of which has an agent.
     pub engines: u8,
+    /// Number of software versions among the engines, which take them in turn.
+    pub software_versions: u8,
     /// Number of plain servers.
     pub plain_servers: u8,
     /// Start of the search for a free network. The id of the current process is added to it.
@@ -247,6 +249,10 @@
             let seed = self.settings.seed * 1_000 + u64::from(index);
             let address = SocketAddr::new(self.server_ip(index), SERVICE_PORT);
             let server = BackendServer::new(kind, address, seed, self.ledger.clone());
+            let version = index % self.settings.software_versions.max(1) + 1;
+            if is_engine {
+                server.set_software_version(&format!("v{version}"));
+            }
             server.start().await?;
             if is_engine {
                 // Entries reach the agent through a proxy, at the address that the store lists.
@@ -327,6 +333,7 @@
                         kind,
                         adapter: crate::standin::adapter_name(0),
                         deadline: Duration::from_secs(2),
+                        resumption: None,
                     };
                     if caller.call(&call).await == crate::Outcome::Served {
                         break;
--- a/crates/magnoliasail-soak/src/ledger.rs
+++ b/crates/magnoliasail-soak/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Records of what callers and backend servers observed, and the checks of the guarantees.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
@@ -37,6 +37,9 @@
     runs: HashMap<String, Vec<RunRecord>>,
     /// The answer to each request, by request id.
     answers: HashMap<String, Answer>,
+    /// The software versions that wrote the events of each stream, by the id of the call that
+    /// brought its first event.
+    software_versions: HashMap<String, BTreeSet<String>>,
     violations: Vec<Violation>,
 }
 
@@ -74,6 +77,15 @@
         self.records().answers.insert(request.to_owned(), answer);
     }
 
+    /// Records that a server of this software version wrote an event of a stream.
+    pub fn record_software_version(&self, stream_id: &str, software_version: &str) {
+        self.records()
+            .software_versions
+            .entry(stream_id.to_owned())
+            .or_default()
+            .insert(software_version.to_owned());
+    }
+
     /// Records a violation that was detected at once, rather than by [`Ledger::violations`].
     pub fn record_violation(&self, guarantee: &'static str, detail: String) {
         self.records()
@@ -112,6 +124,14 @@
                 });
             }
         }
+        for (stream_id, versions) in &records.software_versions {
+            if versions.len() > 1 {
+                violations.push(Violation {
+                    guarantee: "one software version per stream",
+                    detail: format!("{stream_id} holds events of {versions:?}"),
+                });
+            }
+        }
         violations
     }
 }
--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -14,7 +14,7 @@
 mod standin;
 
 pub use self::{
-    caller::{Call, CallKind, Caller, Outcome},
+    caller::{Call, CallKind, Caller, Outcome, Resumption},
     fleet::{Fleet, FleetSettings},
     ledger::{Ledger, RunRecord, Violation},
     proxy::{Proxy, ProxyMode},
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -59,6 +59,7 @@
                 binary,
                 entries: 2,
                 engines: 3,
+                software_versions: 2,
                 plain_servers: 2,
                 network,
                 seed,
@@ -158,10 +159,14 @@
             for number in 0..self.settings.callers_per_entry {
                 let seed = self.random.random();
                 let name = format!("{entry}-{number}");
-                let address = self.fleet.entry_address(entry);
+                let other_entry = (entry + 1) % self.settings.fleet.entries;
+                let addresses = EntryAddresses {
+                    usual: self.fleet.entry_address(entry),
+                    other: self.fleet.entry_address(other_entry),
+                };
                 let ledger = self.fleet.ledger.clone();
                 tasks.push(tokio::spawn(run_caller(
-                    address,
+                    addresses,
                     ledger,
                     name,
                     seed,
@@ -326,6 +331,7 @@
                     kind: CallKind::ALL[number as usize % CallKind::ALL.len()],
                     adapter: adapter_name(number % ADAPTER_COUNT),
                     deadline: CALL_DEADLINE,
+                    resumption: None,
                 };
                 served += u32::from(caller.call(&call).await == Outcome::Served);
             }
@@ -339,15 +345,24 @@
     }
 }
 
+/// The entries that a caller uses.
+#[derive(Clone, Copy, Debug)]
+struct EntryAddresses {
+    usual: SocketAddr,
+    /// The entry at which the caller resumes a stream that was broken off.
+    other: SocketAddr,
+}
+
 async fn run_caller(
-    address: SocketAddr,
+    addresses: EntryAddresses,
     ledger: Ledger,
     name: String,
     seed: u64,
     state: Arc<CallerState>,
 ) {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut caller = Caller::new(address, ledger);
+    let mut caller = Caller::new(addresses.usual, ledger.clone());
+    let mut resuming_caller = Caller::new(addresses.other, ledger);
     let mut number = 0;
     while !state.is_stopped.load(Ordering::SeqCst) {
         number += 1;
@@ -359,9 +374,14 @@
             kind: CallKind::ALL[random.random_range(0..CallKind::ALL.len())],
             adapter: adapter_name(adapter),
             deadline: CALL_DEADLINE,
+            resumption: None,
         };
         state.calls.fetch_add(1, Ordering::SeqCst);
-        if caller.call(&call).await == Outcome::Served {
+        let mut outcome = caller.call(&call).await;
+        if let Some(resumed_call) = caller.resumed_call(&call, outcome) {
+            outcome = resuming_caller.call(&resumed_call).await;
+        }
+        if outcome == Outcome::Served {
             state.served.fetch_add(1, Ordering::SeqCst);
         }
         let pause_ms = random.random_range(5..60);
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -8,4 +8,4 @@
     store::{Store, StoreMode},
 };
 
-pub(crate) use self::backend_server::{adapter_name, event_count};
+pub(crate) use self::backend_server::{adapter_name, event_count, stream_event};
--- a/crates/magnoliasail-soak/tests/crash.rs
+++ b/crates/magnoliasail-soak/tests/crash.rs
@@ -34,6 +34,7 @@
                     kind: CallKind::Stream,
                     adapter: "base".to_owned(),
                     deadline: DEADLINE,
+                    resumption: None,
                 };
                 tokio::spawn(async move { caller.call(&call).await })
             })
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -22,6 +22,7 @@
         binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
         entries: 1,
         engines: 2,
+        software_versions: 1,
         plain_servers: 2,
         network,
         seed: u64::from(network),
@@ -43,6 +44,7 @@
         kind,
         adapter: format!("base/a{}", number % 6),
         deadline: Duration::from_millis(2_500),
+        resumption: None,
     }
 }
 
--- /dev/null
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -0,0 +1,225 @@
+//! Tests that a stream holds events of one software version, within one answer and over the
+//! attempts of its caller.
+
+use {
+    magnoliasail_soak::{Call, CallKind, Caller, Fleet, FleetSettings, Outcome, ServerFaults},
+    std::{future::Future, path::PathBuf, time::Duration},
+    tokio::{runtime::Builder, time::sleep},
+};
+
+/// Time for a change of the server list to apply.
+const PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
+const STREAM_COUNT: u32 = 24;
+const ADAPTER_COUNT: u32 = 12;
+/// Delay of each event that keeps every stream running until its server or entry fails.
+const LONG_STREAM: ServerFaults = ServerFaults {
+    event_delay_ms: 250,
+    ..NO_FAULTS
+};
+const NO_FAULTS: ServerFaults = ServerFaults {
+    error_share: 0.0,
+    aborted_share: 0.0,
+    unanswered_share: 0.0,
+    refused_share: 0.0,
+    delay_ms: 0,
+    event_delay_ms: 0,
+    idle_timeout_ms: 0,
+};
+const ENGINES: usize = 4;
+/// The engines of the first software version; the others have the second.
+const FIRST_VERSION_ENGINES: [usize; 2] = [0, 2];
+const ENTRIES: usize = 2;
+
+fn with_two_versions<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
+    let settings = FleetSettings {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
+        entries: ENTRIES as u8,
+        engines: ENGINES as u8,
+        software_versions: 2,
+        plain_servers: 1,
+        network,
+        seed: u64::from(network),
+    };
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    runtime.block_on(async {
+        let fleet = Fleet::start(settings).await.expect("the fleet starts");
+        test(fleet).await;
+    });
+}
+
+fn resumable_call(number: u32) -> Call {
+    Call {
+        id: format!("stream-{number}"),
+        kind: CallKind::ResumableStream,
+        adapter: format!("base/a{}", number % ADAPTER_COUNT),
+        deadline: Duration::from_millis(2_900),
+        resumption: None,
+    }
+}
+
+fn set_faults(fleet: &Fleet, engines: impl IntoIterator<Item = usize>, faults: ServerFaults) {
+    for engine in engines {
+        fleet.servers[engine].set_faults(faults);
+    }
+}
+
+fn assert_no_violations(fleet: &Fleet) {
+    let violations = fleet.ledger.violations();
+    assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
+}
+
+/// Starts the streams at the first entry, runs `break_off` while all of them have received events,
+/// and returns the calls that resume those which broke off.
+async fn broken_off_streams(
+    mut fleet: Fleet,
+    break_off: impl FnOnce(&mut Fleet),
+) -> (Fleet, Vec<Call>) {
+    set_faults(&fleet, 0..ENGINES, LONG_STREAM);
+    let mut tasks = Vec::new();
+    for number in 0..STREAM_COUNT {
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        let call = resumable_call(number);
+        tasks.push(tokio::spawn(async move {
+            let outcome = caller.call(&call).await;
+            caller.resumed_call(&call, outcome)
+        }));
+    }
+    sleep(Duration::from_millis(1_200)).await;
+    break_off(&mut fleet);
+    let mut resumed_calls = Vec::new();
+    for task in tasks {
+        resumed_calls.extend(task.await.expect("the caller does not panic"));
+    }
+    set_faults(&fleet, 0..ENGINES, NO_FAULTS);
+    (fleet, resumed_calls)
+}
+
+/// Resumes streams at the second entry, and returns the outcomes.
+async fn resume(fleet: &Fleet, calls: &[Call]) -> Vec<Outcome> {
+    let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
+    let mut outcomes = Vec::new();
+    for call in calls {
+        outcomes.push(caller.call(call).await);
+    }
+    outcomes
+}
+
+fn assert_all_served(fleet: &Fleet, outcomes: &[Outcome]) {
+    let is_served = |outcome: &Outcome| *outcome == Outcome::Served;
+    assert!(
+        outcomes.iter().all(is_served),
+        "{outcomes:?}\n{}",
+        fleet.output()
+    );
+}
+
+#[test]
+fn stream_resumed_within_an_answer_stays_at_its_software_version() {
+    with_two_versions(80, |fleet| async move {
+        let aborting = ServerFaults {
+            aborted_share: 1.0,
+            ..NO_FAULTS
+        };
+        set_faults(&fleet, [0, 1], aborting);
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..STREAM_COUNT {
+            let call = resumable_call(number);
+            assert_eq!(caller.call(&call).await, Outcome::Served, "{}", call.id);
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
+/// The entry that relayed the streams is killed, and one engine of each version drains.
+#[test]
+fn stream_of_a_killed_entry_stays_at_its_software_version() {
+    with_two_versions(81, |fleet| async move {
+        let (fleet, calls) = broken_off_streams(fleet, |fleet| fleet.kill(0)).await;
+        assert_eq!(calls.len(), STREAM_COUNT as usize, "{}", fleet.output());
+        for engine in [0, 1] {
+            fleet.servers[engine].set_draining(true);
+            fleet.publish_server(engine);
+        }
+        sleep(PROPAGATION_TIME).await;
+        let outcomes = resume(&fleet, &calls).await;
+        assert_all_served(&fleet, &outcomes);
+        assert_no_violations(&fleet);
+    });
+}
+
+/// An engine and its agent are lost together, and the other engine of the version takes no streams
+/// until the callers resume them.
+#[test]
+fn stream_of_a_lost_engine_vm_stays_at_its_software_version() {
+    with_two_versions(82, |fleet| async move {
+        let refusing = ServerFaults {
+            refused_share: 1.0,
+            ..LONG_STREAM
+        };
+        let (fleet, calls) = broken_off_streams(fleet, |fleet| {
+            set_faults(fleet, [2], refusing);
+            fleet.remove_server(0);
+            fleet.kill(ENTRIES);
+            fleet.servers[0].crash();
+        })
+        .await;
+        assert!(!calls.is_empty(), "{}", fleet.output());
+        let outcomes = resume(&fleet, &calls).await;
+        assert_all_served(&fleet, &outcomes);
+        assert_no_violations(&fleet);
+    });
+}
+
+#[test]
+fn stream_whose_software_version_is_gone_is_refused_without_a_run() {
+    with_two_versions(83, |fleet| async move {
+        let (fleet, calls) = broken_off_streams(fleet, |fleet| fleet.kill(0)).await;
+        for engine in FIRST_VERSION_ENGINES {
+            fleet.servers[engine].set_draining(true);
+            fleet.publish_server(engine);
+        }
+        sleep(PROPAGATION_TIME).await;
+        let outcomes = resume(&fleet, &calls).await;
+        assert!(
+            outcomes.contains(&Outcome::NotRun),
+            "{outcomes:?}\n{}",
+            fleet.output()
+        );
+        assert!(
+            outcomes.contains(&Outcome::Served),
+            "{outcomes:?}\n{}",
+            fleet.output()
+        );
+        assert!(
+            fleet.output().contains("cause=version_gone"),
+            "{}",
+            fleet.output()
+        );
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Nothing knows the stream: its entry, its engine's agent and all other agents have restarted.
+#[test]
+fn stream_of_an_unknown_software_version_is_refused_without_a_run() {
+    with_two_versions(84, |fleet| async move {
+        let call = Call {
+            resumption: Some(magnoliasail_soak::Resumption {
+                first_call: "unknown".to_owned(),
+                last_event_id: 1,
+            }),
+            ..resumable_call(0)
+        };
+        let outcomes = resume(&fleet, &[call]).await;
+        assert_eq!(outcomes, [Outcome::NotRun], "{}", fleet.output());
+        assert!(
+            fleet.output().contains("cause=version_unknown"),
+            "{}",
+            fleet.output()
+        );
+    });
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -80,10 +80,10 @@
 }
 
 /// A step of CI: its printed name and the arguments of `cargo`.
-type Step = (&'static str, &'static [&'static str]);
+type Step<'a> = (&'a str, &'a [&'a str]);
 
-const FMT: Step = ("formatting", &["fmt", "--all", "--check"]);
-const LINT: Step = (
+const FMT: Step<'static> = ("formatting", &["fmt", "--all", "--check"]);
+const LINT: Step<'static> = (
     "lints",
     &[
         "clippy",
@@ -95,11 +95,10 @@
         "warnings",
     ],
 );
-const DOCS: Step = (
+const DOCS: Step<'static> = (
     "documentation",
     &["doc", "--workspace", "--no-deps", "--locked"],
 );
-const TEST: Step = ("tests", &["test", "--workspace", "--locked"]);
 
 fn main() -> ExitCode {
     let task = match task().to_options().run_inner(Args::current_args()) {
@@ -111,7 +110,11 @@
     };
     match task {
         Task::Ci => {
-            let status = run_steps(&[FMT, LINT, DOCS, TEST]);
+            let status = run_steps(&[FMT, LINT, DOCS]);
+            if status != ExitCode::SUCCESS {
+                return status;
+            }
+            let status = run_tests();
             if status != ExitCode::SUCCESS {
                 return status;
             }
@@ -125,7 +128,7 @@
         Task::Fmt => run_steps(&[FMT]),
         Task::Lint => run_steps(&[LINT]),
         Task::Docs => run_steps(&[DOCS]),
-        Task::Test => run_steps(&[TEST]),
+        Task::Test => run_tests(),
         Task::Policy { json, check } => policy::run(json, check),
         Task::Capacity { check } => capacity::run(check),
         Task::Soak {
@@ -140,6 +143,23 @@
     }
 }
 
+/// Runs all tests but those that KNOWN-RED.txt records, and then prints the results of these.
+fn run_tests() -> ExitCode {
+    let known_tests = known_red::known_tests();
+    let mut arguments = vec!["test", "--workspace", "--locked"];
+    if !known_tests.is_empty() {
+        arguments.extend(["--", "--exact"]);
+    }
+    for name in &known_tests {
+        arguments.extend(["--skip", name]);
+    }
+    let status = run_steps(&[("tests", &arguments)]);
+    if status == ExitCode::SUCCESS {
+        known_red::report_tests();
+    }
+    status
+}
+
 fn run_histories(count: u32, first: u32) -> ExitCode {
     let status = Command::new("cargo")
         .args(["test", "--release", "--locked", "-p", "magnoliasail-core"])
@@ -161,7 +181,7 @@
 }
 
 /// Runs the steps in order and stops at the first that fails.
-fn run_steps(steps: &[Step]) -> ExitCode {
+fn run_steps(steps: &[Step<'_>]) -> ExitCode {
     for (name, arguments) in steps {
         println!("xtask: {name}");
         let status = Command::new("cargo")
