fix(gateway): resume a stream only at the software version that began it

Callers got streams that held events of two software versions of a service: 185 in the users' record, nearly all of them callers' own retries at another entry, some resumptions within one answer.

Cause: a hidden dependency on a property that the code did not know. Any engine that serves the adapter counted as equivalent to the one that began the stream, and an entry kept nothing about streams that another entry relayed.

A request now carries a constraint on the software version. Within one answer it is set when the first event is forwarded. Over a caller's attempts, the origin of a stream (key and version) is kept for 60 s by the entry and by the agent of the engine that began it; if the stream ends early, the entry sends it to agents on two other VMs. A request with resumes looks in the entry's own memory, then asks all linked agents for at most 250 ms. If nobody knows the stream, the only recent version of the service is assumed; if there are several, the request is refused at once as not run (version_unknown). If no server of the version may serve, it is refused at once too (version_gone). Event 520 says where the version was found. Last-Event-Id of the caller starts the relay's check for repeated events.

A restart of the entry and of all agents that know a stream leaves its version unknown; its callers are then refused while the service has several.

--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToAgent {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToAgentKind", tags = "1, 2")]
+    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4")]
     pub kind: Option<ToAgentKind>,
 }
 
@@ -19,6 +19,12 @@
     /// Cancels the attempt with this number.
     #[prost(uint64, tag = "2")]
     Cancel(u64),
+    /// Asks the agent to remember the origin of a stream.
+    #[prost(message, tag = "3")]
+    RememberOrigin(StreamOrigin),
+    /// Asks for the origin of the stream with this key.
+    #[prost(fixed64, tag = "4")]
+    FindOrigin(u64),
 }
 
 /// A request to run on the agent's engine.
@@ -57,6 +63,33 @@
     /// Whether the stream can be resumed on another engine, so that a stalled attempt is aborted.
     #[prost(bool, tag = "11")]
     pub is_resumable: bool,
+    /// The origin of the stream if this attempt brings its first event; absent if its caller cannot
+    /// resume it.
+    #[prost(message, optional, tag = "12")]
+    pub origin: Option<StreamOrigin>,
+}
+
+/// Which software version began a stream. A caller that resumes the stream needs the same version.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StreamOrigin {
+    /// The key of the stream, see
+    /// [`RequestMetadata::stream_key`](crate::gateway::RequestMetadata::stream_key).
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// The software version of the server; absent if it does not publish one.
+    #[prost(string, optional, tag = "2")]
+    pub software_version: Option<String>,
+}
+
+/// The answer to a query for the origin of a stream.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OriginAnswer {
+    /// The key of the stream.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// The origin; absent if the agent does not know it.
+    #[prost(message, optional, tag = "2")]
+    pub origin: Option<StreamOrigin>,
 }
 
 /// An HTTP header.
@@ -74,7 +107,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToEntry {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<ToEntryKind>,
 }
 
@@ -102,6 +135,9 @@
     /// Updates which models and adapters the engine has.
     #[prost(message, tag = "7")]
     Holdings(HoldingsUpdate),
+    /// Answers a query for the origin of a stream.
+    #[prost(message, tag = "8")]
+    Origin(OriginAnswer),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -38,7 +38,10 @@
 mod scheduler_settings;
 mod server_entry;
 mod server_health;
+mod stream_origins;
 mod unreported;
+mod version_constraint;
+mod version_history;
 
 pub use self::{
     adapter_slots::{AdapterSlots, SlotState},
@@ -64,5 +67,8 @@
     scheduler_settings::SchedulerSettings,
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
+    stream_origins::StreamOrigins,
     unreported::UnreportedWork,
+    version_constraint::VersionConstraint,
+    version_history::VersionHistory,
 };
--- a/crates/magnoliasail-core/src/gateway/request_metadata.rs
+++ b/crates/magnoliasail-core/src/gateway/request_metadata.rs
@@ -1,6 +1,6 @@
 //! Properties of a request, decoded from its headers.
 
-use std::sync::Arc;
+use {std::sync::Arc, xxhash_rust::xxh3::xxh3_64};
 
 /// The properties of a request on which routing and scheduling depend.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,3 +26,13 @@
     /// The ids of the prompt's leading parts that it shares with other prompts, in order.
     pub prompt_prefixes: Vec<Arc<str>>,
 }
+
+impl RequestMetadata {
+    /// Returns the key of the stream that answers the request, the same for all attempts of the
+    /// caller at this stream; `None` if the request has no id.
+    #[must_use]
+    pub fn stream_key(&self) -> Option<u64> {
+        let first_attempt = self.resumes.as_ref().or(self.id.as_ref())?;
+        Some(xxh3_64(first_attempt.as_bytes()))
+    }
+}
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod retries;
 mod routes;
 mod scheduler;
+mod stream_origins;
 mod streams;
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -194,6 +194,12 @@
         self.with(|state| state.faults = faults);
     }
 
+    /// Returns the server's id in the store.
+    #[must_use]
+    pub fn id(&self) -> String {
+        self.with(|state| state.id.clone())
+    }
+
     /// Sets the version of the server's software, which its store entry and its streams name.
     pub fn set_software_version(&self, version: &str) {
         self.with(|state| version.clone_into(&mut state.software_version));
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -113,6 +113,8 @@
     RequestAnswered = 513,
     /// A request waited for an entry or an agent that had just started.
     RequestWaited = 514,
+    /// A caller resumes a stream, and the software version that began it was looked up.
+    OriginLookup = 520,
 }
 
 impl EventId {
@@ -172,6 +174,7 @@
             | Self::RequestRefused
             | Self::RequestAnswered
             | Self::RequestWaited
+            | Self::OriginLookup
             | Self::StreamResumed
             | Self::StreamBrokenOff => Level::Info,
         }
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -245,13 +245,22 @@
     state.metrics.observe_stage(Stage::EngineHead, head_time_ms);
     state.record_head(key, head_time_ms);
     state.send(link, ToEntryKind::Head(head));
+    let mut origin = state
+        .with_request(key, |request| request.submit.origin.clone())
+        .flatten()
+        .filter(|_| response.status.is_success());
     loop {
         let part = with_stall_timeout(state, part_timeout, response.next_part()).await;
         let Some(part) = part else {
             return AttemptEnd::Aborted;
         };
         match part {
-            Ok(Some(bytes)) => state.send(link, ToEntryKind::Part(Part { attempt, bytes })),
+            Ok(Some(bytes)) => {
+                if let Some(origin) = origin.take() {
+                    state.remember_origin(origin);
+                }
+                state.send(link, ToEntryKind::Part(Part { attempt, bytes }));
+            }
             Ok(None) => {
                 response.release();
                 return AttemptEnd::Complete;
--- a/crates/magnoliasail/src/gateway/agent/entry_link.rs
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -45,6 +45,8 @@
         .run(async move |message: ToAgent| match message.kind {
             Some(ToAgentKind::Submit(submit)) => receiving_state.submit(id, submit),
             Some(ToAgentKind::Cancel(attempt)) => receiving_state.cancel(id, attempt),
+            Some(ToAgentKind::RememberOrigin(origin)) => receiving_state.remember_origin(origin),
+            Some(ToAgentKind::FindOrigin(key)) => receiving_state.answer_origin(id, key),
             None => {}
         })
         .await;
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -18,8 +18,8 @@
     magnoliasail_core::gateway::{
         AdapterVersion, Configuration, EngineAction, EngineRefusal, EngineReport, EngineRequest,
         EngineScheduler, HoldingsTracker, Order, OrderOutcome, RequestMetadata, SchedulerSettings,
-        adapter_key,
-        message::{EngineState, Refused, Submit, ToEntry, ToEntryKind},
+        StreamOrigins, adapter_key,
+        message::{EngineState, OriginAnswer, Refused, StreamOrigin, Submit, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::{headers, settings::NodeSettings},
     magnoliasail_wire::Outbox,
@@ -78,6 +78,8 @@
     active_requests: RefCell<HashMap<u64, ActiveRequest>>,
     links: RefCell<HashMap<LinkId, Outbox<ToEntry>>>,
     holdings: RefCell<HoldingsTracker>,
+    /// The origins of streams that this engine began, and of others that entries sent.
+    origins: RefCell<StreamOrigins>,
     next_key: Cell<u64>,
     next_link: Cell<LinkId>,
     /// Moving average of the time from sending a request to its response head, in milliseconds.
@@ -118,6 +120,7 @@
             active_requests: RefCell::default(),
             links: RefCell::default(),
             holdings: RefCell::default(),
+            origins: RefCell::default(),
             next_key: Cell::new(1),
             next_link: Cell::new(1),
             mean_head_time_ms: Cell::new(INITIAL_HEAD_TIME_MS),
@@ -224,6 +227,19 @@
         }
     }
 
+    /// Remembers which software version began a stream.
+    pub(super) fn remember_origin(&self, origin: StreamOrigin) {
+        let now_ms = self.clock.now_ms();
+        self.origins.borrow_mut().record(origin, now_ms);
+    }
+
+    /// Answers an entry's query for the origin of a stream.
+    pub(super) fn answer_origin(&self, link: LinkId, key: u64) {
+        let now_ms = self.clock.now_ms();
+        let origin = self.origins.borrow().get(key, now_ms).cloned();
+        self.send(link, ToEntryKind::Origin(OriginAnswer { key, origin }));
+    }
+
     fn cancel_by_key(self: &Rc<Self>, key: u64) {
         let request = self.active_requests.borrow_mut().remove(&key);
         if let Some(task) = request.and_then(|request| request.task) {
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -15,8 +15,8 @@
     bytes::Bytes,
     hyper::{HeaderMap, Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
-        EngineRefusal, RequestKind, RequestMetadata,
-        message::{Head, Submit},
+        EngineRefusal, RequestKind, RequestMetadata, VersionConstraint,
+        message::{Head, StreamOrigin, Submit},
     },
     magnoliasail_platform::headers::{self, AttemptHeaders},
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -39,6 +39,23 @@
     pub(super) deadline_ms: u64,
     /// Whether the request may be sent to one more server, so that a stalled attempt is aborted.
     pub(super) has_further_server: bool,
+    /// The software versions that may run the request: one, once the caller has an event of the
+    /// stream.
+    pub(super) version: VersionConstraint,
+}
+
+impl OutgoingRequest {
+    /// Returns the origin of the stream if a server of this software version begins it, or `None` if
+    /// the caller cannot resume it.
+    pub(super) fn origin(&self, software_version: Option<&str>) -> Option<StreamOrigin> {
+        if self.kind != RequestKind::ResumableStream {
+            return None;
+        }
+        Some(StreamOrigin {
+            key: self.metadata.stream_key()?,
+            software_version: software_version.map(str::to_owned),
+        })
+    }
 }
 
 /// The outcome of an attempt up to its response head.
@@ -134,6 +151,7 @@
         headers: encode_headers(&outgoing.headers),
         body: outgoing.body.clone(),
         is_resumable: outgoing.kind == RequestKind::ResumableStream && outgoing.has_further_server,
+        origin: outgoing.origin(pick.software_version.as_deref()),
     };
     let Some((number, updates)) = link.submit(submit, outgoing.metadata.prompt_tokens, now_ms)
     else {
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -9,6 +9,7 @@
     super::{
         attempt::{Attempt, BodyUpdate, OutgoingRequest, StartOutcome, start_attempt},
         in_flight::InFlightGuard,
+        origin_lookup::{find_origin, log_lookup, replicate_origin},
         refusal::{RefusalCause, log_refusal, refusal_response},
         relay::StreamRelay,
         response_body::ResponseBody,
@@ -21,7 +22,7 @@
     },
     bytes::BytesMut,
     hyper::{HeaderMap, Response, StatusCode},
-    magnoliasail_core::gateway::RouteMatch,
+    magnoliasail_core::gateway::{RequestKind, RouteMatch, VersionConstraint},
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -120,6 +121,7 @@
     /// Sends the request until a response is complete and no server error, or no further
     /// attempt is allowed. A stream is returned as soon as it has started.
     async fn obtain_response(&mut self) -> Result<ReceivedResponse, Refusal> {
+        self.restrict_to_origin().await?;
         let mut error_response = None;
         loop {
             let started = match (self.start_response(None).await, error_response.take()) {
@@ -155,6 +157,61 @@
         }
     }
 
+    /// Restricts a request that resumes a stream to the software version that began the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if this version is unknown, or no server has it.
+    async fn restrict_to_origin(&mut self) -> Result<(), Refusal> {
+        let metadata = &self.outgoing.metadata;
+        if self.outgoing.kind != RequestKind::ResumableStream || metadata.resumes.is_none() {
+            return Ok(());
+        }
+        let Some(key) = metadata.stream_key() else {
+            return Ok(());
+        };
+        let started_at = Instant::now();
+        let lookup = find_origin(&self.state, &self.route.service, key).await;
+        log_lookup(metadata, key, &lookup, started_at);
+        let Some(version) = lookup.version else {
+            return Err(self.refusal(RefusalCause::VersionUnknown, u64::MAX));
+        };
+        self.outgoing.version = version;
+        let has_server = self
+            .state
+            .has_eligible_server(&self.route.service, &self.outgoing.version);
+        if !has_server {
+            return Err(self.refusal(RefusalCause::VersionGone, u64::MAX));
+        }
+        Ok(())
+    }
+
+    /// Records which software version began the stream, as its first event is forwarded. From now on
+    /// only servers of this version may go on with it.
+    pub(super) fn record_origin(&mut self) {
+        let Some(origin) = self.outgoing.origin(self.software_version.as_deref()) else {
+            return;
+        };
+        self.outgoing.version = VersionConstraint::from(&origin);
+        // The agent of an earlier attempt may have recorded the version of its own engine.
+        let earlier = self.tried.len().saturating_sub(1);
+        for server in &self.tried[..earlier] {
+            if let Some(link) = self.state.link_to(server) {
+                link.remember_origin(origin.clone());
+            }
+        }
+        let now_ms = self.state.clock.now_ms();
+        self.state.origins.borrow_mut().record(origin, now_ms);
+    }
+
+    /// Sends the origin of a stream that ended early to agents of other VMs, so that it can be resumed
+    /// although the VM of the engine that ran it may be lost.
+    pub(super) fn replicate_origin(&self) {
+        if let Some(origin) = self.outgoing.origin(self.software_version.as_deref()) {
+            replicate_origin(&self.state, &origin, &self.tried);
+        }
+    }
+
     /// Sends the request to one server after another until one starts a response.
     ///
     /// `resume_after` is the id of the last event that the caller has, if a stream is resumed.
@@ -267,7 +324,9 @@
             let may_wait = pick.is_none()
                 && self.tried.is_empty()
                 && Instant::now() < limit
-                && self.state.has_starting_engine(&self.route.service);
+                && self
+                    .state
+                    .has_starting_engine(&self.route.service, &self.outgoing.version);
             if !may_wait {
                 if has_waited {
                     log_wait(Some(self.id()), "agents", started_at, pick.is_some());
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -7,7 +7,10 @@
     },
     magnoliasail_core::gateway::{
         EngineRefusal, Holding, Holdings, UnreportedWork,
-        message::{EngineState, Head, Submit, ToAgent, ToAgentKind, ToEntry, ToEntryKind},
+        message::{
+            EngineState, Head, OriginAnswer, StreamOrigin, Submit, ToAgent, ToAgentKind, ToEntry,
+            ToEntryKind,
+        },
     },
     magnoliasail_wire::{Link, LinkSettings, Outbox},
     prost::bytes::Bytes,
@@ -61,6 +64,8 @@
     holdings: RefCell<Holdings>,
     attempts: RefCell<HashMap<u64, mpsc::Sender<AttemptUpdate>>>,
     next_attempt: Cell<u64>,
+    /// Queries for the origins of streams that the agent has not answered, by stream key.
+    origin_queries: RefCell<HashMap<u64, Vec<mpsc::Sender<StreamOrigin>>>>,
     task: RefCell<Option<AbortHandle>>,
 }
 
@@ -77,6 +82,7 @@
             holdings: RefCell::default(),
             attempts: RefCell::default(),
             next_attempt: Cell::new(1),
+            origin_queries: RefCell::default(),
             task: RefCell::default(),
         });
         let task = tokio::task::spawn_local(keep_connected(Rc::clone(&link)));
@@ -187,6 +193,38 @@
         }
     }
 
+    /// Returns whether the link is up.
+    pub(super) fn is_up(&self) -> bool {
+        self.outbox.borrow().is_some()
+    }
+
+    /// Asks the agent to remember the origin of a stream, if the link is up.
+    pub(super) fn remember_origin(&self, origin: StreamOrigin) {
+        // If it fails, the stream may have no known origin, and is then not resumed.
+        let _ = self.send(ToAgentKind::RememberOrigin(origin));
+    }
+
+    /// Asks the agent for the origin of a stream. The answer goes to `answers`, which is dropped
+    /// without one if the agent does not know the origin or cannot be asked.
+    pub(super) fn find_origin(&self, key: u64, answers: mpsc::Sender<StreamOrigin>) {
+        if !self.send(ToAgentKind::FindOrigin(key)) {
+            return;
+        }
+        let mut queries = self.origin_queries.borrow_mut();
+        // Agents of an older release do not answer.
+        queries.retain(|_, senders| senders.iter().any(|sender| !sender.is_closed()));
+        queries.entry(key).or_default().push(answers);
+    }
+
+    fn answer_origin_queries(&self, answer: &OriginAnswer) {
+        let senders = self.origin_queries.borrow_mut().remove(&answer.key);
+        let Some(origin) = &answer.origin else { return };
+        for sender in senders.unwrap_or_default() {
+            // A full queue has an answer already, and a closed one needs none.
+            let _ = sender.try_send(origin.clone());
+        }
+    }
+
     fn send(&self, kind: ToAgentKind) -> bool {
         let message = ToAgent { kind: Some(kind) };
         let outbox = self.outbox.borrow();
@@ -199,6 +237,7 @@
         let Some(kind) = message.kind else { return };
         match kind {
             ToEntryKind::State(state) => self.set_state(state),
+            ToEntryKind::Origin(answer) => self.answer_origin_queries(&answer),
             ToEntryKind::Holdings(update) => self.holdings.borrow_mut().apply(&update),
             ToEntryKind::Refused(refused) => {
                 let update = AttemptUpdate::Refused {
@@ -253,6 +292,7 @@
             link.set_state(EngineState::default());
             // This closes the queues of all attempts, which aborts the attempts.
             link.attempts.borrow_mut().clear();
+            link.origin_queries.borrow_mut().clear();
             let cause = end
                 .err()
                 .map_or_else(|| "closed".to_owned(), |error| error.to_string());
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod engine_link;
 mod in_flight;
+mod origin_lookup;
 mod refusal;
 mod relay;
 mod request;
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -25,6 +25,10 @@
     BodyBroken,
     /// No server of the service is available for the request.
     NoServer,
+    /// The request resumes a stream, and no server of the version that began it is available.
+    VersionGone,
+    /// The request resumes a stream, and it is unknown which of several software versions began it.
+    VersionUnknown,
     /// The agents refused the request, mostly since their engines are too busy.
     Overloaded,
     /// The servers refused the request, which has not run.
@@ -45,6 +49,8 @@
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::NoConfiguration
             | Self::NoServer
+            | Self::VersionGone
+            | Self::VersionUnknown
             | Self::Overloaded
             | Self::ServersRefused
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
@@ -65,6 +71,12 @@
             Self::BodyTooLong => "the body exceeds the operator's limit; send a smaller one",
             Self::BodyBroken => "the body is incomplete; send the request again",
             Self::NoServer => "no server is available for the request; retry later",
+            Self::VersionGone => {
+                "no server of the version that began the stream is available; start a new stream"
+            }
+            Self::VersionUnknown => {
+                "the version that began the stream is unknown; start a new stream"
+            }
             Self::Overloaded => "the servers are busy; retry later",
             Self::ServersRefused => "the servers refused the request; retry later",
             Self::ExpiredUnrun => "the deadline passed before the request ran; retry it",
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -16,7 +16,7 @@
     },
     bytes::BytesMut,
     hyper::{Response, StatusCode},
-    magnoliasail_core::gateway::EventSplitter,
+    magnoliasail_core::gateway::{EventSplitter, RequestKind},
     magnoliasail_wire::{ReaderDropped, StreamWriter, stream_body},
     tokio::time::sleep_until,
 };
@@ -32,6 +32,8 @@
     in_flight: InFlightGuard,
     splitter: EventSplitter,
     last_event_id: Option<u64>,
+    /// Whether an event of this answer was forwarded to the caller.
+    has_forwarded: bool,
 }
 
 /// How the relay of a stream ended.
@@ -49,12 +51,18 @@
         let mut response = Response::new(ResponseBody::Relayed(body));
         *response.status_mut() = started.status;
         *response.headers_mut() = started.headers;
+        let outgoing = &dispatch.outgoing;
+        let last_event_id = outgoing
+            .metadata
+            .last_event_id
+            .filter(|_| outgoing.kind == RequestKind::ResumableStream);
         let relay = Self {
             dispatch,
             attempt: Some(started.attempt),
             in_flight: started.in_flight,
             splitter: EventSplitter::default(),
-            last_event_id: None,
+            last_event_id,
+            has_forwarded: false,
         };
         tokio::task::spawn_local(relay.run(caller));
         response
@@ -72,6 +80,10 @@
             () = sleep_until(deadline) => RelayOutcome::Aborted("expired"),
             outcome = self.relay(&caller) => outcome,
         };
+        let is_early_end = !matches!(outcome, RelayOutcome::Complete);
+        if is_early_end && self.has_forwarded {
+            self.dispatch.replicate_origin();
+        }
         match outcome {
             RelayOutcome::Complete => {
                 caller.end();
@@ -127,6 +139,10 @@
         if part.is_empty() {
             return Ok(());
         }
+        if !self.has_forwarded {
+            self.has_forwarded = true;
+            self.dispatch.record_origin();
+        }
         caller.write(part.freeze()).await
     }
 
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -17,7 +17,7 @@
         body::Incoming,
         header::{CONNECTION, HOST, HeaderValue},
     },
-    magnoliasail_core::gateway::RequestMetadata,
+    magnoliasail_core::gateway::{RequestMetadata, VersionConstraint},
     magnoliasail_platform::headers,
     rand::Rng,
     std::{convert::Infallible, ops::Range, rc::Rc},
@@ -111,6 +111,7 @@
         objective_ms: now_ms + route.objective_ms,
         deadline_ms: now_ms + timeout_ms,
         has_further_server: false,
+        version: VersionConstraint::Any,
         metadata,
     };
     Ok(Dispatch::new(state, route, outgoing, now_ms))
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -9,7 +9,8 @@
     },
     magnoliasail_core::gateway::{
         Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryWindow,
-        RouteTable, ServerView, adapter_key, plain_wait_ms,
+        RouteTable, ServerView, StreamOrigins, VersionConstraint, VersionHistory, adapter_key,
+        plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -37,6 +38,9 @@
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     idle_limit: SharedIdleLimit,
     retry_windows: RefCell<HashMap<Arc<str>, RetryWindow>>,
+    /// The origins of streams whose first event this entry has forwarded.
+    pub(super) origins: RefCell<StreamOrigins>,
+    pub(super) versions: RefCell<VersionHistory>,
     /// Number of answered requests since the process started.
     answered_count: Cell<u64>,
     /// Whether the server list has been read at least once.
@@ -71,6 +75,8 @@
             pools: RefCell::default(),
             idle_limit: SharedIdleLimit::default(),
             retry_windows: RefCell::default(),
+            origins: RefCell::default(),
+            versions: RefCell::default(),
             answered_count: Cell::new(0),
             has_server_list: Cell::new(false),
             is_store_lost: Cell::new(false),
@@ -134,8 +140,7 @@
         let request = outgoing.metadata.id.as_deref().unwrap_or_default();
         if self.table.borrow().engine(service).is_none() {
             let directory = self.directory.borrow();
-            let untried = directory
-                .usable(service, now_ms)
+            let untried = eligible_servers(&directory, service, &outgoing.version, now_ms)
                 .filter(|server| !tried.contains(&server.entry.id));
             let (picks, candidates) = untried.map(|server| self.plain_candidate(server)).unzip();
             // A plain server has whatever a request needs.
@@ -173,8 +178,7 @@
         let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        let usable: Vec<_> = directory
-            .usable(service, now_ms)
+        let usable: Vec<_> = eligible_servers(&directory, service, &outgoing.version, now_ms)
             .filter_map(|server| {
                 let link = links.get(&server.entry.address.ip())?;
                 let holds_model =
@@ -208,18 +212,30 @@
 
     /// Returns whether the agent of an engine of the service is still connecting, or may soon
     /// report that its engine accepts requests.
-    pub(super) fn has_starting_engine(&self, service: &str) -> bool {
+    pub(super) fn has_starting_engine(&self, service: &str, version: &VersionConstraint) -> bool {
         if self.table.borrow().engine(service).is_none() {
             return false;
         }
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        directory
-            .usable(service, self.clock.now_ms())
-            .any(|server| {
-                let link = links.get(&server.entry.address.ip());
-                link.is_none_or(|link| link.is_starting())
-            })
+        eligible_servers(&directory, service, version, self.clock.now_ms()).any(|server| {
+            let link = links.get(&server.entry.address.ip());
+            link.is_none_or(|link| link.is_starting())
+        })
+    }
+
+    /// Returns whether a server that may get new requests has an allowed software version.
+    pub(super) fn has_eligible_server(&self, service: &str, version: &VersionConstraint) -> bool {
+        let directory = self.directory.borrow();
+        let mut servers = eligible_servers(&directory, service, version, self.clock.now_ms());
+        servers.next().is_some()
+    }
+
+    /// Returns the link to the agent of an engine.
+    pub(super) fn link_to(&self, server: &str) -> Option<Rc<EngineLink>> {
+        let directory = self.directory.borrow();
+        let address = directory.get(server)?.entry.address.ip();
+        self.links.borrow().get(&address).map(Rc::clone)
     }
 
     /// Returns a plain server as a candidate; it has whatever a request needs.
@@ -315,6 +331,18 @@
     }
 }
 
+/// Returns the servers of a service that may get new requests and have an allowed software version.
+fn eligible_servers<'a>(
+    directory: &'a Directory,
+    service: &'a str,
+    version: &'a VersionConstraint,
+    now_ms: u64,
+) -> impl Iterator<Item = &'a ServerView> {
+    directory
+        .usable(service, now_ms)
+        .filter(|server| version.allows(server.entry.software_version.as_deref()))
+}
+
 /// Picks the server whose candidate, at the same index, has the lowest cost.
 fn pick_candidate(
     costs: PlacementCosts,
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -143,6 +143,11 @@
     let now_ms = state.clock.now_ms();
     let mut directory = state.directory.borrow_mut();
     directory.prune(now_ms);
+    let mut versions = state.versions.borrow_mut();
+    for server in directory.all() {
+        let entry = &server.entry;
+        versions.record(&entry.service, entry.software_version.as_ref(), now_ms);
+    }
     let table = state.table.borrow();
     let engines: HashSet<IpAddr> = directory
         .all()
