fix(gateway): keep the origin of a stream outside its data centre

An entry and the engine whose stream it relays are mostly in one data centre and can be lost together. The origin of a stream was copied to other agents only by the entry, and only when the stream ended early, so that nobody knew it then and its callers were refused while the service had several versions.

The entry now sends the origin to two other agents with the first event, those in other data centres first (origin_replicas), and again when the stream ends early. An entry that is still connecting to agents asks them as their links come up, within the same wait.

The test of a restarted entry also passed without the second change, so that change is not shown to be needed.

--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod load_times;
 mod order;
 mod order_tracker;
+mod origin_replicas;
 mod placement;
 mod prompt_rate;
 mod replacements;
@@ -60,6 +61,7 @@
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
+    origin_replicas::{ReplicaCandidate, pick_replicas},
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     request_metadata::RequestMetadata,
     retry_window::RetryWindow,
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod holdings;
 mod idle_limit;
 mod load_replay;
+mod origin_replicas;
 mod placement;
 mod retries;
 mod routes;
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -200,12 +200,13 @@
                 link.remember_origin(origin.clone());
             }
         }
+        replicate_origin(&self.state, &origin, &self.tried);
         let now_ms = self.state.clock.now_ms();
         self.state.origins.borrow_mut().record(origin, now_ms);
     }
 
-    /// Sends the origin of a stream that ended early to agents of other VMs, so that it can be resumed
-    /// although the VM of the engine that ran it may be lost.
+    /// Sends the origin of a stream that ended early to agents of other VMs again, as some of them may
+    /// have restarted since its first event.
     pub(super) fn replicate_origin(&self) {
         if let Some(origin) = self.outgoing.origin(self.software_version.as_deref()) {
             replicate_origin(&self.state, &origin, &self.tried);
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -2,27 +2,26 @@
 //!
 //! An entry knows the streams whose first event it has forwarded. The attempt that began the stream
 //! may have been at another entry, so that the agents are asked: that of the engine which began it,
-//! and those to which an entry sent the origin when the stream ended early.
+//! and a few to which the entry sent the origin.
 
 use {
-    super::{engine_link::EngineLink, state::EntryState},
+    super::state::EntryState,
     crate::events::{EventId, emit},
-    magnoliasail_core::{
-        gateway::{RequestMetadata, VersionConstraint, message::StreamOrigin},
-        score,
+    magnoliasail_core::gateway::{
+        ReplicaCandidate, RequestMetadata, VersionConstraint, message::StreamOrigin, pick_replicas,
     },
-    std::{collections::HashSet, net::IpAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{collections::HashSet, net::IpAddr, sync::Arc, time::Duration},
     strum::{Display, IntoStaticStr},
     tokio::{
         sync::mpsc,
-        time::{Instant, timeout},
+        time::{Instant, timeout_at},
     },
 };
 
 /// Longest wait for the answers of agents: several round trips between data centres.
 const MAX_QUERY_WAIT: Duration = Duration::from_millis(250);
-/// Number of agents that receive the origin of a stream which ended early.
-const REPLICAS: usize = 2;
+/// Time between checks for links that have come up.
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Where the software version that began a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
@@ -60,7 +59,7 @@
         versions.only_version(service, now_ms).is_none()
             || !versions.covers_resumable_streams(service, now_ms)
     };
-    if is_query_needed && let Some(origin) = ask_agents(state, key).await {
+    if is_query_needed && let Some(origin) = ask_agents(state, service, key).await {
         return OriginLookup {
             version: Some(VersionConstraint::from(&origin)),
             source: OriginSource::Agent,
@@ -78,38 +77,66 @@
 }
 
 /// Asks all linked agents for the origin of a stream, and returns the first origin that arrives.
-async fn ask_agents(state: &EntryState, key: u64) -> Option<StreamOrigin> {
+///
+/// Agents to which this entry is still connecting are asked as soon as their links are up.
+async fn ask_agents(state: &EntryState, service: &str, key: u64) -> Option<StreamOrigin> {
+    let deadline = Instant::now() + MAX_QUERY_WAIT;
+    let mut asked = HashSet::new();
     let (sender, mut answers) = mpsc::channel(1);
-    for link in state.links.borrow().values() {
-        link.find_origin(key, sender.clone());
+    let mut sender = Some(sender);
+    while Instant::now() < deadline {
+        if let Some(sender) = &sender {
+            ask_connected_agents(state, key, sender, &mut asked);
+        }
+        if !state.has_starting_engine(service, &VersionConstraint::Any) {
+            // The channel then closes when all agents have answered that they do not know the stream.
+            sender = None;
+        }
+        let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
+        if let Ok(answer) = timeout_at(poll_end, answers.recv()).await {
+            return answer;
+        }
     }
-    // The channel closes when all agents have answered that they do not know the stream.
-    drop(sender);
-    timeout(MAX_QUERY_WAIT, answers.recv()).await.ok().flatten()
+    None
 }
 
-/// Sends the origin of a stream to agents on other VMs than those of the servers in `tried`.
-pub(super) fn replicate_origin(state: &EntryState, origin: &StreamOrigin, tried: &[Arc<str>]) {
-    let tried_vms = vms_of(state, tried);
-    let key = origin.key.to_string();
-    let links = state.links.borrow();
-    let mut ranked: Vec<(u64, &Rc<EngineLink>)> = links
-        .iter()
-        .filter(|(vm, link)| link.is_up() && !tried_vms.contains(*vm))
-        .map(|(vm, link)| (score(&key, &vm.to_string()), link))
-        .collect();
-    ranked.sort_unstable_by_key(|&(score, _)| std::cmp::Reverse(score));
-    for (_, link) in ranked.into_iter().take(REPLICAS) {
-        link.remember_origin(origin.clone());
+/// Asks the agents with a link that are not in `asked`, and adds them.
+fn ask_connected_agents(
+    state: &EntryState,
+    key: u64,
+    sender: &mpsc::Sender<StreamOrigin>,
+    asked: &mut HashSet<IpAddr>,
+) {
+    for (&vm, link) in state.links.borrow().iter() {
+        if link.is_up() && asked.insert(vm) {
+            link.find_origin(key, sender.clone());
+        }
     }
 }
 
-fn vms_of(state: &EntryState, servers: &[Arc<str>]) -> HashSet<IpAddr> {
+/// Sends the origin of a stream to agents on other VMs than those of the servers in `tried`, of
+/// which the last runs the stream.
+pub(super) fn replicate_origin(state: &EntryState, origin: &StreamOrigin, tried: &[Arc<str>]) {
     let directory = state.directory.borrow();
-    servers
-        .iter()
-        .filter_map(|server| Some(directory.get(server)?.entry.address.ip()))
-        .collect()
+    let links = state.links.borrow();
+    let running_in = tried
+        .last()
+        .and_then(|server| directory.get(server))
+        .map(|server| &*server.entry.data_centre);
+    let candidates = directory
+        .all()
+        .filter(|server| !tried.contains(&server.entry.id))
+        .map(|server| ReplicaCandidate {
+            vm: server.entry.address.ip(),
+            data_centre: Arc::clone(&server.entry.data_centre),
+        })
+        .filter(|candidate| links.get(&candidate.vm).is_some_and(|link| link.is_up()))
+        .collect();
+    for vm in pick_replicas(origin.key, running_in, candidates) {
+        if let Some(link) = links.get(&vm) {
+            link.remember_origin(origin.clone());
+        }
+    }
 }
 
 /// Logs the result of a lookup that started at `started_at`.
