merge: streams stay at the software version that began them

The version that began a stream belongs to the server that responded, not to the one that was asked last, since another server may be asked while one stalls. With one software version in a service, the origin of a stream is copied only if the stream ends early.

--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod load_times;
 mod order;
 mod order_tracker;
+mod origin_replicas;
 mod placement;
 mod prompt_rate;
 mod replacements;
@@ -38,7 +39,10 @@
 mod scheduler_settings;
 mod server_entry;
 mod server_health;
+mod stream_origins;
 mod unreported;
+mod version_constraint;
+mod version_history;
 
 pub use self::{
     adapter_slots::{AdapterSlots, SlotState},
@@ -57,6 +61,7 @@
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
+    origin_replicas::{ReplicaCandidate, pick_replicas},
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     request_metadata::RequestMetadata,
     retry_window::RetryWindow,
@@ -64,5 +69,8 @@
     scheduler_settings::SchedulerSettings,
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
+    stream_origins::StreamOrigins,
     unreported::UnreportedWork,
+    version_constraint::VersionConstraint,
+    version_history::VersionHistory,
 };
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -115,6 +115,8 @@
     RequestWaited = 514,
     /// The search for a server to take over from a stalled one ended.
     TakeoverEnded = 515,
+    /// A caller resumes a stream, and the software version that began it was looked up.
+    OriginLookup = 520,
 }
 
 impl EventId {
@@ -174,6 +176,7 @@
             | Self::RequestRefused
             | Self::RequestAnswered
             | Self::RequestWaited
+            | Self::OriginLookup
             | Self::StreamResumed
             | Self::StreamBrokenOff
             | Self::TakeoverEnded => Level::Info,
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -233,10 +233,19 @@
     state.metrics.observe_stage(Stage::EngineHead, head_time_ms);
     state.record_head(key, head_time_ms);
     state.send(link, ToEntryKind::Head(head));
+    let mut origin = state
+        .with_request(key, |request| request.submit.origin.clone())
+        .flatten()
+        .filter(|_| response.status.is_success());
     loop {
         let on_stall = |limit| report_stall(state, key, limit);
         match with_stall_reports(part_limit, response.next_part(), on_stall).await {
-            Ok(Some(bytes)) => state.send(link, ToEntryKind::Part(Part { attempt, bytes })),
+            Ok(Some(bytes)) => {
+                if let Some(origin) = origin.take() {
+                    state.remember_origin(origin);
+                }
+                state.send(link, ToEntryKind::Part(Part { attempt, bytes }));
+            }
             Ok(None) => {
                 response.release();
                 return AttemptEnd::Complete;
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -17,7 +17,7 @@
     hyper::{HeaderMap, Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
         EngineRefusal, RequestKind, RequestMetadata,
-        message::{Head, Submit},
+        message::{Head, StreamOrigin, Submit},
     },
     magnoliasail_platform::headers::{self, AttemptHeaders},
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -49,6 +49,20 @@
     pub(super) has_further_server: bool,
 }
 
+impl OutgoingRequest {
+    /// Returns the origin of the stream if a server of this software version begins it, or `None` if
+    /// the caller cannot resume it.
+    pub(super) fn origin(&self, software_version: Option<&str>) -> Option<StreamOrigin> {
+        if self.kind != RequestKind::ResumableStream {
+            return None;
+        }
+        Some(StreamOrigin {
+            key: self.metadata.stream_key()?,
+            software_version: software_version.map(str::to_owned),
+        })
+    }
+}
+
 /// The outcome of an attempt up to its response head.
 #[expect(
     clippy::large_enum_variant,
@@ -156,6 +170,7 @@
         headers: encode_headers(&outgoing.headers),
         body: outgoing.body.clone(),
         is_resumable: outgoing.kind == RequestKind::ResumableStream && options.has_further_server,
+        origin: outgoing.origin(pick.software_version.as_deref()),
     };
     let Some((number, updates)) = link.submit(submit, outgoing.metadata.prompt_tokens, now_ms)
     else {
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -9,6 +9,7 @@
     super::{
         attempt::{Attempt, BodyUpdate, OutgoingRequest, StartOutcome},
         in_flight::InFlightGuard,
+        origin_lookup::{find_origin, log_lookup, replicate_origin},
         refusal::{RefusalCause, log_refusal, refusal_response},
         relay::StreamRelay,
         response_body::ResponseBody,
@@ -22,7 +23,7 @@
     },
     bytes::BytesMut,
     hyper::{HeaderMap, Response, StatusCode},
-    magnoliasail_core::gateway::RouteMatch,
+    magnoliasail_core::gateway::{RequestKind, RouteMatch, VersionConstraint},
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -43,6 +44,9 @@
     affinity_key: String,
     /// Ids of the servers that were asked, or whose agents were.
     tried: Vec<Arc<str>>,
+    /// The software versions that may run the request: one, once the caller has an event of the
+    /// stream.
+    version: VersionConstraint,
     /// Number of servers that received the request.
     pub(super) servers_reached: u32,
     /// Number of attempts in flight, each of which may run the request.
@@ -87,6 +91,7 @@
             arrived_ms,
             affinity_key,
             tried: Vec::new(),
+            version: VersionConstraint::Any,
             servers_reached: 0,
             attempts_in_flight: 0,
             responding_server: None,
@@ -122,6 +127,7 @@
     /// Sends the request until a response is complete and no server error, or no further
     /// attempt is allowed. A stream is returned as soon as it has started.
     async fn obtain_response(&mut self) -> Result<ReceivedResponse, Refusal> {
+        self.restrict_to_origin().await?;
         let mut error_response = None;
         loop {
             let started = match (self.start_response(None).await, error_response.take()) {
@@ -158,6 +164,68 @@
         }
     }
 
+    /// Restricts a request that resumes a stream to the software version that began the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if this version is unknown, or no server has it.
+    async fn restrict_to_origin(&mut self) -> Result<(), Refusal> {
+        let metadata = &self.outgoing.metadata;
+        if self.outgoing.kind != RequestKind::ResumableStream || metadata.resumes.is_none() {
+            return Ok(());
+        }
+        let Some(key) = metadata.stream_key() else {
+            return Ok(());
+        };
+        let started_at = Instant::now();
+        let lookup = find_origin(&self.state, &self.route.service, key).await;
+        log_lookup(metadata, key, &lookup, started_at);
+        let Some(version) = lookup.version else {
+            return Err(self.refusal(RefusalCause::VersionUnknown, u64::MAX));
+        };
+        self.version = version;
+        let has_server = self
+            .state
+            .has_eligible_server(&self.route.service, &self.version);
+        if !has_server {
+            return Err(self.refusal(RefusalCause::VersionGone, u64::MAX));
+        }
+        Ok(())
+    }
+
+    /// Records which software version began the stream, as its first event is forwarded. From now on
+    /// only servers of this version may go on with it.
+    pub(super) fn record_origin(&mut self, server: &InFlightGuard) {
+        let Some(origin) = self.outgoing.origin(server.software_version()) else {
+            return;
+        };
+        self.version = VersionConstraint::from(&origin);
+        // The agent of another attempt may have recorded the version of its own engine.
+        for tried in self.tried.iter().filter(|tried| *tried != server.server()) {
+            if let Some(link) = self.state.link_to(tried) {
+                link.remember_origin(origin.clone());
+            }
+        }
+        let now_ms = self.state.clock.now_ms();
+        let only_version = self
+            .state
+            .versions
+            .borrow()
+            .only_version(&self.route.service, now_ms);
+        if only_version.is_none() {
+            replicate_origin(&self.state, &origin, server.server(), &self.tried);
+        }
+        self.state.origins.borrow_mut().record(origin, now_ms);
+    }
+
+    /// Sends the origin of a stream that ended early to agents of other VMs, as the caller may resume
+    /// it at another entry.
+    pub(super) fn replicate_origin(&self, server: &InFlightGuard) {
+        if let Some(origin) = self.outgoing.origin(server.software_version()) {
+            replicate_origin(&self.state, &origin, server.server(), &self.tried);
+        }
+    }
+
     /// Sends the request to one server after another until one starts a response.
     ///
     /// `resume_after` is the id of the last event that the caller has, if a stream is resumed.
@@ -260,6 +328,7 @@
                 &self.route.service,
                 &self.affinity_key,
                 &self.outgoing,
+                &self.version,
                 &self.tried,
             );
             // Most requests have a pick; the last check, which looks at every server, is for the
@@ -267,7 +336,9 @@
             let may_wait = pick.is_none()
                 && self.tried.is_empty()
                 && Instant::now() < limit
-                && self.state.has_starting_engine(&self.route.service);
+                && self
+                    .state
+                    .has_starting_engine(&self.route.service, &self.version);
             if !may_wait {
                 if has_waited {
                     log_wait(Some(self.id()), "agents", started_at, pick.is_some());
@@ -348,9 +419,10 @@
         emit(
             EventId::AttemptFailed,
             format_args!(
-                "request={} server={} outcome={outcome} left_ms={left_ms} sent={}",
+                "request={} server={} software_version={} outcome={outcome} left_ms={left_ms} sent={}",
                 self.id(),
                 pick.id,
+                pick.software_version.as_deref().unwrap_or("-"),
                 self.servers_reached
             ),
         );
@@ -366,10 +438,11 @@
         emit(
             EventId::RequestAnswered,
             format_args!(
-                "request={} status={} service={} server={server} sent={} took_ms={took_ms}",
+                "request={} status={} service={} server={server} resumes={} sent={} took_ms={took_ms}",
                 self.id(),
                 status.as_u16(),
                 self.route.service,
+                self.outgoing.metadata.resumes.as_deref().unwrap_or("-"),
                 self.servers_reached
             ),
         );
--- a/crates/magnoliasail/src/gateway/entry/in_flight.rs
+++ b/crates/magnoliasail/src/gateway/entry/in_flight.rs
@@ -1,7 +1,7 @@
 //! Counts of the requests in flight at each server.
 
 use {
-    super::state::EntryState,
+    super::state::{EntryState, PickedServer},
     std::{rc::Rc, sync::Arc},
 };
 
@@ -9,16 +9,18 @@
 pub(super) struct InFlightGuard {
     state: Rc<EntryState>,
     server: Arc<str>,
+    software_version: Option<Arc<str>>,
 }
 
 impl InFlightGuard {
-    pub(super) fn new(state: &Rc<EntryState>, server: &Arc<str>) -> Self {
-        if let Some(server) = state.directory.borrow_mut().get_mut(server) {
+    pub(super) fn new(state: &Rc<EntryState>, pick: &PickedServer) -> Self {
+        if let Some(server) = state.directory.borrow_mut().get_mut(&pick.id) {
             server.in_flight += 1;
         }
         Self {
             state: Rc::clone(state),
-            server: Arc::clone(server),
+            server: Arc::clone(&pick.id),
+            software_version: pick.software_version.clone(),
         }
     }
 }
@@ -27,6 +29,11 @@
     pub(super) const fn server(&self) -> &Arc<str> {
         &self.server
     }
+
+    /// Returns the software version of the server, if it publishes one.
+    pub(super) fn software_version(&self) -> Option<&str> {
+        self.software_version.as_deref()
+    }
 }
 
 impl Drop for InFlightGuard {
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -0,0 +1,167 @@
+//! Finds out which software version began a stream that its caller resumes.
+//!
+//! An entry knows the streams whose first event it has forwarded. The attempt that began the stream
+//! may have been at another entry, so that the agents are asked: that of the engine which began it,
+//! and a few to which the entry sent the origin.
+
+use {
+    super::state::EntryState,
+    crate::events::{EventId, emit},
+    magnoliasail_core::gateway::{
+        ReplicaCandidate, RequestMetadata, VersionConstraint, message::StreamOrigin, pick_replicas,
+    },
+    std::{collections::HashSet, net::IpAddr, sync::Arc, time::Duration},
+    strum::{Display, IntoStaticStr},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, timeout_at},
+    },
+};
+
+/// Longest wait for the answers of agents: several round trips between data centres.
+const MAX_QUERY_WAIT: Duration = Duration::from_millis(250);
+/// Time between checks for links that have come up.
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Where the software version that began a stream was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum OriginSource {
+    /// This entry has forwarded the stream's first event.
+    OwnMemory,
+    /// An agent has recorded the stream.
+    Agent,
+    /// The service has had only one software version recently.
+    OnlyVersion,
+    /// No process knows the stream, and the service has had several versions.
+    Unknown,
+}
+
+/// The result of looking up the software version that began a stream.
+#[derive(Clone, Debug)]
+pub(super) struct OriginLookup {
+    /// The version that may go on with the stream; absent if unknown.
+    pub(super) version: Option<VersionConstraint>,
+    pub(super) source: OriginSource,
+}
+
+/// Finds out which software version of a service began the stream with this key.
+pub(super) async fn find_origin(state: &EntryState, service: &str, key: u64) -> OriginLookup {
+    let now_ms = state.clock.now_ms();
+    if let Some(origin) = state.origins.borrow().get(key, now_ms) {
+        return OriginLookup {
+            version: Some(VersionConstraint::from(origin)),
+            source: OriginSource::OwnMemory,
+        };
+    }
+    let is_query_needed = {
+        let versions = state.versions.borrow();
+        versions.only_version(service, now_ms).is_none()
+            || !versions.covers_resumable_streams(service, now_ms)
+    };
+    if is_query_needed && let Some(origin) = ask_agents(state, service, key).await {
+        return OriginLookup {
+            version: Some(VersionConstraint::from(&origin)),
+            source: OriginSource::Agent,
+        };
+    }
+    let version = state
+        .versions
+        .borrow()
+        .only_version(service, state.clock.now_ms());
+    let source = match version {
+        Some(_) => OriginSource::OnlyVersion,
+        None => OriginSource::Unknown,
+    };
+    OriginLookup { version, source }
+}
+
+/// Asks all linked agents for the origin of a stream, and returns the first origin that arrives.
+///
+/// Agents to which this entry is still connecting are asked as soon as their links are up.
+async fn ask_agents(state: &EntryState, service: &str, key: u64) -> Option<StreamOrigin> {
+    let deadline = Instant::now() + MAX_QUERY_WAIT;
+    let mut asked = HashSet::new();
+    let (sender, mut answers) = mpsc::channel(1);
+    let mut sender = Some(sender);
+    while Instant::now() < deadline {
+        if let Some(sender) = &sender {
+            ask_connected_agents(state, key, sender, &mut asked);
+        }
+        if !state.has_starting_engine(service, &VersionConstraint::Any) {
+            // The channel then closes when all agents have answered that they do not know the stream.
+            sender = None;
+        }
+        let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
+        if let Ok(answer) = timeout_at(poll_end, answers.recv()).await {
+            return answer;
+        }
+    }
+    None
+}
+
+/// Asks the agents with a link that are not in `asked`, and adds them.
+fn ask_connected_agents(
+    state: &EntryState,
+    key: u64,
+    sender: &mpsc::Sender<StreamOrigin>,
+    asked: &mut HashSet<IpAddr>,
+) {
+    for (&vm, link) in state.links.borrow().iter() {
+        if link.is_up() && asked.insert(vm) {
+            link.find_origin(key, sender.clone());
+        }
+    }
+}
+
+/// Sends the origin of a stream that `server` runs to agents on other VMs than those of the servers
+/// in `tried`.
+pub(super) fn replicate_origin(
+    state: &EntryState,
+    origin: &StreamOrigin,
+    server: &str,
+    tried: &[Arc<str>],
+) {
+    let directory = state.directory.borrow();
+    let links = state.links.borrow();
+    let running_in = directory
+        .get(server)
+        .map(|server| &*server.entry.data_centre);
+    let candidates = directory
+        .all()
+        .filter(|server| !tried.contains(&server.entry.id))
+        .map(|server| ReplicaCandidate {
+            vm: server.entry.address.ip(),
+            data_centre: Arc::clone(&server.entry.data_centre),
+        })
+        .filter(|candidate| links.get(&candidate.vm).is_some_and(|link| link.is_up()))
+        .collect();
+    for vm in pick_replicas(origin.key, running_in, candidates) {
+        if let Some(link) = links.get(&vm) {
+            link.remember_origin(origin.clone());
+        }
+    }
+}
+
+/// Logs the result of a lookup that started at `started_at`.
+pub(super) fn log_lookup(
+    metadata: &RequestMetadata,
+    key: u64,
+    lookup: &OriginLookup,
+    started_at: Instant,
+) {
+    let version = match &lookup.version {
+        Some(VersionConstraint::Only(Some(version))) => version,
+        _ => "-",
+    };
+    emit(
+        EventId::OriginLookup,
+        format_args!(
+            "request={} resumes={} stream_key={key:016x} software_version={version} source={} waited_ms={}",
+            metadata.id.as_deref().unwrap_or("-"),
+            metadata.resumes.as_deref().unwrap_or("-"),
+            lookup.source,
+            started_at.elapsed().as_millis()
+        ),
+    );
+}
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -18,7 +18,7 @@
     },
     bytes::BytesMut,
     hyper::{Response, StatusCode},
-    magnoliasail_core::gateway::EventSplitter,
+    magnoliasail_core::gateway::{EventSplitter, RequestKind},
     magnoliasail_wire::{ReaderDropped, StreamWriter, stream_body},
     std::pin::pin,
     tokio::time::sleep_until,
@@ -35,6 +35,8 @@
     in_flight: InFlightGuard,
     splitter: EventSplitter,
     last_event_id: Option<u64>,
+    /// Whether an event of this answer was forwarded to the caller.
+    has_forwarded: bool,
 }
 
 /// How the relay of a stream ended.
@@ -61,12 +63,18 @@
         let mut response = Response::new(ResponseBody::Relayed(body));
         *response.status_mut() = started.status;
         *response.headers_mut() = started.headers;
+        let outgoing = &dispatch.outgoing;
+        let last_event_id = outgoing
+            .metadata
+            .last_event_id
+            .filter(|_| outgoing.kind == RequestKind::ResumableStream);
         let relay = Self {
             dispatch,
             attempt: Some(started.attempt),
             in_flight: started.in_flight,
             splitter: EventSplitter::default(),
-            last_event_id: None,
+            last_event_id,
+            has_forwarded: false,
         };
         tokio::task::spawn_local(relay.run(caller));
         response
@@ -84,6 +92,10 @@
             () = sleep_until(deadline) => RelayOutcome::Aborted(AbortCause::Expired),
             outcome = self.relay(&caller) => outcome,
         };
+        let is_early_end = !matches!(outcome, RelayOutcome::Complete);
+        if is_early_end && self.has_forwarded {
+            self.dispatch.replicate_origin(&self.in_flight);
+        }
         match outcome {
             RelayOutcome::Complete => {
                 caller.end();
@@ -144,6 +156,10 @@
         if part.is_empty() {
             return Ok(());
         }
+        if !self.has_forwarded {
+            self.has_forwarded = true;
+            self.dispatch.record_origin(&self.in_flight);
+        }
         caller.write(part.freeze()).await
     }
 
@@ -205,9 +221,10 @@
         emit(
             EventId::StreamResumed,
             format_args!(
-                "request={} server={} after={:?} left_ms={}",
+                "request={} server={} software_version={} after={:?} left_ms={}",
                 self.dispatch.id(),
                 started.in_flight.server(),
+                started.in_flight.software_version().unwrap_or("-"),
                 self.last_event_id,
                 self.dispatch.left_ms()
             ),
@@ -225,9 +242,10 @@
         emit(
             EventId::StreamBrokenOff,
             format_args!(
-                "request={} server={} cause={cause} resumption={resumption} after={:?} left_ms={}",
+                "request={} server={} software_version={} cause={cause} resumption={resumption} after={:?} left_ms={}",
                 self.dispatch.id(),
                 self.in_flight.server(),
+                self.in_flight.software_version().unwrap_or("-"),
                 self.last_event_id,
                 self.dispatch.left_ms()
             ),
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -11,6 +11,7 @@
             store_client::{apply_configuration, store_pool},
         },
     },
+    magnoliasail_core::gateway::{Directory, VersionHistory},
     magnoliasail_platform::{configuration, registry, store::Change},
     std::{
         collections::HashSet,
@@ -113,10 +114,16 @@
                 emit(
                     EventId::ServerListed,
                     format_args!(
-                        "server={} address={} draining={} revision={}",
-                        entry.id, entry.address, entry.is_draining, change.revision
+                        "server={} address={} software_version={} draining={} revision={}",
+                        entry.id,
+                        entry.address,
+                        entry.software_version.as_deref().unwrap_or("-"),
+                        entry.is_draining,
+                        change.revision
                     ),
                 );
+                let mut versions = self.0.versions.borrow_mut();
+                versions.record(&entry.service, entry.software_version.as_ref(), now_ms);
                 directory.insert(entry);
             }
             Err(error) => emit(
@@ -135,10 +142,23 @@
     }
 }
 
+/// Records the software versions of the listed servers from time to time, as each that is recorded
+/// only once is forgotten.
+fn record_software_versions(directory: &Directory, versions: &mut VersionHistory, now_ms: u64) {
+    if !versions.start_refresh(now_ms) {
+        return;
+    }
+    for server in directory.all() {
+        let entry = &server.entry;
+        versions.record(&entry.service, entry.software_version.as_ref(), now_ms);
+    }
+}
+
 fn update_links(state: &Rc<EntryState>) {
     let now_ms = state.clock.now_ms();
     let mut directory = state.directory.borrow_mut();
     directory.prune(now_ms);
+    record_software_versions(&directory, &mut state.versions.borrow_mut(), now_ms);
     let table = state.table.borrow();
     let engines: HashSet<IpAddr> = directory
         .all()
--- a/crates/magnoliasail/src/gateway/entry/takeover.rs
+++ b/crates/magnoliasail/src/gateway/entry/takeover.rs
@@ -78,7 +78,7 @@
         pick: &PickedServer,
         resume_after: Option<u64>,
     ) -> AttemptResult {
-        let in_flight = InFlightGuard::new(&self.state, &pick.id);
+        let in_flight = InFlightGuard::new(&self.state, pick);
         let options = AttemptOptions {
             resume_after,
             has_further_server: self.servers_reached + 1 < self.route.max_servers,
