test(gateway): count repeats while entries are restarted

No test counted arrivals at servers beyond the first.

Change: the ledger of the soak records the arrival of each request at a server, refused or not, and checks the retry budget over all windows.

--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -32,6 +32,7 @@
 const INTERNAL_PORT: u16 = 18_300;
 const METRICS_PORT: u16 = 18_301;
 const STORE_PORT: u16 = 18_400;
+const DEFAULT_ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 const ENGINE_SERVICE: &str = "engines";
 const PLAIN_SERVICE: &str = "desk";
 
@@ -79,6 +80,7 @@
     /// The proxies in front of the agents, then those between each process and the store.
     pub proxies: Vec<Proxy>,
     configuration_version: u64,
+    route_timeout: Duration,
 }
 
 impl Process {
@@ -106,6 +108,12 @@
         }
     }
 
+    fn has_exited(&mut self) -> bool {
+        self.child
+            .as_mut()
+            .is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -140,6 +148,7 @@
             servers: Vec::new(),
             proxies: Vec::new(),
             configuration_version: 0,
+            route_timeout: DEFAULT_ROUTE_TIMEOUT,
             settings,
         };
         fleet.start_stand_ins().await?;
@@ -171,6 +180,11 @@
         self.processes[process].kill();
     }
 
+    /// Returns whether a process is not running.
+    pub fn has_exited(&mut self, process: usize) -> bool {
+        self.processes[process].has_exited()
+    }
+
     /// Starts a process again. Kills it first if it still runs.
     ///
     /// # Errors
@@ -181,13 +195,22 @@
         self.processes[process].start()
     }
 
+    /// Publishes a configuration in which all routes have this timeout.
+    pub fn publish_route_timeout(&mut self, timeout: Duration) {
+        self.route_timeout = timeout;
+        self.publish_configuration(&[]);
+    }
+
     /// Publishes the next version of the configuration, with one route to the plain service for
     /// each of `added_prefixes`.
     pub fn publish_configuration(&mut self, added_prefixes: &[&str]) {
         self.configuration_version += 1;
-        let mut routes: Vec<Value> = CallKind::ALL.iter().map(|&kind| route(kind)).collect();
+        let mut routes: Vec<Value> = CallKind::ALL
+            .iter()
+            .map(|&kind| route(kind, self.route_timeout))
+            .collect();
         for prefix in added_prefixes {
-            let mut added = route(CallKind::Safe);
+            let mut added = route(CallKind::Safe, self.route_timeout);
             added["path_prefix"] = json!(prefix);
             routes.push(added);
         }
@@ -410,7 +433,7 @@
     Err(io::ErrorKind::AddrInUse.into())
 }
 
-fn route(kind: CallKind) -> Value {
+fn route(kind: CallKind, timeout: Duration) -> Value {
     let is_stream = matches!(kind, CallKind::Stream | CallKind::ResumableStream);
     let service = if is_stream {
         ENGINE_SERVICE
@@ -424,7 +447,7 @@
     };
     let is_idempotent = matches!(kind, CallKind::Safe | CallKind::ResumableStream);
     json!({"name": kind.path_prefix(), "host": "soak.example", "path_prefix": kind.path_prefix(), "kind": name,
-        "timeout_ms": 3000, "target_latency_ms": 500, "priority": 1, "service": service,
+        "timeout_ms": timeout.as_millis() as u64, "target_latency_ms": 500, "priority": 1, "service": service,
         "max_attempts": if is_idempotent { 2 } else { 1 }, "sticky": is_stream,
         "resumable": kind == CallKind::ResumableStream, "gap_aim_ms": 250})
 }
--- a/crates/magnoliasail-soak/src/ledger.rs
+++ b/crates/magnoliasail-soak/src/ledger.rs
@@ -1,11 +1,22 @@
 //! Records of what callers and backend servers observed, and the checks of the guarantees.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+/// The repeats of requests that a service may get within any window.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed in a window regardless of requests.
+    pub floor: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
 /// A run of a request at a backend server.
 #[derive(Clone, Debug)]
 pub struct RunRecord {
@@ -31,8 +42,20 @@
     may_repeat: bool,
 }
 
+/// The arrival of a request at a backend server, which may have refused it.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Instant,
+    /// Whether the request had arrived at a server before.
+    is_repeat: bool,
+}
+
 #[derive(Debug, Default)]
 struct Records {
+    /// Arrivals at the servers of each service, in order.
+    arrivals: HashMap<String, Vec<Arrival>>,
+    /// Ids of the requests that have arrived.
+    arrived: HashSet<String>,
     /// Runs of each request, by request id.
     runs: HashMap<String, Vec<RunRecord>>,
     /// The answer to each request, by request id.
@@ -51,6 +74,43 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a request arrived at a server of a service, before the server decided whether to
+    /// run it.
+    pub fn record_arrival(&self, request: &str, service: &str) {
+        let mut records = self.records();
+        let arrival = Arrival {
+            at: Instant::now(),
+            is_repeat: !records.arrived.insert(request.to_owned()),
+        };
+        records
+            .arrivals
+            .entry(service.to_owned())
+            .or_default()
+            .push(arrival);
+    }
+
+    /// Records a violation for each service that got more repeats than the budget allows in some
+    /// window.
+    ///
+    /// Requests that arrived at no server are left out, so the check is stricter than the budget.
+    pub fn check_retry_budget(&self, budget: RetryBudget) {
+        let arrivals = self.records().arrivals.clone();
+        for (service, arrivals) in arrivals {
+            let windows = arrivals
+                .iter()
+                .map(|last| count_window(&arrivals, last.at, budget));
+            let worst = windows.max_by(|a, b| a.excess(budget).total_cmp(&b.excess(budget)));
+            let Some(worst) = worst.filter(|worst| worst.excess(budget) > 0.0) else {
+                continue;
+            };
+            let detail = format!(
+                "{service} got {} repeats beside {} requests in {:?}",
+                worst.repeats, worst.requests, budget.window
+            );
+            self.record_violation("retry budget", detail);
+        }
+    }
+
     /// Records that a server started to run a request.
     pub fn record_run(&self, request: &str, server: &str) {
         let run = RunRecord {
@@ -115,3 +175,44 @@
         violations
     }
 }
+
+/// First arrivals and repeats within a window.
+#[derive(Clone, Copy, Debug)]
+struct WindowCounts {
+    requests: usize,
+    repeats: usize,
+}
+
+impl WindowCounts {
+    /// Returns the number of repeats beyond the budget; negative if some are left.
+    fn excess(self, budget: RetryBudget) -> f64 {
+        self.repeats as f64 - budget.ratio * self.requests as f64 - budget.floor
+    }
+}
+
+/// Counts the repeats in the window that ends at `end`, and the requests in that window, the one
+/// before it or the one half a window before it, whichever has most.
+fn count_window(arrivals: &[Arrival], end: Instant, budget: RetryBudget) -> WindowCounts {
+    let count = |end: Option<Instant>, is_repeat: bool| {
+        let inside = |arrival: &&Arrival| {
+            arrival.is_repeat == is_repeat
+                && end.is_some_and(|end| {
+                    arrival.at <= end && end.duration_since(arrival.at) < budget.window
+                })
+        };
+        arrivals.iter().filter(inside).count()
+    };
+    let ends = [
+        Some(end),
+        end.checked_sub(budget.window / 2),
+        end.checked_sub(budget.window),
+    ];
+    WindowCounts {
+        requests: ends
+            .into_iter()
+            .map(|end| count(end, false))
+            .max()
+            .unwrap_or(0),
+        repeats: count(Some(end), true),
+    }
+}
--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -16,7 +16,7 @@
 pub use self::{
     caller::{Call, CallKind, Caller, Outcome},
     fleet::{Fleet, FleetSettings},
-    ledger::{Ledger, RunRecord, Violation},
+    ledger::{Ledger, RetryBudget, RunRecord, Violation},
     proxy::{Proxy, ProxyMode},
     soak::{Soak, SoakReport, SoakSettings},
     standin::{BackendServer, ServerFaults, ServerKind, Store, StoreMode},
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -48,6 +48,15 @@
     Plain,
 }
 
+impl From<ServerKind> for &'static str {
+    fn from(kind: ServerKind) -> Self {
+        match kind {
+            ServerKind::Engine => "engines",
+            ServerKind::Plain => "plain servers",
+        }
+    }
+}
+
 /// Faults of a backend server. Shares are of its requests, from 0 to 1.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -362,6 +371,8 @@
         let headers = request.headers().clone();
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let id = text("request-id").unwrap_or_default().to_owned();
+        let service = <&str>::from(self.kind);
+        self.ledger.record_arrival(&id, service);
         if let Some(refusal) = self.refusal(&headers) {
             return Ok(refusal);
         }
