test(gateway): count requests left waiting at the end of the grace period

Tests of a terminated entry had only requests that end long before its grace period does.

Change: the new test terminates an entry while more streams wait in the queues of agents than the engines can run before the grace period ends.

--- a/crates/magnoliasail/tests/restarts.rs
+++ b/crates/magnoliasail/tests/restarts.rs
@@ -1,7 +1,9 @@
 //! Tests of entries that are terminated, killed and started again while callers use them.
 
 use {
-    magnoliasail_soak::{Call, CallKind, Caller, Fleet, FleetSettings, RetryBudget, ServerFaults},
+    magnoliasail_soak::{
+        Call, CallKind, Caller, Fleet, FleetSettings, Outcome, RetryBudget, ServerFaults,
+    },
     std::{
         future::Future,
         path::PathBuf,
@@ -16,6 +18,8 @@
 
 const ENTRIES: u8 = 3;
 const ENGINES: u8 = 2;
+/// Time for a change of the configuration to apply.
+const PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
 /// The retry budget in the settings of the fleet's processes.
 const RETRY_BUDGET: RetryBudget = RetryBudget {
     ratio: 0.2,
@@ -114,3 +118,58 @@
         assert_no_violations(&fleet);
     });
 }
+
+/// Requests that wait in the queue of an agent when the grace period of their entry ends have been
+/// read and have not run, so that their callers are owed an answer.
+#[test]
+fn terminated_entry_answers_requests_that_still_wait_at_the_end_of_its_grace_period() {
+    /// More than the batches of all engines hold.
+    const CALLS: u32 = 40;
+    const DEADLINE: Duration = Duration::from_secs(20);
+    with_fleet(79, |mut fleet| async move {
+        fleet.publish_route_timeout(DEADLINE);
+        sleep(PROPAGATION_TIME).await;
+        for engine in &fleet.servers[..usize::from(ENGINES)] {
+            // With five events at least, each stream outlasts the grace period.
+            engine.set_faults(ServerFaults {
+                event_delay_ms: 1_700,
+                ..ServerFaults::default()
+            });
+        }
+        let mut tasks = Vec::new();
+        for number in 0..CALLS {
+            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+            let call = Call {
+                id: format!("waiting-{number}"),
+                kind: CallKind::Stream,
+                adapter: "base/a0".to_owned(),
+                deadline: DEADLINE,
+            };
+            tasks.push(tokio::spawn(
+                async move { (caller.call(&call).await, call.id) },
+            ));
+        }
+        sleep(Duration::from_millis(500)).await;
+        // What has ended by now was refused at once.
+        tasks.retain(|task| !task.is_finished());
+        fleet.signal(0, "TERM");
+        let mut waited_count = 0;
+        for task in tasks {
+            let (outcome, id) = task.await.expect("the caller does not panic");
+            if !fleet.ledger.runs(&id).is_empty() {
+                continue;
+            }
+            waited_count += 1;
+            assert!(
+                matches!(outcome, Outcome::NotRun | Outcome::Failed(_)),
+                "{id}: {outcome:?}"
+            );
+        }
+        assert!(
+            waited_count > 0,
+            "all requests were running\n{}",
+            fleet.output()
+        );
+        assert_no_violations(&fleet);
+    });
+}
