fix(gateway): leave a restarted entry only the unspent part of the floor

Cause: the window of the retry budget is counted in each entry's memory. An entry that restarted began with its whole share of the floor, though its predecessor had spent that share in the same window, so the floor was spent once per restart.

What callers saw: nothing; servers got more repeats than the budget allows while entries restarted.

Change: until an entry is as old as the window, it spends 0.3 of its share of the floor, which is what older ones leave of it. One restart in a window then stays within the floor; more of them rely on what the ratio leaves.

A share that grew from nothing with age was tried first: it left a fresh fleet without retries, and aborted_resumable_stream_continues_on_another_engine failed.

Whether it was the cause in the report can't be proven from its record, which shows entries that restart within one window of each other.

--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod prompt_rate;
 mod replacements;
 mod request_metadata;
+mod retry_budget;
 mod retry_window;
 mod route_table;
 mod scheduler_settings;
@@ -59,6 +60,7 @@
     order::{Order, OrderKind, OrderOutcome},
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     request_metadata::RequestMetadata,
+    retry_budget::RetryBudget,
     retry_window::RetryWindow,
     route_table::{RouteMatch, RouteTable},
     scheduler_settings::SchedulerSettings,
--- a/crates/magnoliasail-core/src/gateway/retry_window.rs
+++ b/crates/magnoliasail-core/src/gateway/retry_window.rs
@@ -3,23 +3,26 @@
 //! All entries share the budget without exchanging messages. Over a sliding window, each counts
 //! its own first attempts and retries, and spends at most the given ratio of its requests plus its
 //! share of the floor. A retry counts even if the server refuses it.
+//!
+//! A process that starts doesn't know what its predecessor has spent. Until it is as old as the
+//! window, it spends only the part of the floor that older processes leave.
 
-use {crate::TimeMs, std::collections::VecDeque};
+use {super::retry_budget::RetryBudget, crate::TimeMs, std::collections::VecDeque};
 
 /// Width of the buckets into which the window is divided.
 const BUCKET_MS: u64 = 500;
-/// Share of the budget that is spent, which leaves room for entries that restart and lose their
-/// counts.
+/// Share of the budget that is spent by entries older than the window.
 const USED_SHARE: f64 = 0.7;
+/// Share of the floor that is spent by younger entries: what is left of it if their predecessors
+/// have spent theirs in the same window.
+const YOUNG_SHARE: f64 = 1.0 - USED_SHARE;
 
 /// First attempts and retries of one service over a sliding window.
 #[derive(Clone, Debug)]
 pub struct RetryWindow {
-    /// Retries allowed per request.
-    ratio: f64,
-    /// Retries allowed in a window regardless of requests, over all entries.
-    floor: f64,
-    window_ms: u64,
+    budget: RetryBudget,
+    /// When the process started.
+    started_ms: TimeMs,
     buckets: VecDeque<Bucket>,
 }
 
@@ -31,14 +34,12 @@
 }
 
 impl RetryWindow {
-    /// Creates a window of `window_ms` milliseconds that allows `ratio` retries per request, plus
-    /// `floor` retries regardless of requests, over all entries together.
+    /// Creates the window of a process that started at `started_ms`, for its share of `budget`.
     #[must_use]
-    pub const fn new(ratio: f64, floor: f64, window_ms: u64) -> Self {
+    pub const fn new(budget: RetryBudget, started_ms: TimeMs) -> Self {
         Self {
-            ratio,
-            floor,
-            window_ms,
+            budget,
+            started_ms,
             buckets: VecDeque::new(),
         }
     }
@@ -55,8 +56,9 @@
         let _ = self.bucket(now_ms);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let share = self.floor / f64::from(entries.max(1));
-        let allowed = USED_SHARE * (self.ratio * f64::from(requests) + share);
+        let floor_share = self.budget.floor / f64::from(entries.max(1));
+        let allowed = USED_SHARE * self.budget.ratio * f64::from(requests)
+            + self.used_floor_share(now_ms) * floor_share;
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
@@ -64,13 +66,23 @@
         true
     }
 
+    /// Returns which part of its share of the floor this process may spend at its age.
+    fn used_floor_share(&self, now_ms: TimeMs) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.started_ms);
+        if age_ms < self.budget.window_ms {
+            YOUNG_SHARE
+        } else {
+            USED_SHARE
+        }
+    }
+
     /// Returns the bucket of the current time, and drops those that have left the window.
     fn bucket(&mut self, now_ms: TimeMs) -> &mut Bucket {
         let start_ms = now_ms - now_ms % BUCKET_MS;
         while self
             .buckets
             .front()
-            .is_some_and(|bucket| bucket.start_ms + self.window_ms < now_ms)
+            .is_some_and(|bucket| bucket.start_ms + self.budget.window_ms < now_ms)
         {
             self.buckets.pop_front();
         }
--- a/crates/magnoliasail-core/tests/gateway/retries.rs
+++ b/crates/magnoliasail-core/tests/gateway/retries.rs
@@ -1,17 +1,27 @@
 //! Retry budgets over all entries and over any window.
 
-use {arbtest::arbtest, magnoliasail_core::gateway::RetryWindow};
+use {
+    arbtest::arbtest,
+    magnoliasail_core::gateway::{RetryBudget, RetryWindow},
+};
 
 const RATIO: f64 = 0.2;
 const FLOOR: f64 = 58.0;
 const WINDOW_MS: u64 = 10_000;
+const BUDGET: RetryBudget = RetryBudget {
+    ratio: RATIO,
+    floor: FLOOR,
+    window_ms: WINDOW_MS,
+};
+/// When the entries that are not restarted have started.
+const STARTED_MS: u64 = 60_000 - WINDOW_MS;
 
 #[test]
 fn all_entries_together_stay_within_the_budget_in_any_window() {
     arbtest(|source| {
         let entries = source.int_in_range(1..=8_u32)?;
         let mut windows: Vec<RetryWindow> = (0..entries)
-            .map(|_| RetryWindow::new(RATIO, FLOOR, WINDOW_MS))
+            .map(|_| RetryWindow::new(BUDGET, STARTED_MS))
             .collect();
         let mut events: Vec<(u64, bool)> = Vec::new();
         let mut now_ms = 60_000;
@@ -41,7 +51,7 @@
 
 #[test]
 fn retries_stay_within_the_budget_when_every_request_fails() {
-    let mut window = RetryWindow::new(RATIO, FLOOR, WINDOW_MS);
+    let mut window = RetryWindow::new(BUDGET, STARTED_MS);
     let mut retries = 0;
     for request in 0..1_000_u64 {
         let now_ms = 60_000 + request * 10;
@@ -53,3 +63,56 @@
         "{retries}"
     );
 }
+
+/// Entries restart once in a window, and every request fails, so that each entry spends what it can.
+#[test]
+fn restarted_entries_stay_within_the_budget_in_any_window() {
+    arbtest(|source| {
+        const ENTRIES: u32 = 4;
+        let new_window = |started_ms| RetryWindow::new(BUDGET, started_ms);
+        let mut windows = vec![new_window(STARTED_MS); ENTRIES as usize];
+        let mut restarted_ms = [STARTED_MS; ENTRIES as usize];
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        let mut now_ms = 60_000;
+        while requests.len() < 2_000 && !source.is_empty() {
+            now_ms += source.int_in_range(0..=60_u64)?;
+            let entry = source.choose_index(windows.len())?;
+            if source.ratio(1, 30)? && now_ms >= restarted_ms[entry] + WINDOW_MS {
+                windows[entry] = new_window(now_ms);
+                restarted_ms[entry] = now_ms;
+            }
+            windows[entry].count_request(now_ms);
+            requests.push(now_ms);
+            if windows[entry].try_retry(ENTRIES, now_ms) {
+                retries.push(now_ms);
+            }
+        }
+        let count = |times: &[u64], end_ms: u64| {
+            let inside = |&&at_ms: &&u64| at_ms <= end_ms && at_ms + WINDOW_MS > end_ms;
+            times.iter().filter(inside).count() as f64
+        };
+        for &end_ms in &retries {
+            let (requests, retries) = (count(&requests, end_ms), count(&retries, end_ms));
+            assert!(
+                retries <= RATIO * requests + FLOOR,
+                "{retries} of {requests}"
+            );
+        }
+        Ok(())
+    });
+}
+
+/// An entry that was restarted just after it had spent its share must not spend it again.
+#[test]
+fn restarted_entry_does_not_spend_its_share_of_the_floor_twice() {
+    let spend = |started_ms, from_ms: u64| {
+        let mut window = RetryWindow::new(BUDGET, started_ms);
+        let grants = (from_ms..from_ms + WINDOW_MS / 2).step_by(10);
+        grants.filter(|&now_ms| window.try_retry(1, now_ms)).count()
+    };
+    let restarted_ms = 60_000 + WINDOW_MS / 2;
+    let before = spend(STARTED_MS, 60_000);
+    let after = spend(restarted_ms, restarted_ms);
+    assert!((before + after) as f64 <= FLOOR, "{before} and {after}");
+    assert!(before > 0 && after > 0);
+}
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -8,8 +8,8 @@
         steady_clock::SteadyClock,
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryWindow,
-        RouteTable, ServerView, adapter_key, plain_wait_ms,
+        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryBudget,
+        RetryWindow, RouteTable, ServerView, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -24,6 +24,9 @@
     tokio::sync::{Notify, watch},
 };
 
+/// The number of entries that is assumed until an agent has reported one.
+const ASSUMED_ENTRIES: u32 = 8;
+
 /// State shared by the tasks of an entry.
 pub(super) struct EntryState {
     pub(super) settings: Rc<NodeSettings>,
@@ -37,6 +40,8 @@
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     idle_limit: SharedIdleLimit,
     retry_windows: RefCell<HashMap<Arc<str>, RetryWindow>>,
+    /// When the process started, by its clock.
+    started_ms: u64,
     /// Number of answered requests since the process started.
     answered_count: Cell<u64>,
     /// Whether the server list has been read at least once.
@@ -59,9 +64,11 @@
 
 impl EntryState {
     pub(super) fn new(settings: Rc<NodeSettings>, draining: watch::Receiver<bool>) -> Rc<Self> {
+        let clock = SteadyClock::new();
+        let started_ms = clock.now_ms();
         Rc::new(Self {
             settings,
-            clock: SteadyClock::new(),
+            clock,
             metrics: GatewayMetrics::new(RefusalCause::iter().map(Into::into)),
             draining,
             table: RefCell::default(),
@@ -70,6 +77,7 @@
             pools: RefCell::default(),
             idle_limit: SharedIdleLimit::default(),
             retry_windows: RefCell::default(),
+            started_ms,
             answered_count: Cell::new(0),
             has_server_list: Cell::new(false),
             is_store_lost: Cell::new(false),
@@ -290,11 +298,12 @@
         let settings = &self.settings;
         let mut retry_windows = self.retry_windows.borrow_mut();
         let window = retry_windows.entry(Arc::clone(service)).or_insert_with(|| {
-            RetryWindow::new(
-                settings.retry_ratio,
-                settings.min_retries,
-                settings.retry_window_ms,
-            )
+            let budget = RetryBudget {
+                ratio: settings.retry_ratio,
+                floor: settings.min_retries,
+                window_ms: settings.retry_window_ms,
+            };
+            RetryWindow::new(budget, self.started_ms)
         });
         operation(window, self.clock.now_ms())
     }
@@ -302,8 +311,6 @@
     /// Returns the number of entries that share a retry budget: the highest count that an agent has
     /// reported.
     fn entry_count(&self) -> u32 {
-        /// The number that is assumed until an agent has reported one.
-        const ASSUMED_ENTRIES: u32 = 8;
         let links = self.links.borrow();
         let reported_counts = links
             .values()
