fix(gateway): answer waiting requests before a terminated entry exits

Cause: when the grace period ended, the entry's runtime was dropped with all requests that still waited for a server, such as those in the queue of an agent. Nothing was answered and nothing logged.

What callers saw: the connection of a request that had been read closed without an answer, 7.6 s after the SIGTERM.

Change: a process has three phases, serving, draining and stopping. The last 0.2 s of the drain are for stopping: the entry answers each request that has no response yet, with 503 if it has not run and 502 if it may have. The causes stopped_unrun and stopped_running are logged and counted as other refusals.

--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -15,7 +15,7 @@
         operator_observer::watch_operator_keys,
         state::AgentState,
     },
-    super::{metrics::serve_metrics, sockets::listen},
+    super::{metrics::serve_metrics, phase::Phase, sockets::listen},
     magnoliasail_platform::settings::NodeSettings,
     std::{rc::Rc, time::Duration},
     tokio::{sync::watch, time::sleep},
@@ -24,14 +24,14 @@
 /// Time between checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Serves entries until `draining` becomes `true` and all requests have ended.
+/// Serves entries until the process drains and all requests have ended.
 ///
 /// # Errors
 ///
 /// Returns a message if the settings name no backend server, or if listening on an address fails.
 pub(super) async fn run(
     settings: Rc<NodeSettings>,
-    mut draining: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
 ) -> Result<(), String> {
     let backend = settings.backend_address.ok_or_else(|| {
         "the settings name no backend server; run the agent on a VM that has one".to_owned()
@@ -46,7 +46,7 @@
     tokio::task::spawn_local(poll_engine_reports(Rc::clone(&state)));
     tokio::task::spawn_local(report_engine_state(Rc::clone(&state)));
     let serving = tokio::task::spawn_local(serve_entries(Rc::clone(&state), listener));
-    let _ = draining.wait_for(|&is_draining| is_draining).await;
+    Phase::Draining.reached(&mut phase).await;
     state.drain();
     while state.load() > 0 {
         sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/magnoliasail/src/gateway/entry/callers.rs
+++ b/crates/magnoliasail/src/gateway/entry/callers.rs
@@ -4,7 +4,7 @@
     super::{request::handle_request, response_body::ResponseBody, state::EntryState},
     crate::{
         events::{EventId, emit},
-        gateway::sockets::set_socket_options,
+        gateway::{phase::Phase, sockets::set_socket_options},
     },
     bytes::Bytes,
     hyper::{
@@ -31,15 +31,15 @@
 const IDLE_MARGIN_MS: u64 = 1_000;
 const MIN_READ_BUFFER_BYTES: usize = 32_768;
 
-/// Serves callers until `draining` becomes `true` and the requests in progress have finished.
+/// Serves callers until the process drains and the requests in progress have finished.
 pub(super) async fn serve_callers(
     state: Rc<EntryState>,
     listener: TcpListener,
-    mut draining: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
 ) {
     let graceful = GracefulShutdown::new();
     let drain_notice_over = async {
-        let _ = draining.wait_for(|&is_draining| is_draining).await;
+        Phase::Draining.reached(&mut phase).await;
         sleep(DRAIN_NOTICE).await;
     };
     tokio::pin!(drain_notice_over);
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -17,13 +17,16 @@
     },
     crate::{
         events::{EventId, emit},
-        gateway::metrics::{RetryCause, Stage},
+        gateway::{
+            metrics::{RetryCause, Stage},
+            phase::Phase,
+        },
     },
     bytes::BytesMut,
     hyper::{HeaderMap, Response, StatusCode},
     magnoliasail_core::gateway::RouteMatch,
     std::{rc::Rc, sync::Arc, time::Duration},
-    tokio::time::{Instant, timeout, timeout_at},
+    tokio::time::{Instant, sleep_until, timeout},
 };
 
 /// Longest wait of a request for agents that are still connecting or have just connected.
@@ -95,19 +98,24 @@
     pub(super) async fn run(mut self) -> Response<ResponseBody> {
         self.state.count_request(&self.route.service);
         let deadline = self.state.clock.instant(self.outgoing.deadline_ms);
-        let outcome = timeout_at(deadline, self.obtain_response()).await;
+        let mut phase = self.state.phase.clone();
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.obtain_response() => outcome,
+            () = sleep_until(deadline) => Err(self.expired()),
+            () = Phase::Stopping.reached(&mut phase) => Err(self.stopped()),
+        };
         let refusal = match outcome {
-            Ok(Ok(ReceivedResponse::Complete(response))) => {
+            Ok(ReceivedResponse::Complete(response)) => {
                 self.record_stage(Stage::PlainWhole);
                 self.log_answered(response.status());
                 return response;
             }
-            Ok(Ok(ReceivedResponse::Started(started))) => {
+            Ok(ReceivedResponse::Started(started)) => {
                 self.record_stage(Stage::StreamHead);
                 return StreamRelay::start(self, started);
             }
-            Ok(Err(refusal)) => refusal,
-            Err(_) => self.expired(),
+            Err(refusal) => refusal,
         };
         self.log_refused(&refusal);
         self.state.metrics.count_refusal(refusal.cause.into());
@@ -288,6 +296,20 @@
         }
     }
 
+    /// Creates the refusal of a request that can't be completed before the process exits.
+    fn stopped(&self) -> Refusal {
+        if self.is_attempt_in_flight || self.may_have_run {
+            return Refusal {
+                cause: RefusalCause::StoppedRunning,
+                retry_after_ms: None,
+            };
+        }
+        Refusal {
+            cause: RefusalCause::StoppedUnrun,
+            retry_after_ms: Some(self.state.retry_after_ms(&self.route.service)),
+        }
+    }
+
     /// Creates the refusal of a request that no server accepted, with the time after which to
     /// retry: the least that an agent gave, or an estimate if `agent_retry_after_ms` is `u64::MAX`.
     fn refusal(&self, cause: RefusalCause, agent_retry_after_ms: u64) -> Refusal {
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -22,20 +22,20 @@
 
 use {
     self::{callers::serve_callers, state::EntryState, store_observer::follow_store},
-    super::{metrics::serve_metrics, sockets::listen},
+    super::{metrics::serve_metrics, phase::Phase, sockets::listen},
     magnoliasail_platform::settings::NodeSettings,
     std::rc::Rc,
     tokio::sync::watch,
 };
 
-/// Serves callers until `draining` becomes `true` and the requests in progress have finished.
+/// Serves callers until the process drains and the requests in progress have finished.
 ///
 /// # Errors
 ///
 /// Returns a message if the settings lack an address or one cannot be listened on.
 pub(super) async fn run(
     settings: Rc<NodeSettings>,
-    draining: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
 ) -> Result<(), String> {
     let missing =
         || "the settings name no address for callers; set `serves` for this role".to_owned();
@@ -45,10 +45,10 @@
     let readiness = listen(readiness).map_err(|error| error.to_string())?;
     let metrics = format!("{}:{}", settings.ip, settings.last_internal_port);
     let metrics = listen(&metrics).map_err(|error| error.to_string())?;
-    let state = EntryState::new(settings, draining.clone());
+    let state = EntryState::new(settings, phase.clone());
     tokio::task::spawn_local(serve_metrics(Rc::clone(&state.metrics), metrics));
     follow_store(&state);
     tokio::task::spawn_local(callers::serve_readiness(Rc::clone(&state), readiness));
-    serve_callers(state, callers, draining).await;
+    serve_callers(state, callers, phase).await;
     Ok(())
 }
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -35,6 +35,10 @@
     ExpiredRunning,
     /// The server failed before its response was complete, and the request may have run.
     BrokenOff,
+    /// The entry exits, and the request has not run.
+    StoppedUnrun,
+    /// The entry exits, and the request may have run.
+    StoppedRunning,
 }
 
 impl RefusalCause {
@@ -47,15 +51,19 @@
             | Self::NoServer
             | Self::Overloaded
             | Self::ServersRefused
-            | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::ExpiredUnrun
+            | Self::StoppedUnrun => StatusCode::SERVICE_UNAVAILABLE,
             Self::ExpiredRunning => StatusCode::GATEWAY_TIMEOUT,
-            Self::BrokenOff => StatusCode::BAD_GATEWAY,
+            Self::BrokenOff | Self::StoppedRunning => StatusCode::BAD_GATEWAY,
         }
     }
 
     /// Returns whether the request has not run and will not run.
     const fn is_not_run(self) -> bool {
-        !matches!(self, Self::ExpiredRunning | Self::BrokenOff)
+        !matches!(
+            self,
+            Self::ExpiredRunning | Self::BrokenOff | Self::StoppedRunning
+        )
     }
 
     const fn message(self) -> &'static str {
@@ -69,6 +77,8 @@
             Self::ServersRefused => "the servers refused the request; retry later",
             Self::ExpiredUnrun => "the deadline passed before the request ran; retry it",
             Self::ExpiredRunning => "the deadline passed; the request may have run",
+            Self::StoppedUnrun => "this entry exits; send the request to another one",
+            Self::StoppedRunning => "this entry exits; the request may have run",
             Self::BrokenOff => {
                 "the server failed before its response was complete; the request may have run"
             }
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -9,7 +9,7 @@
         startup_wait::wait_until_initialized,
         state::EntryState,
     },
-    crate::gateway::metrics::GatewayMetrics,
+    crate::gateway::{metrics::GatewayMetrics, phase::Phase},
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
@@ -34,7 +34,7 @@
     state: Rc<EntryState>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let draining = state.draining.clone();
+    let phase = state.phase.clone();
     let metadata = headers::request_metadata(request.headers());
     let id = metadata.id.clone();
     let metrics = Rc::clone(&state.metrics);
@@ -57,7 +57,7 @@
         }
     };
     drop(running);
-    if *draining.borrow() {
+    if *phase.borrow() >= Phase::Draining {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -4,6 +4,7 @@
     super::{attempt::OutgoingRequest, engine_link::EngineLink, refusal::RefusalCause},
     crate::gateway::{
         metrics::{GatewayMetrics, RetryCause},
+        phase::Phase,
         pool::{Pool, SharedIdleLimit},
         steady_clock::SteadyClock,
     },
@@ -32,7 +33,7 @@
     pub(super) settings: Rc<NodeSettings>,
     pub(super) clock: SteadyClock,
     pub(super) metrics: Rc<GatewayMetrics>,
-    pub(super) draining: watch::Receiver<bool>,
+    pub(super) phase: watch::Receiver<Phase>,
     pub(super) table: RefCell<RouteTable>,
     pub(super) directory: RefCell<Directory>,
     /// Links to agents, by the IP address of their VM.
@@ -63,14 +64,14 @@
 }
 
 impl EntryState {
-    pub(super) fn new(settings: Rc<NodeSettings>, draining: watch::Receiver<bool>) -> Rc<Self> {
+    pub(super) fn new(settings: Rc<NodeSettings>, phase: watch::Receiver<Phase>) -> Rc<Self> {
         let clock = SteadyClock::new();
         let started_ms = clock.now_ms();
         Rc::new(Self {
             settings,
             clock,
             metrics: GatewayMetrics::new(RefusalCause::iter().map(Into::into)),
-            draining,
+            phase,
             table: RefCell::default(),
             directory: RefCell::default(),
             links: RefCell::default(),
@@ -87,7 +88,7 @@
 
     /// Returns whether the entry accepts new connections: it is initialized and not draining.
     pub(super) fn is_ready(&self) -> bool {
-        !*self.draining.borrow() && self.is_initialized()
+        *self.phase.borrow() == Phase::Serving && self.is_initialized()
     }
 
     /// Returns whether the entry has a configuration and the server list.
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod follower;
 mod header_codec;
 mod metrics;
+mod phase;
 mod pool;
 mod process;
 mod sockets;
--- a/crates/magnoliasail/src/gateway/process.rs
+++ b/crates/magnoliasail/src/gateway/process.rs
@@ -1,7 +1,7 @@
 //! Startup and shutdown of the entry and agent processes on the platform.
 
 use {
-    super::{agent, entry},
+    super::{agent, entry, phase::Phase},
     crate::events::{EventId, LogFormat, emit, start_stdout_logging},
     magnoliasail_platform::settings::{NodeSettings, SETTINGS_VARIABLE},
     std::{path::PathBuf, process::ExitCode, rc::Rc, time::Duration},
@@ -16,6 +16,8 @@
 
 /// Part of the grace period that draining leaves unused, so that the process exits before SIGKILL.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time at the end of the drain for responses to requests that can't be served any more.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
 
 /// Runs an entry on the platform until a signal stops it.
 pub(crate) fn run_platform_entry(settings: Option<PathBuf>) -> ExitCode {
@@ -29,7 +31,7 @@
 
 fn run<F, R>(role: &'static str, path: Option<PathBuf>, serve: F) -> ExitCode
 where
-    F: FnOnce(Rc<NodeSettings>, watch::Receiver<bool>) -> R,
+    F: FnOnce(Rc<NodeSettings>, watch::Receiver<Phase>) -> R,
     R: Future<Output = Result<(), String>> + 'static,
 {
     const EXIT_FAILURE: u8 = 1;
@@ -51,9 +53,9 @@
             return ExitCode::from(EXIT_FAILURE);
         }
     };
-    let (drain_sender, draining) = watch::channel(false);
+    let (phase_sender, phase) = watch::channel(Phase::Serving);
     let grace = Duration::from_millis(settings.grace_ms).saturating_sub(GRACE_MARGIN);
-    let server = serve(Rc::clone(&settings), draining);
+    let server = serve(Rc::clone(&settings), phase);
     let local = LocalSet::new();
     let result = local.block_on(&runtime, async move {
         emit(
@@ -69,8 +71,13 @@
             EventId::DrainStarted,
             format_args!("role={role} grace_ms={}", grace.as_millis()),
         );
-        drain_sender.send_replace(true);
-        match timeout(grace, server).await {
+        phase_sender.send_replace(Phase::Draining);
+        let drain_time = grace.saturating_sub(LAST_RESPONSES_TIME);
+        if let Ok(result) = timeout(drain_time, &mut server).await {
+            return result.unwrap_or_else(|error| Err(error.to_string()));
+        }
+        phase_sender.send_replace(Phase::Stopping);
+        match timeout(LAST_RESPONSES_TIME, server).await {
             Ok(result) => result.unwrap_or_else(|error| Err(error.to_string())),
             Err(_) => Ok(()),
         }
