fix(logs): write the last lines of a process before it exits

Cause: a thread of its own writes the lines, and the process exited without waiting for it.

What callers saw: nothing.

Conclusion: a start without drain_finished before it now follows a kill.

--- a/crates/magnoliasail/src/gateway/process.rs
+++ b/crates/magnoliasail/src/gateway/process.rs
@@ -85,6 +85,7 @@
     match result {
         Ok(()) => {
             emit(EventId::DrainFinished, format_args!("role={role}"));
+            log::logger().flush();
             ExitCode::SUCCESS
         }
         Err(error) => {
--- a/crates/magnoliasail/tests/restarts.rs
+++ b/crates/magnoliasail/tests/restarts.rs
@@ -173,3 +173,21 @@
         assert_no_violations(&fleet);
     });
 }
+
+#[test]
+fn last_log_line_of_a_terminated_process_is_written() {
+    const EXIT_POLL: Duration = Duration::from_millis(20);
+    with_fleet(80, |mut fleet| async move {
+        let processes = fleet.process_count();
+        for process in 0..processes {
+            fleet.signal(process, "TERM");
+        }
+        for process in 0..processes {
+            while !fleet.has_exited(process) {
+                sleep(EXIT_POLL).await;
+            }
+        }
+        let finished = fleet.output().matches("drain_finished:").count();
+        assert_eq!(finished, processes, "{}", fleet.output());
+    });
+}
