merge: real processes that restart keep to the retry budget and answer what waits

Requests that wait when an entry exits are answered, a restarted entry spends only what its predecessor may have left of the floor, and the last log lines of a process are written.

--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -4,13 +4,14 @@
     super::{attempt::OutgoingRequest, engine_link::EngineLink, refusal::RefusalCause},
     crate::gateway::{
         metrics::{GatewayMetrics, RetryCause},
+        phase::Phase,
         pool::{Pool, SharedIdleLimit},
         steady_clock::SteadyClock,
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryWindow,
-        RouteTable, ServerView, StreamOrigins, VersionConstraint, VersionHistory, adapter_key,
-        plain_wait_ms,
+        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryBudget,
+        RetryWindow, RouteTable, ServerView, StreamOrigins, VersionConstraint, VersionHistory,
+        adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -25,12 +26,15 @@
     tokio::sync::{Notify, watch},
 };
 
+/// The number of entries that is assumed until an agent has reported one.
+const ASSUMED_ENTRIES: u32 = 8;
+
 /// State shared by the tasks of an entry.
 pub(super) struct EntryState {
     pub(super) settings: Rc<NodeSettings>,
     pub(super) clock: SteadyClock,
     pub(super) metrics: Rc<GatewayMetrics>,
-    pub(super) draining: watch::Receiver<bool>,
+    pub(super) phase: watch::Receiver<Phase>,
     pub(super) table: RefCell<RouteTable>,
     pub(super) directory: RefCell<Directory>,
     /// Links to agents, by the IP address of their VM.
@@ -41,6 +45,8 @@
     /// The origins of streams whose first event this entry has forwarded.
     pub(super) origins: RefCell<StreamOrigins>,
     pub(super) versions: RefCell<VersionHistory>,
+    /// When the process started, by its clock.
+    started_ms: u64,
     /// Number of answered requests since the process started.
     answered_count: Cell<u64>,
     /// Whether the server list has been read at least once.
@@ -63,12 +69,14 @@
 }
 
 impl EntryState {
-    pub(super) fn new(settings: Rc<NodeSettings>, draining: watch::Receiver<bool>) -> Rc<Self> {
+    pub(super) fn new(settings: Rc<NodeSettings>, phase: watch::Receiver<Phase>) -> Rc<Self> {
+        let clock = SteadyClock::new();
+        let started_ms = clock.now_ms();
         Rc::new(Self {
             settings,
-            clock: SteadyClock::new(),
+            clock,
             metrics: GatewayMetrics::new(RefusalCause::iter().map(Into::into)),
-            draining,
+            phase,
             table: RefCell::default(),
             directory: RefCell::default(),
             links: RefCell::default(),
@@ -77,6 +85,7 @@
             retry_windows: RefCell::default(),
             origins: RefCell::default(),
             versions: RefCell::default(),
+            started_ms,
             answered_count: Cell::new(0),
             has_server_list: Cell::new(false),
             is_store_lost: Cell::new(false),
@@ -86,7 +95,7 @@
 
     /// Returns whether the entry accepts new connections: it is initialized and not draining.
     pub(super) fn is_ready(&self) -> bool {
-        !*self.draining.borrow() && self.is_initialized()
+        *self.phase.borrow() == Phase::Serving && self.is_initialized()
     }
 
     /// Returns whether the entry has a configuration and the server list.
@@ -316,11 +325,12 @@
         let settings = &self.settings;
         let mut retry_windows = self.retry_windows.borrow_mut();
         let window = retry_windows.entry(Arc::clone(service)).or_insert_with(|| {
-            RetryWindow::new(
-                settings.retry_ratio,
-                settings.min_retries,
-                settings.retry_window_ms,
-            )
+            let budget = RetryBudget {
+                ratio: settings.retry_ratio,
+                floor: settings.min_retries,
+                window_ms: settings.retry_window_ms,
+            };
+            RetryWindow::new(budget, self.started_ms)
         });
         operation(window, self.clock.now_ms())
     }
@@ -328,8 +338,6 @@
     /// Returns the number of entries that share a retry budget: the highest count that an agent has
     /// reported.
     fn entry_count(&self) -> u32 {
-        /// The number that is assumed until an agent has reported one.
-        const ASSUMED_ENTRIES: u32 = 8;
         let links = self.links.borrow();
         let reported_counts = links
             .values()
--- /dev/null
+++ b/crates/magnoliasail/tests/restarts.rs
@@ -0,0 +1,196 @@
+//! Tests of entries that are terminated, killed and started again while callers use them.
+
+use {
+    magnoliasail_soak::{
+        Call, CallKind, Caller, Fleet, FleetSettings, Outcome, RetryBudget, ServerFaults,
+    },
+    std::{
+        future::Future,
+        path::PathBuf,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{runtime::Builder, task::JoinHandle, time::sleep},
+};
+
+const ENTRIES: u8 = 3;
+const ENGINES: u8 = 2;
+/// Time for a change of the configuration to apply.
+const PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
+/// The retry budget in the settings of the fleet's processes.
+const RETRY_BUDGET: RetryBudget = RetryBudget {
+    ratio: 0.2,
+    floor: 50.0,
+    window: Duration::from_secs(10),
+};
+
+fn with_fleet<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
+    let settings = FleetSettings {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
+        entries: ENTRIES,
+        engines: ENGINES,
+        software_versions: 1,
+        plain_servers: 2,
+        network,
+        seed: u64::from(network),
+    };
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    runtime.block_on(async {
+        let fleet = Fleet::start(settings).await.expect("the fleet starts");
+        test(fleet).await;
+    });
+}
+
+fn resumable_stream(id: String) -> Call {
+    Call {
+        id,
+        kind: CallKind::ResumableStream,
+        adapter: "base/a0".to_owned(),
+        deadline: Duration::from_secs(2),
+        resumption: None,
+    }
+}
+
+fn assert_no_violations(fleet: &Fleet) {
+    let violations = fleet.ledger.violations();
+    assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
+}
+
+/// Calls an entry again and again until `is_stopped`.
+fn keep_calling(
+    fleet: &Fleet,
+    entry: u8,
+    name: String,
+    is_stopped: &Arc<AtomicBool>,
+) -> JoinHandle<()> {
+    const PAUSE: Duration = Duration::from_millis(150);
+    let mut caller = Caller::new(fleet.entry_address(entry), fleet.ledger.clone());
+    let is_stopped = Arc::clone(is_stopped);
+    tokio::spawn(async move {
+        let mut number = 0;
+        while !is_stopped.load(Ordering::SeqCst) {
+            number += 1;
+            let _ = caller
+                .call(&resumable_stream(format!("{name}-{number}")))
+                .await;
+            sleep(PAUSE).await;
+        }
+    })
+}
+
+/// A restarted entry has lost the count of its retries, and so must not spend its whole share again.
+#[test]
+fn retries_stay_within_the_budget_while_entries_are_restarted() {
+    const CALLERS_PER_ENTRY: u32 = 4;
+    const RESTARTS_PER_ENTRY: u32 = 5;
+    const TIME_BETWEEN_RESTARTS: Duration = Duration::from_millis(2_500);
+    with_fleet(78, |mut fleet| async move {
+        for engine in &fleet.servers[..usize::from(ENGINES)] {
+            engine.set_faults(ServerFaults {
+                refused_share: 1.0,
+                ..ServerFaults::default()
+            });
+        }
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let mut callers = Vec::new();
+        for entry in 0..ENTRIES {
+            for number in 0..CALLERS_PER_ENTRY {
+                let name = format!("{entry}-{number}");
+                callers.push(keep_calling(&fleet, entry, name, &is_stopped));
+            }
+        }
+        for _ in 0..RESTARTS_PER_ENTRY {
+            sleep(TIME_BETWEEN_RESTARTS).await;
+            for entry in 0..usize::from(ENTRIES) {
+                fleet.restart(entry).expect("the entry starts");
+            }
+        }
+        is_stopped.store(true, Ordering::SeqCst);
+        for caller in callers {
+            caller.await.expect("the caller does not panic");
+        }
+        fleet.ledger.check_retry_budget(RETRY_BUDGET);
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Requests that wait in the queue of an agent when the grace period of their entry ends have been
+/// read and have not run, so that their callers are owed an answer.
+#[test]
+fn terminated_entry_answers_requests_that_still_wait_at_the_end_of_its_grace_period() {
+    /// More than the batches of all engines hold.
+    const CALLS: u32 = 40;
+    const DEADLINE: Duration = Duration::from_secs(20);
+    with_fleet(79, |mut fleet| async move {
+        fleet.publish_route_timeout(DEADLINE);
+        sleep(PROPAGATION_TIME).await;
+        for engine in &fleet.servers[..usize::from(ENGINES)] {
+            // With five events at least, each stream outlasts the grace period.
+            engine.set_faults(ServerFaults {
+                event_delay_ms: 1_700,
+                ..ServerFaults::default()
+            });
+        }
+        let mut tasks = Vec::new();
+        for number in 0..CALLS {
+            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+            let call = Call {
+                id: format!("waiting-{number}"),
+                kind: CallKind::Stream,
+                adapter: "base/a0".to_owned(),
+                deadline: DEADLINE,
+                resumption: None,
+            };
+            tasks.push(tokio::spawn(
+                async move { (caller.call(&call).await, call.id) },
+            ));
+        }
+        sleep(Duration::from_millis(500)).await;
+        // What has ended by now was refused at once.
+        tasks.retain(|task| !task.is_finished());
+        fleet.signal(0, "TERM");
+        let mut waited_count = 0;
+        for task in tasks {
+            let (outcome, id) = task.await.expect("the caller does not panic");
+            if !fleet.ledger.runs(&id).is_empty() {
+                continue;
+            }
+            waited_count += 1;
+            assert!(
+                matches!(outcome, Outcome::NotRun | Outcome::Failed(_)),
+                "{id}: {outcome:?}"
+            );
+        }
+        assert!(
+            waited_count > 0,
+            "all requests were running\n{}",
+            fleet.output()
+        );
+        assert_no_violations(&fleet);
+    });
+}
+
+#[test]
+fn last_log_line_of_a_terminated_process_is_written() {
+    const EXIT_POLL: Duration = Duration::from_millis(20);
+    with_fleet(80, |mut fleet| async move {
+        let processes = fleet.process_count();
+        for process in 0..processes {
+            fleet.signal(process, "TERM");
+        }
+        for process in 0..processes {
+            while !fleet.has_exited(process) {
+                sleep(EXIT_POLL).await;
+            }
+        }
+        let finished = fleet.output().matches("drain_finished:").count();
+        assert_eq!(finished, processes, "{}", fleet.output());
+    });
+}
