test(gateway): break streams off only once all of them have an event

stream_of_a_killed_entry_stays_at_its_software_version failed once beside other load: 23 of its 24 streams broke off. No request was refused; the fixed time of 1.2 s before the kill was within 0.1 s of the end of the shortest stream, which most likely ended complete. The test now waits until engines run all streams, and streams last longer: 0.5 s from the first event to the kill, and 1.3 s from the kill to the earliest end. What it asserts is unchanged.

--- a/crates/magnoliasail/tests/software_versions.rs
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -3,7 +3,11 @@
 
 use {
     magnoliasail_soak::{Call, CallKind, Caller, Fleet, FleetSettings, Outcome, ServerFaults},
-    std::{future::Future, path::PathBuf, time::Duration},
+    std::{
+        future::Future,
+        path::PathBuf,
+        time::{Duration, Instant},
+    },
     tokio::{runtime::Builder, time::sleep},
 };
 
@@ -14,7 +18,7 @@
 const ADAPTER_COUNT: u32 = 4;
 /// Delay of each event that keeps every stream running until its server or entry fails.
 const LONG_STREAM: ServerFaults = ServerFaults {
-    event_delay_ms: 250,
+    event_delay_ms: 450,
     ..NO_FAULTS
 };
 const NO_FAULTS: ServerFaults = ServerFaults {
@@ -73,6 +77,16 @@
     assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
 }
 
+/// Waits until an engine has started to run each of the streams.
+async fn wait_until_all_run(fleet: &Fleet) {
+    const POLL: Duration = Duration::from_millis(10);
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let is_running = |number| !fleet.ledger.runs(&resumable_call(number).id).is_empty();
+    while !(0..STREAM_COUNT).all(is_running) && Instant::now() < deadline {
+        sleep(POLL).await;
+    }
+}
+
 /// Starts the streams at the first entry, runs `break_off` while all of them have received events,
 /// and returns the calls that resume those which broke off.
 async fn broken_off_streams(
@@ -89,7 +103,9 @@
             caller.resumed_call(&call, outcome)
         }));
     }
-    sleep(Duration::from_millis(1_200)).await;
+    wait_until_all_run(&fleet).await;
+    // By now each stream has an event, and not even the shortest has ended.
+    sleep(Duration::from_millis(1_000)).await;
     break_off(&mut fleet);
     let mut resumed_calls = Vec::new();
     for task in tasks {
