fix(wire): receive what arrived before a reset although sending fails

Cause: a link ended as soon as a write failed. A peer that closes while requests cross resets the connection; what it had sent before, such as the end of its streams, lay unread and was dropped.

What callers saw: streams of an agent that exits ended early or were resumed, a retry each.

Change: if sending fails, the link reads on until the connection ends.

Evidence: messages_before_a_reset_are_received_although_sending_fails failed before (none of 50 messages received) and passes after.

Conclusion: a real fault of the link, found by the hypothesis and reproduced in a test of the link alone.

--- a/crates/magnoliasail-wire/src/link.rs
+++ b/crates/magnoliasail-wire/src/link.rs
@@ -46,7 +46,8 @@
 
     /// Sends queued messages and calls `on_message` with each received one until the link closes.
     ///
-    /// No further frame is read while `on_message` runs.
+    /// No further frame is read while `on_message` runs. If sending fails, what the peer sent before
+    /// it closed the connection is still received.
     ///
     /// # Errors
     ///
@@ -58,10 +59,19 @@
         F: AsyncFnMut(I),
     {
         let (reader, writer) = self.stream.into_split();
-        tokio::select! {
-            result = read_frames(reader, self.settings, on_message) => result,
-            result = write_frames(writer, self.settings, self.outbox) => result,
+        let reading = read_frames(reader, self.settings, on_message);
+        let writing = write_frames(writer, self.settings, self.outbox);
+        tokio::pin!(reading);
+        let sent = tokio::select! {
+            received = &mut reading => return received,
+            sent = writing => sent,
+        };
+        if sent.is_err() {
+            // A connection that can't be written to any more ends for the reader too, but after the
+            // frames that have arrived.
+            reading.await?;
         }
+        sent
     }
 }
 
