--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -3,20 +3,31 @@
 //! The platform's list drops servers that have left, but an outage of the list itself can also drop
 //! healthy servers. A removal takes effect at once while the list is reliable. A removal soon after
 //! an outage takes effect only if the server is not listed again within a grace period.
+//!
+//! What a server has announced itself outlasts its row, because the same start of a server may be
+//! listed again while it is leaving or has asked for a pause.
 
 use {
-    super::{ServerEntry, ServerHealth, ServerLoad},
+    super::{
+        Announcement, Eligibility, Ineligibility, ServerEntry, ServerHealth, ServerLoad,
+        ServerNotice,
+    },
     crate::TimeMs,
     std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Time for healthy servers to be listed again after an outage of the list.
 const RELIST_GRACE_MS: u64 = 2_000;
+/// Time for which the announcements of a server without a row are kept. A server that is leaving has
+/// exited by then.
+const ANNOUNCEMENT_RETENTION_MS: u64 = 600_000;
 
 /// The backend servers known to an entry, by id.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     servers: BTreeMap<Arc<str>, ServerView>,
+    /// Announcements of servers that have no row any more, by id.
+    unlisted: BTreeMap<Arc<str>, UnlistedServer>,
     /// When the list was last unreliable.
     unreliable_ms: Option<TimeMs>,
 }
@@ -35,10 +46,16 @@
     pub other_load: u32,
     /// Failure share and latency of recent requests.
     pub health: ServerHealth,
-    /// When the removal from the list takes effect.
-    removed_ms: Option<TimeMs>,
-    /// Whether the server itself announced that it is leaving.
-    is_leaving: bool,
+    /// Whether the server may get new work.
+    eligibility: Eligibility,
+}
+
+/// What is kept of a server that has no row any more.
+#[derive(Clone, Copy, Debug)]
+struct UnlistedServer {
+    started_ms: Option<u64>,
+    eligibility: Eligibility,
+    dropped_ms: TimeMs,
 }
 
 impl ServerView {
@@ -48,6 +65,15 @@
         self.in_flight + self.other_load
     }
 
+    /// Checks whether the server may get new work now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if it may not.
+    pub fn check(&self, now_ms: TimeMs) -> Result<(), Ineligibility> {
+        self.eligibility.check(now_ms)
+    }
+
     /// Applies the load that the server reports, less the requests of this entry, which are counted
     /// separately.
     pub fn apply_load(&mut self, load: ServerLoad) {
@@ -58,35 +84,46 @@
 impl Directory {
     /// Inserts or updates a row of the list. A server that takes over the address of an older one
     /// replaces it.
-    pub fn insert(&mut self, entry: ServerEntry) {
-        self.servers.retain(|id, server| {
-            *id == entry.id
-                || server.entry.address != entry.address
-                || is_older(&entry, &server.entry)
+    pub fn insert(&mut self, entry: ServerEntry, now_ms: TimeMs) {
+        self.drop_where(now_ms, |id, server| {
+            *id != entry.id
+                && server.entry.address == entry.address
+                && !is_older(&entry, &server.entry)
         });
         let id = Arc::clone(&entry.id);
-        match self.servers.get_mut(&id) {
+        let is_draining = entry.is_draining;
+        let server = match self.servers.get_mut(&id) {
             Some(server) => {
                 if server.entry.started_ms != entry.started_ms {
                     server.health = ServerHealth::default();
-                    server.is_leaving = false;
+                    server.eligibility = Eligibility::default();
                 }
                 server.entry = entry;
-                server.removed_ms = None;
+                server
             }
             None => {
+                let eligibility = self.announced(&entry);
                 let view = ServerView {
                     name: entry.address.to_string().into(),
                     entry,
                     in_flight: 0,
                     other_load: 0,
                     health: ServerHealth::default(),
-                    removed_ms: None,
-                    is_leaving: false,
+                    eligibility,
                 };
-                self.servers.insert(id, view);
+                self.servers.entry(id).or_insert(view)
             }
-        }
+        };
+        server.eligibility.mark_listed();
+        server.eligibility.set_draining(is_draining);
+    }
+
+    /// Takes what the same start of a server has announced before it lost its row.
+    fn announced(&mut self, entry: &ServerEntry) -> Eligibility {
+        self.unlisted
+            .remove(&entry.id)
+            .filter(|server| server.started_ms == entry.started_ms)
+            .map_or_else(Eligibility::default, |server| server.eligibility)
     }
 
     /// Records that the list no longer contains a server. The removal is delayed if the list was
@@ -99,7 +136,7 @@
             _ => now_ms,
         };
         if let Some(server) = self.servers.get_mut(id) {
-            server.removed_ms.get_or_insert(effective_ms);
+            server.eligibility.mark_removed(effective_ms);
         }
     }
 
@@ -108,11 +145,20 @@
         self.unreliable_ms = Some(now_ms);
     }
 
-    /// Records that a server itself announced that it is leaving.
-    pub fn mark_leaving(&mut self, id: &str) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.is_leaving = true;
+    /// Applies what a server said in its response to a request that was sent to the start
+    /// `started_ms` of it; returns what is new. A later start is not bound by it.
+    pub fn apply_notice(
+        &mut self,
+        id: &str,
+        started_ms: Option<u64>,
+        notice: ServerNotice,
+        now_ms: TimeMs,
+    ) -> Option<Announcement> {
+        let server = self.servers.get_mut(id)?;
+        if server.entry.started_ms != started_ms {
+            return None;
         }
+        server.eligibility.apply(notice, now_ms)
     }
 
     /// Returns a server by its id, for updates.
@@ -126,21 +172,37 @@
         self.servers.get(id)
     }
 
-    /// Returns the servers of a service that may get new requests: those that are listed and
-    /// neither draining nor leaving.
+    /// Returns the servers of a service that may get new requests now.
     pub fn usable<'a>(
         &'a self,
         service: &'a str,
         now_ms: TimeMs,
     ) -> impl Iterator<Item = &'a ServerView> + 'a {
-        self.servers.values().filter(move |server| {
-            &*server.entry.service == service
-                && !server.entry.is_draining
-                && !server.is_leaving
-                && server
-                    .removed_ms
-                    .is_none_or(|removed_ms| removed_ms > now_ms)
-        })
+        self.of_service(service)
+            .filter(move |server| server.check(now_ms).is_ok())
+    }
+
+    /// Returns the time until the first of a service's paused servers may get new requests again, in
+    /// milliseconds; `None` if a server may get them already, or none is paused.
+    #[must_use]
+    pub fn pause_left_ms(&self, service: &str, now_ms: TimeMs) -> Option<u64> {
+        let mut soonest_ms: Option<u64> = None;
+        for server in self.of_service(service) {
+            match server.check(now_ms) {
+                Ok(()) => return None,
+                Err(Ineligibility::Paused { left_ms }) => {
+                    soonest_ms = Some(soonest_ms.map_or(left_ms, |soonest| soonest.min(left_ms)));
+                }
+                Err(_) => {}
+            }
+        }
+        soonest_ms
+    }
+
+    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerView> + 'a {
+        self.servers
+            .values()
+            .filter(move |server| &*server.entry.service == service)
     }
 
     /// Returns all known servers, including leaving ones.
@@ -151,11 +213,30 @@
     /// Drops servers whose removal has taken effect and that have no requests of this entry in
     /// flight.
     pub fn prune(&mut self, now_ms: TimeMs) {
-        self.servers.retain(|_, server| {
-            server.in_flight > 0
-                || server
-                    .removed_ms
-                    .is_none_or(|removed_ms| removed_ms > now_ms)
+        self.drop_where(now_ms, |_, server| {
+            server.in_flight == 0 && server.eligibility.is_removed(now_ms)
+        });
+        self.unlisted
+            .retain(|_, server| now_ms < server.dropped_ms + ANNOUNCEMENT_RETENTION_MS);
+    }
+
+    /// Drops the servers for which `is_dropped` returns `true`, and keeps what they have announced.
+    fn drop_where<F>(&mut self, now_ms: TimeMs, is_dropped: F)
+    where
+        F: Fn(&Arc<str>, &ServerView) -> bool,
+    {
+        let unlisted = &mut self.unlisted;
+        self.servers.retain(|id, server| {
+            let is_kept = !is_dropped(id, server);
+            if !is_kept && server.eligibility.has_announcement(now_ms) {
+                let server = UnlistedServer {
+                    started_ms: server.entry.started_ms,
+                    eligibility: server.eligibility,
+                    dropped_ms: now_ms,
+                };
+                unlisted.insert(Arc::clone(id), server);
+            }
+            is_kept
         });
     }
 
--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -50,4 +50,8 @@
     WrongServer = 7,
     /// No adapter slot became free in time for the request's adapter.
     NoSlot = 8,
+    /// The engine has said that it is leaving.
+    Leaving = 9,
+    /// The engine has asked for a pause that ends too late for the request.
+    Paused = 10,
 }
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -10,9 +10,9 @@
 
 use {
     super::{
-        AdapterSlots, EngineAction, EngineLimits, EngineRefusal, EngineReport, EngineRequest,
-        Order, OrderKind, OrderOutcome, SchedulerSettings, SlotState, VersionedAdapter,
-        adapter_key,
+        AdapterSlots, Announcement, Eligibility, EngineAction, EngineLimits, EngineRefusal,
+        EngineReport, EngineRequest, Ineligibility, Order, OrderKind, OrderOutcome,
+        SchedulerSettings, ServerNotice, SlotState, VersionedAdapter, adapter_key,
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
@@ -45,8 +45,8 @@
     orders: OrderTracker,
     started_ms: Option<u64>,
     restarts: u64,
-    is_draining: bool,
-    is_down: bool,
+    /// Whether this start of the engine may get new work.
+    eligibility: Eligibility,
 }
 
 impl EngineScheduler {
@@ -65,8 +65,7 @@
             orders: OrderTracker::default(),
             started_ms: None,
             restarts: 0,
-            is_draining: false,
-            is_down: false,
+            eligibility: Eligibility::default(),
         }
     }
 
@@ -93,17 +92,47 @@
         self.queue.waiting()
     }
 
-    /// Returns whether new requests are accepted.
+    /// Returns whether new requests can start.
     #[must_use]
-    pub fn is_serving(&self) -> bool {
-        !self.is_draining && !self.is_down && !self.models.is_empty()
+    pub fn is_serving(&self, now_ms: TimeMs) -> bool {
+        self.eligibility.check(now_ms).is_ok() && !self.models.is_empty()
     }
 
-    /// Returns the expected time until the base model is loaded, in milliseconds, or `None` if no
-    /// load is in progress.
+    /// Returns whether the engine gets no new work until it starts anew, because it is draining or
+    /// has said that it is leaving.
+    #[must_use]
+    pub const fn is_ending(&self) -> bool {
+        self.eligibility.is_ending()
+    }
+
+    /// Returns the time left until the end of the pause that the engine asked for, in milliseconds; 0
+    /// if there is none.
+    #[must_use]
+    pub const fn pause_left_ms(&self, now_ms: TimeMs) -> u64 {
+        self.eligibility.pause_left_ms(now_ms)
+    }
+
+    /// Returns the start time of the engine that its last report gave.
+    #[must_use]
+    pub const fn started_ms(&self) -> Option<u64> {
+        self.started_ms
+    }
+
+    /// Returns the expected time until new requests can start, in milliseconds: until the base model
+    /// is loaded and the pause that the engine asked for has ended. Returns `None` if nothing is
+    /// known to make them start.
     #[must_use]
     pub fn ready_in_ms(&self, now_ms: TimeMs) -> Option<u64> {
-        self.models.ready_in_ms(now_ms)
+        let pause_left_ms = match self.eligibility.check(now_ms) {
+            Ok(()) => 0,
+            Err(Ineligibility::Paused { left_ms }) => left_ms,
+            Err(Ineligibility::Unreachable) => return self.models.ready_in_ms(now_ms),
+            Err(_) => return None,
+        };
+        match self.models.ready_in_ms(now_ms) {
+            Some(model_ms) => Some(model_ms.max(pause_left_ms)),
+            None => (pause_left_ms > 0 && !self.models.is_empty()).then_some(pause_left_ms),
+        }
     }
 
     /// Returns the number of adapter slots that are free or whose adapter is not in use.
@@ -256,22 +285,41 @@
         now_ms: TimeMs,
         actions: &mut Vec<EngineAction>,
     ) {
-        self.is_down = false;
-        self.is_draining = report.is_draining;
         if self.started_ms != report.started_ms {
             self.reset_after_restart();
             self.started_ms = report.started_ms;
         }
+        self.eligibility.set_unreachable(false);
+        self.eligibility.set_draining(report.is_draining);
         if self.orders.is_current(ticket) {
             self.apply_current_report(report, now_ms);
         }
         self.advance(now_ms, actions);
     }
 
+    /// Applies what the engine said in a response to a request that was sent to the start
+    /// `started_ms` of it; returns what is new. A later start is not bound by it.
+    pub fn apply_notice(
+        &mut self,
+        notice: ServerNotice,
+        started_ms: Option<u64>,
+        now_ms: TimeMs,
+        actions: &mut Vec<EngineAction>,
+    ) -> Option<Announcement> {
+        if self.started_ms != started_ms {
+            return None;
+        }
+        let announcement = self.eligibility.apply(notice, now_ms);
+        if announcement.is_some() {
+            self.advance(now_ms, actions);
+        }
+        announcement
+    }
+
     /// Records that the engine cannot be reached. Waiting requests are refused; running ones go on,
     /// since their connections may be sound.
     pub fn mark_unreachable(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
-        self.is_down = true;
+        self.eligibility.set_unreachable(true);
         self.orders.clear_sequence();
         self.advance(now_ms, actions);
     }
@@ -298,13 +346,15 @@
         self.advance(now_ms, actions);
     }
 
-    /// Refuses waiting requests that cannot finish in time, starts those that can start, and orders
-    /// the next load.
+    /// Refuses waiting requests that cannot finish in time, and starts those that can start and
+    /// orders the next load if the engine may get new work.
     pub fn advance(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         self.refuse_waiting(now_ms, actions);
+        if self.eligibility.check(now_ms).is_err() {
+            return;
+        }
         self.start(now_ms, actions);
         if self.orders.is_ready()
-            && !self.is_down
             && let Some(order) = self.next_order(now_ms)
         {
             actions.push(EngineAction::Order(order));
@@ -317,11 +367,13 @@
         /// Retry delay if it is unknown when the engine will be ready.
         const UNKNOWN_READY_RETRY_MS: u64 = 1_000;
         let ready_in_ms = self.ready_in_ms(now_ms);
-        if self.is_draining {
-            return Some((EngineRefusal::Draining, 0));
-        }
-        if self.is_down {
-            return Some((EngineRefusal::EngineDown, UNKNOWN_READY_RETRY_MS));
+        let eligibility = self.eligibility.check(now_ms);
+        if let Some(reason) = refusal_reason(eligibility, request, now_ms) {
+            let retry_after_ms = match reason {
+                EngineRefusal::EngineDown => UNKNOWN_READY_RETRY_MS,
+                _ => self.eligibility.pause_left_ms(now_ms),
+            };
+            return Some((reason, retry_after_ms));
         }
         if !self.may_serve(&request.model) {
             let ready_in_ms = ready_in_ms.unwrap_or(UNKNOWN_READY_RETRY_MS);
@@ -387,12 +439,13 @@
         }
     }
 
-    /// Refuses waiting requests: all of them if the engine is down or draining, otherwise those
-    /// that can no longer be served in time.
+    /// Refuses waiting requests: all of them if the engine is down, draining or leaving, otherwise
+    /// those that can no longer be served in time or that a pause would make late.
     fn refuse_waiting(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         /// Minimum time before the deadline in which an answer could still be of use.
         const MIN_RUN_MS: u64 = 30;
-        let (is_down, is_draining) = (self.is_down, self.is_draining);
+        let eligibility = self.eligibility.check(now_ms);
+        let pause_left_ms = self.eligibility.pause_left_ms(now_ms);
         let adapters = &self.adapters;
         let ready_ms = self.models.ready_ms();
         let rejected = self.queue.reject_where(|request| {
@@ -405,20 +458,19 @@
                 .is_none_or(|adapter| adapters.state(adapter).is_some());
             let since_ms = request.arrived_ms.max(ready_ms);
             let is_slot_overdue = !has_slot && now_ms > since_ms + max_wait_ms;
-            match (is_down, is_draining, is_expired, is_slot_overdue) {
-                (true, _, _, _) => Some(EngineRefusal::EngineDown),
-                (_, true, _, _) => Some(EngineRefusal::Draining),
-                (_, _, true, _) => Some(EngineRefusal::Expired),
-                (_, _, _, true) => Some(EngineRefusal::NoSlot),
-                _ => None,
-            }
+            refusal_reason(eligibility, request, now_ms)
+                .or_else(|| is_expired.then_some(EngineRefusal::Expired))
+                .or_else(|| is_slot_overdue.then_some(EngineRefusal::NoSlot))
         });
         let refusals = rejected
             .into_iter()
             .map(|(key, reason)| EngineAction::Refuse {
                 key,
                 reason,
-                retry_after_ms: 0,
+                retry_after_ms: match reason {
+                    EngineRefusal::Paused => pause_left_ms,
+                    _ => 0,
+                },
             });
         actions.extend(refusals);
     }
@@ -512,9 +564,6 @@
 
     /// Issues the order to load a base model into an empty engine.
     fn order_model(&mut self, now_ms: TimeMs) -> Option<Order> {
-        if self.is_draining {
-            return None;
-        }
         let (choice, gap_ms) = (self.settings.engine_seed, self.settings.model_load_gap_ms);
         let model = self
             .models
@@ -568,6 +617,7 @@
     /// Resets the engine's state after a restart, which loses all models and adapters.
     fn reset_after_restart(&mut self) {
         self.restarts += 1;
+        self.eligibility = Eligibility::default();
         self.adapters.clear();
         self.copies = HostCopies::default();
         self.models.clear();
@@ -576,6 +626,24 @@
     }
 }
 
+/// Returns the reason to refuse a request that arrives or waits while the engine may get no new work.
+///
+/// A request may wait for the end of a pause if it can still start within its objective.
+fn refusal_reason(
+    eligibility: Result<(), Ineligibility>,
+    request: &EngineRequest,
+    now_ms: TimeMs,
+) -> Option<EngineRefusal> {
+    match eligibility.err()? {
+        Ineligibility::Unreachable | Ineligibility::Removed => Some(EngineRefusal::EngineDown),
+        Ineligibility::Draining => Some(EngineRefusal::Draining),
+        Ineligibility::Leaving => Some(EngineRefusal::Leaving),
+        Ineligibility::Paused { left_ms } => {
+            (now_ms + left_ms > request.objective_ms).then_some(EngineRefusal::Paused)
+        }
+    }
+}
+
 /// Returns the adapters that the engine is loading, by full name.
 fn loading_adapters(report: &EngineReport) -> HashMap<Arc<str>, VersionedAdapter> {
     report
--- a/crates/magnoliasail-core/src/gateway/engine_watch.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_watch.rs
@@ -10,6 +10,8 @@
     Unanswered,
     /// The agent could not send the request, which says nothing about the engine.
     NotSent,
+    /// The engine refused the request and asked for a pause, so it is up.
+    Paused,
 }
 
 /// Counts unanswered report requests to detect that an engine is down.
@@ -29,7 +31,7 @@
     /// Records a missing report; returns `true` once, when the engine starts to count as down.
     pub const fn record_missing(&mut self, report: MissingReport) -> bool {
         match report {
-            MissingReport::NotSent => false,
+            MissingReport::NotSent | MissingReport::Paused => false,
             MissingReport::Unanswered => {
                 self.unanswered = self.unanswered.saturating_add(1);
                 self.unanswered == MAX_UNANSWERED
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -186,6 +186,10 @@
     /// The average time between two places in a full batch becoming free, in microseconds.
     #[prost(uint32, tag = "14")]
     pub batch_turnover_us: u32,
+    /// Whether the engine accepts no requests until it starts anew, because it or its agent is
+    /// draining or leaving.
+    #[prost(bool, tag = "15")]
+    pub is_ending: bool,
 }
 
 impl EngineState {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The gateway runs on a platform that publishes the configuration and a list of backend servers.
 //! An entry matches a caller's request to a route ([`RouteTable`]), picks a backend server
-//! ([`Placement`]) from the listed ones ([`Directory`]) and decides whether a request may be
-//! retried ([`RetryWindow`]). An agent decides for its local model engine which request starts,
+//! ([`Placement`]) from the listed ones ([`Directory`]) that may get new work ([`Eligibility`]), and
+//! decides whether a request may be retried ([`RetryWindow`]). An agent decides for its local model engine which request starts,
 //! which adapter is loaded and which request is refused ([`EngineScheduler`]).
 //!
 //! Nothing here reads a clock or a socket. The names of the platform's headers, store keys and JSON
@@ -16,6 +16,7 @@
 mod base_models;
 mod configuration;
 mod directory;
+mod eligibility;
 mod engine_action;
 mod engine_queue;
 mod engine_report;
@@ -38,6 +39,7 @@
 mod scheduler_settings;
 mod server_entry;
 mod server_health;
+mod server_notice;
 mod unreported;
 
 pub use self::{
@@ -48,6 +50,7 @@
         Split,
     },
     directory::{Directory, ServerView},
+    eligibility::{Eligibility, Ineligibility},
     engine_action::EngineAction,
     engine_report::{EngineReport, LoadedModel, VersionedAdapter},
     engine_request::{EngineRefusal, EngineRequest},
@@ -64,5 +67,6 @@
     scheduler_settings::SchedulerSettings,
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
+    server_notice::{Announcement, PauseSource, RequestedPause, ServerNotice},
     unreported::UnreportedWork,
 };
--- a/crates/magnoliasail-core/tests/gateway/directory.rs
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -1,6 +1,8 @@
 //! Usable servers while the platform's list is reliable, outdated or unavailable.
 
-use magnoliasail_core::gateway::{Directory, ServerEntry, ServerLoad};
+use magnoliasail_core::gateway::{
+    Announcement, Directory, RequestedPause, ServerEntry, ServerLoad, ServerNotice,
+};
 
 fn entry(id: &str, port: u16) -> ServerEntry {
     ServerEntry {
@@ -15,6 +17,18 @@
     }
 }
 
+const LEAVING: ServerNotice = ServerNotice {
+    is_leaving: true,
+    pause: None,
+};
+
+fn pause(seconds: f64) -> ServerNotice {
+    ServerNotice {
+        is_leaving: false,
+        pause: Some(RequestedPause::from_seconds(Some(seconds))),
+    }
+}
+
 fn usable(directory: &Directory, now_ms: u64) -> Vec<String> {
     directory
         .usable("s", now_ms)
@@ -26,55 +40,65 @@
 fn a_server_that_drains_leaves_or_is_removed_gets_no_new_requests() {
     let mut directory = Directory::default();
     for (id, port) in [("draining", 1), ("removed", 2), ("leaving", 3), ("live", 4)] {
-        directory.insert(entry(id, port));
+        directory.insert(entry(id, port), 0);
     }
-    directory.insert(ServerEntry {
-        is_draining: true,
-        ..entry("draining", 1)
-    });
+    directory.insert(
+        ServerEntry {
+            is_draining: true,
+            ..entry("draining", 1)
+        },
+        0,
+    );
     directory.remove("removed", 10_000);
-    directory.mark_leaving("leaving");
+    let announcement = directory.apply_notice("leaving", Some(1_000), LEAVING, 10_000);
+    assert_eq!(announcement, Some(Announcement::Leaving));
     assert_eq!(usable(&directory, 10_000), ["live"]);
 }
 
 #[test]
 fn servers_removed_after_an_outage_have_two_seconds_to_be_listed_again() {
     let mut directory = Directory::default();
-    directory.insert(entry("back", 1));
-    directory.insert(entry("gone", 2));
+    directory.insert(entry("back", 1), 0);
+    directory.insert(entry("gone", 2), 0);
     directory.mark_list_unreliable(50_000);
     directory.remove("back", 50_100);
     directory.remove("gone", 50_100);
     assert_eq!(usable(&directory, 51_000), ["back", "gone"]);
-    directory.insert(entry("back", 1));
+    directory.insert(entry("back", 1), 0);
     assert_eq!(usable(&directory, 52_000), ["back"]);
 }
 
 #[test]
 fn a_newer_server_replaces_an_older_one_at_the_same_address() {
     let mut directory = Directory::default();
-    directory.insert(entry("old", 1));
-    directory.insert(ServerEntry {
-        started_ms: Some(2_000),
-        ..entry("new", 1)
-    });
+    directory.insert(entry("old", 1), 0);
+    directory.insert(
+        ServerEntry {
+            started_ms: Some(2_000),
+            ..entry("new", 1)
+        },
+        0,
+    );
     assert_eq!(usable(&directory, 0), ["new"]);
 }
 
 #[test]
 fn a_restart_under_the_same_id_resets_health_and_leaving() {
     let mut directory = Directory::default();
-    directory.insert(entry("a", 1));
+    directory.insert(entry("a", 1), 0);
     directory
         .get_mut("a")
         .expect("known")
         .health
         .record_failure(1_000);
-    directory.mark_leaving("a");
-    directory.insert(ServerEntry {
-        started_ms: Some(9_000),
-        ..entry("a", 1)
-    });
+    directory.apply_notice("a", Some(1_000), LEAVING, 1_000);
+    directory.insert(
+        ServerEntry {
+            started_ms: Some(9_000),
+            ..entry("a", 1)
+        },
+        0,
+    );
     let server = directory.usable("s", 1_000).next().expect("usable again");
     assert!(server.health.failure_share(1_000).abs() < f64::EPSILON);
 }
@@ -82,7 +106,7 @@
 #[test]
 fn the_reported_load_does_not_count_own_requests_twice() {
     let mut directory = Directory::default();
-    directory.insert(entry("a", 1));
+    directory.insert(entry("a", 1), 0);
     let server = directory.get_mut("a").expect("known");
     server.in_flight = 3;
     server.apply_load(ServerLoad {
@@ -96,7 +120,7 @@
 #[test]
 fn a_removed_server_is_dropped_after_its_last_request_has_ended() {
     let mut directory = Directory::default();
-    directory.insert(entry("a", 1));
+    directory.insert(entry("a", 1), 0);
     directory.get_mut("a").expect("known").in_flight = 1;
     directory.remove("a", 1_000);
     directory.prune(2_000);
@@ -105,3 +129,79 @@
     directory.prune(2_000);
     assert!(directory.is_empty());
 }
+
+#[test]
+fn what_an_earlier_start_of_a_server_announced_does_not_bind_a_later_one() {
+    let mut directory = Directory::default();
+    directory.insert(
+        ServerEntry {
+            started_ms: Some(2_000),
+            ..entry("a", 1)
+        },
+        0,
+    );
+    assert_eq!(directory.apply_notice("a", Some(1_000), LEAVING, 10), None);
+    assert_eq!(
+        directory.apply_notice("a", Some(1_000), pause(5.0), 10),
+        None
+    );
+    assert_eq!(usable(&directory, 20), ["a"]);
+}
+
+/// A server whose row lapses while the store is away may be listed again, still as ready.
+#[test]
+fn a_leaving_server_that_is_listed_again_gets_no_requests() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1), 0);
+    directory.apply_notice("a", Some(1_000), LEAVING, 10);
+    directory.remove("a", 20);
+    directory.prune(30);
+    assert!(directory.is_empty());
+    directory.insert(entry("a", 1), 40);
+    assert!(usable(&directory, 50).is_empty());
+    directory.remove("a", 60);
+    directory.prune(70);
+    directory.insert(
+        ServerEntry {
+            started_ms: Some(9_000),
+            ..entry("a", 1)
+        },
+        80,
+    );
+    assert_eq!(usable(&directory, 90), ["a"]);
+}
+
+#[test]
+fn a_paused_server_is_usable_again_at_the_end_of_its_longest_pause() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1), 0);
+    let announcement = directory.apply_notice("a", Some(1_000), pause(3.0), 1_000);
+    assert_eq!(announcement, Some(Announcement::Pause { left_ms: 3_000 }));
+    // A response that was overtaken does not shorten the pause.
+    directory.apply_notice("a", Some(1_000), pause(1.0), 1_500);
+    assert!(usable(&directory, 3_999).is_empty());
+    assert_eq!(directory.pause_left_ms("s", 3_500), Some(500));
+    assert_eq!(usable(&directory, 4_000), ["a"]);
+    assert_eq!(directory.pause_left_ms("s", 4_000), None);
+}
+
+#[test]
+fn the_time_left_is_that_of_the_first_pause_to_end_unless_a_server_is_usable() {
+    let mut directory = Directory::default();
+    for (id, port, seconds) in [("a", 1, 4.0), ("b", 2, 2.0)] {
+        directory.insert(entry(id, port), 0);
+        directory.apply_notice(id, Some(1_000), pause(seconds), 0);
+    }
+    assert_eq!(directory.pause_left_ms("s", 500), Some(1_500));
+    directory.insert(entry("c", 3), 0);
+    assert_eq!(directory.pause_left_ms("s", 500), None);
+}
+
+#[test]
+fn a_pause_does_not_count_as_a_failure() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1), 0);
+    directory.apply_notice("a", Some(1_000), pause(1.0), 0);
+    let health = directory.get("a").expect("known").health;
+    assert!(health.failure_share(0).abs() < f64::EPSILON);
+}
--- a/crates/magnoliasail-core/tests/gateway/engine_watch.rs
+++ b/crates/magnoliasail-core/tests/gateway/engine_watch.rs
@@ -26,6 +26,15 @@
     assert!(watch.record_missing(MissingReport::Unanswered));
 }
 
+#[test]
+fn an_engine_that_asks_for_a_pause_instead_of_reporting_is_not_down() {
+    let mut watch = EngineWatch::default();
+    for _ in 0..10 {
+        assert!(!watch.record_missing(MissingReport::Paused));
+    }
+    assert!(!watch.record_report());
+}
+
 #[test]
 fn a_report_resets_the_count_of_unanswered_requests() {
     let mut watch = EngineWatch::default();
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions under load and faults.
 
 mod directory;
+mod eligibility;
 mod engine_watch;
 mod expected_wait;
 mod fake_engine;
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -5,7 +5,7 @@
     arbtest::arbtest,
     magnoliasail_core::gateway::{
         AdapterVersion, EngineAction, EngineRefusal, EngineRequest, EngineScheduler, OrderKind,
-        OrderOutcome, SchedulerSettings, adapter_key,
+        OrderOutcome, RequestedPause, SchedulerSettings, ServerNotice, adapter_key,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -340,7 +340,7 @@
     harness.report();
     assert_eq!(harness.orders.last(), Some(&(OrderKind::Load, None)));
     harness.report();
-    assert!(harness.scheduler.is_serving());
+    assert!(harness.scheduler.is_serving(harness.now_ms));
 }
 
 #[test]
@@ -591,3 +591,177 @@
         Ok(())
     });
 }
+
+const LEAVING: ServerNotice = ServerNotice {
+    is_leaving: true,
+    pause: None,
+};
+
+fn pause(seconds: f64) -> ServerNotice {
+    ServerNotice {
+        is_leaving: false,
+        pause: Some(RequestedPause::from_seconds(Some(seconds))),
+    }
+}
+
+impl Harness {
+    fn hear(&mut self, notice: ServerNotice) {
+        let started_ms = self.scheduler.started_ms();
+        self.step(|scheduler, now_ms, actions| {
+            scheduler.apply_notice(notice, started_ms, now_ms, actions);
+        });
+    }
+
+    fn advance_to(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+        self.step(|scheduler, now_ms, actions| scheduler.advance(now_ms, actions));
+    }
+}
+
+#[test]
+fn an_engine_that_says_it_leaves_gets_no_requests_or_orders_until_it_starts_anew() {
+    let mut harness = Harness::new();
+    let running = harness.submit("a", 1);
+    harness.complete_loads();
+    let waiting = harness.submit("b", 1);
+    let orders = harness.orders.len();
+    harness.scheduler.announce(
+        &AdapterVersion {
+            model: MODEL.into(),
+            adapter: "a".into(),
+            version: 7,
+        },
+        harness.now_ms,
+    );
+    harness.hear(LEAVING);
+    let later = harness.submit("a", 1);
+    harness.advance_to(harness.now_ms + 5_000);
+    harness.complete_loads();
+    assert_eq!(harness.started, [running]);
+    assert_eq!(
+        harness.refused,
+        [
+            (waiting, EngineRefusal::Leaving, 0),
+            (later, EngineRefusal::Leaving, 0)
+        ]
+    );
+    assert_eq!(harness.orders.len(), orders);
+    assert!(!harness.scheduler.is_serving(harness.now_ms));
+    assert!(harness.scheduler.is_ending());
+    assert_eq!(harness.scheduler.ready_in_ms(harness.now_ms), None);
+    harness.finish(running);
+    harness.engine.restart();
+    harness.report();
+    harness.report();
+    let after = harness.submit("a", 1);
+    harness.complete_loads();
+    assert!(harness.started.contains(&after));
+}
+
+#[test]
+fn a_paused_engine_gets_nothing_until_the_end_and_requests_wait_only_within_their_objective() {
+    let mut harness = Harness::new();
+    let running = harness.submit("a", 1);
+    harness.complete_loads();
+    let orders = harness.orders.len();
+    let start_ms = harness.now_ms;
+    harness.hear(pause(0.3));
+    let in_time = harness.submit("a", 1);
+    let needs_load = harness.submit("b", 1);
+    harness.advance_to(start_ms + 299);
+    assert_eq!(harness.started, [running]);
+    assert_eq!(harness.orders.len(), orders);
+    assert!(harness.refused.is_empty());
+    assert_eq!(harness.scheduler.ready_in_ms(harness.now_ms), Some(1));
+    harness.advance_to(start_ms + 300);
+    assert_eq!(harness.started, [running, in_time]);
+    assert_eq!(harness.orders.len(), orders + 1);
+    harness.complete_loads();
+    assert_eq!(harness.started, [running, in_time, needs_load]);
+}
+
+#[test]
+fn requests_that_a_pause_makes_late_are_refused_with_the_time_left() {
+    let mut harness = Harness::new();
+    harness.submit("a", 1);
+    harness.complete_loads();
+    let waiting = harness.submit("b", 1);
+    harness.hear(pause(4.0));
+    harness.advance_to(harness.now_ms + 1_000);
+    let later = harness.submit("a", 1);
+    assert_eq!(
+        harness.refused,
+        [
+            (waiting, EngineRefusal::Paused, 4_000),
+            (later, EngineRefusal::Paused, 3_000)
+        ]
+    );
+}
+
+#[test]
+fn what_an_earlier_start_of_an_engine_said_does_not_bind_a_later_one() {
+    let mut harness = Harness::new();
+    let earlier_ms = harness.scheduler.started_ms();
+    harness.engine.restart();
+    harness.report();
+    for notice in [LEAVING, pause(9.0)] {
+        harness.step(|scheduler, now_ms, actions| {
+            scheduler.apply_notice(notice, earlier_ms, now_ms, actions);
+        });
+    }
+    harness.report();
+    let request = harness.submit("a", 1);
+    harness.complete_loads();
+    assert!(harness.started.contains(&request));
+}
+
+/// Pauses, leaving and restarts in any order beside requests.
+#[test]
+fn an_engine_gets_nothing_that_it_has_asked_not_to_get() {
+    arbtest(|u| {
+        let mut harness = Harness::new();
+        let (mut is_leaving, mut paused_until_ms) = (false, 0);
+        while !u.is_empty() {
+            harness.now_ms += u.int_in_range(0..=800_u64)?;
+            let now_ms = harness.now_ms;
+            let sent_before = harness.started.len() + harness.orders.len();
+            let is_shut = is_leaving || paused_until_ms > now_ms;
+            match u.int_in_range(0..=6_u8)? {
+                0 => {
+                    harness.hear(LEAVING);
+                    is_leaving = true;
+                }
+                1 => {
+                    let seconds = u.int_in_range(1..=30_u64)? as f64 / 10.0;
+                    harness.hear(pause(seconds));
+                    paused_until_ms = paused_until_ms.max(now_ms + (seconds * 1_000.0) as u64);
+                }
+                2 => {
+                    harness.engine.restart();
+                    (is_leaving, paused_until_ms) = (false, 0);
+                    harness.report();
+                    continue;
+                }
+                3 => {
+                    let adapter = u.choose(&["a", "b", "c", "d", "e", "f"])?;
+                    harness.submit(adapter, 1);
+                }
+                4 => {
+                    if let Some(&key) = harness.running.keys().next() {
+                        harness.finish(key);
+                    }
+                }
+                5 => harness.complete_loads(),
+                _ => harness.advance_to(now_ms),
+            }
+            let sent = harness.started.len() + harness.orders.len() - sent_before;
+            assert!(!is_shut || sent == 0, "{sent} sent at {now_ms} ms");
+            let is_ready = !harness.engine.report().models.is_empty();
+            if !is_leaving && paused_until_ms <= now_ms && is_ready {
+                harness.report();
+                assert!(harness.scheduler.is_serving(now_ms), "shut at {now_ms} ms");
+            }
+        }
+        Ok(())
+    });
+}
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -163,11 +163,13 @@
 
     /// Sends a signal to a process. `name` is the signal's name for `kill`, such as `TERM`.
     pub fn signal(&self, process: usize, name: &str) {
+        self.forget_statements();
         self.processes[process].signal(name);
     }
 
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, process: usize) {
+        self.forget_statements();
         self.processes[process].kill();
     }
 
@@ -178,9 +180,18 @@
     /// Returns an error if the process cannot be started.
     pub fn restart(&mut self, process: usize) -> io::Result<()> {
         self.processes[process].kill();
+        self.forget_statements();
         self.processes[process].start()
     }
 
+    /// Makes the servers forget what they have told VMs, since a process that was restarted has
+    /// forgotten it too, and one that was paused may act late.
+    fn forget_statements(&self) {
+        for server in &self.servers {
+            server.forget_statements();
+        }
+    }
+
     /// Publishes the next version of the configuration, with one route to the plain service for
     /// each of `added_prefixes`.
     pub fn publish_configuration(&mut self, added_prefixes: &[&str]) {
@@ -247,6 +258,7 @@
             let seed = self.settings.seed * 1_000 + u64::from(index);
             let address = SocketAddr::new(self.server_ip(index), SERVICE_PORT);
             let server = BackendServer::new(kind, address, seed, self.ledger.clone());
+            server.set_single_vm(is_engine || self.settings.entries == 1);
             server.start().await?;
             if is_engine {
                 // Entries reach the agent through a proxy, at the address that the store lists.
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -1,9 +1,11 @@
 //! A stand-in for a backend server: a model engine or a plain server, with fault injection.
 //!
 //! A server records each run in the [`Ledger`], as well as the violations that only a server can
-//! observe: orders from a second agent, too many adapters, and new work long after a drain notice.
+//! observe: orders from a second agent, too many adapters, new work long after a drain notice, and
+//! requests against what the server itself said in its answers.
 
 use {
+    super::statements::{Statements, VmKey},
     crate::ledger::Ledger,
     bytes::Bytes,
     http_body_util::{BodyExt, combinators::BoxBody},
@@ -59,6 +61,10 @@
     pub unanswered_share: f64,
     /// Share of requests that are refused with a `not-run` header, as proof that they have not run.
     pub refused_share: f64,
+    /// Share of requests and orders that are refused with status 503 and `retry-after`.
+    pub paused_share: f64,
+    /// The time in `retry-after`, in milliseconds.
+    pub retry_after_ms: u64,
     /// Delay of every answer of a plain server, in milliseconds.
     pub delay_ms: u64,
     /// Additional time before each event of a stream, in milliseconds.
@@ -80,6 +86,11 @@
     adapters: BTreeMap<String, Instant>,
     faults: ServerFaults,
     draining_since: Option<Instant>,
+    /// Whether every answer says that the server is leaving.
+    is_leaving: bool,
+    statements: Statements,
+    /// Whether requests come from one VM only, so that they count together over all connections.
+    has_single_vm: bool,
     /// Whether the server has stopped accepting connections and new requests.
     is_closed: bool,
     /// The agent that sent the first order to this incarnation, as named in the order.
@@ -87,6 +98,21 @@
     random: SmallRng,
 }
 
+impl State {
+    /// Resets the state to that of the next incarnation.
+    fn reset(&mut self) {
+        self.incarnation += 1;
+        self.has_model = false;
+        self.sequence = 0;
+        self.adapters.clear();
+        self.draining_since = None;
+        self.is_leaving = false;
+        self.statements = Statements::default();
+        self.is_closed = false;
+        self.holder = None;
+    }
+}
+
 /// A stand-in for a backend server. Clones share the same state.
 #[derive(Clone, Debug)]
 pub struct BackendServer {
@@ -113,6 +139,9 @@
             adapters: BTreeMap::new(),
             faults: ServerFaults::default(),
             draining_since: None,
+            is_leaving: false,
+            statements: Statements::default(),
+            has_single_vm: kind == ServerKind::Engine,
             is_closed: false,
             holder: None,
             random: SmallRng::seed_from_u64(seed),
@@ -145,9 +174,24 @@
         Ok(())
     }
 
-    /// Aborts the server and all requests in flight. The next start is a new incarnation, without
-    /// models or adapters.
+    /// Aborts the server and all requests in flight. The next start is a new incarnation with another
+    /// id, without models or adapters.
     pub fn crash(&self) {
+        self.abort_tasks();
+        self.with(|state| {
+            let name = state.id.rsplit_once('-').map_or("i", |(name, _)| name);
+            state.id = format!("{name}-{}", state.incarnation + 1);
+            state.reset();
+        });
+    }
+
+    /// Does the same as [`Self::crash`], but the next incarnation keeps the id.
+    pub fn crash_keeping_id(&self) {
+        self.abort_tasks();
+        self.with(State::reset);
+    }
+
+    fn abort_tasks(&self) {
         for task in self
             .tasks
             .lock()
@@ -156,21 +200,6 @@
         {
             task.abort();
         }
-        self.with(|state| {
-            state.incarnation += 1;
-            let name = state
-                .id
-                .rsplit_once('-')
-                .map_or("i", |(name, _)| name)
-                .to_owned();
-            state.id = format!("{name}-{}", state.incarnation);
-            state.has_model = false;
-            state.sequence = 0;
-            state.adapters.clear();
-            state.draining_since = None;
-            state.is_closed = false;
-            state.holder = None;
-        });
     }
 
     /// Stops accepting connections and new requests, as a server does that is about to exit.
@@ -197,6 +226,24 @@
         self.with(|state| state.draining_since = is_draining.then(Instant::now));
     }
 
+    /// Makes the server say in all its answers that it is leaving. Its entry in the store stays as it
+    /// is.
+    pub fn set_leaving(&self) {
+        self.with(|state| state.is_leaving = true);
+    }
+
+    /// Sets whether all requests come from one VM. The requests of different VMs on this machine have
+    /// the same source address; unless there is only one VM, each connection is checked by itself.
+    pub fn set_single_vm(&self, has_single_vm: bool) {
+        self.with(|state| state.has_single_vm = has_single_vm);
+    }
+
+    /// Forgets what the server has told the VMs that send to it, because one of them was restarted or
+    /// paused.
+    pub fn forget_statements(&self) {
+        self.with(|state| state.statements = Statements::default());
+    }
+
     /// Returns the key and the value of the server's entry in the store, as reachable at `address`.
     #[must_use]
     pub fn store_entry(
@@ -238,7 +285,7 @@
     }
 
     async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
+        while let Ok((stream, peer)) = listener.accept().await {
             let server = self.clone();
             let last_used = Arc::new(Mutex::new(Instant::now()));
             let service = service_fn(move |request| {
@@ -249,7 +296,7 @@
                     if is_idle_expired {
                         return Err(io::ErrorKind::ConnectionReset.into());
                     }
-                    let answer = server.handle(request).await;
+                    let answer = server.handle(request, peer).await;
                     *last_used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
                     answer
                 }
@@ -269,14 +316,59 @@
         idle_timeout_ms > 0 && last_used.elapsed() > Duration::from_millis(idle_timeout_ms)
     }
 
-    async fn handle(self, request: Request<Incoming>) -> Result<Response<Body>, io::Error> {
+    async fn handle(
+        self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Result<Response<Body>, io::Error> {
         if self.with(|state| state.is_closed) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        match request.uri().path() {
+        let vm = self.with(|state| (!state.has_single_vm).then_some(peer));
+        let answer = match request.uri().path() {
             "/report" => Ok(self.report()),
-            "/order" => Ok(self.handle_order(request).await),
-            _ => self.run_request(request).await,
+            "/order" => Ok(self.handle_order(request, vm).await),
+            _ => self.clone().run_request(request, vm).await,
+        };
+        answer.map(|answer| self.add_leaving_header(answer, vm))
+    }
+
+    /// Adds the header of a server that is leaving, and records that the VM was told.
+    fn add_leaving_header(&self, mut answer: Response<Body>, vm: VmKey) -> Response<Body> {
+        self.with(|state| {
+            if state.is_leaving {
+                state.statements.record_leaving(vm);
+                answer.headers_mut().insert("server-leaving", 1.into());
+            }
+        });
+        answer
+    }
+
+    /// Returns a refusal that asks for a pause, for the configured share of requests and orders.
+    fn pause_refusal(&self, vm: VmKey) -> Option<Response<Body>> {
+        let retry_after = self.with(|state| {
+            let is_refused = state.random.random::<f64>() < state.faults.paused_share;
+            let pause = Duration::from_millis(state.faults.retry_after_ms);
+            is_refused.then(|| {
+                state.statements.record_pause(vm, pause);
+                pause
+            })
+        })?;
+        let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
+        let headers = response.headers_mut();
+        headers.insert("not-run", 1.into());
+        if let Ok(seconds) = format!("{}", retry_after.as_secs_f64()).parse() {
+            headers.insert("retry-after", seconds);
+        }
+        Some(response)
+    }
+
+    /// Records a violation if the server has told the VM not to send this request or order.
+    fn check_statements(&self, vm: VmKey, name: &str) {
+        let violation = self.with(|state| state.statements.violation(vm));
+        if let Some(violation) = violation {
+            let detail = format!("{name} reached {}", self.with(|state| state.id.clone()));
+            self.ledger.record_violation(violation, detail);
         }
     }
 
@@ -312,7 +404,11 @@
         text_response(StatusCode::OK, report.to_string())
     }
 
-    async fn handle_order(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle_order(&self, request: Request<Incoming>, vm: VmKey) -> Response<Body> {
+        self.check_statements(vm, "an order");
+        if let Some(refusal) = self.pause_refusal(vm) {
+            return refusal;
+        }
         let Ok(body) = request.into_body().collect().await else {
             return text_response(StatusCode::BAD_REQUEST, String::new());
         };
@@ -358,11 +454,15 @@
         text_response(status, "{}".to_owned())
     }
 
-    async fn run_request(self, request: Request<Incoming>) -> Result<Response<Body>, io::Error> {
+    async fn run_request(
+        self,
+        request: Request<Incoming>,
+        vm: VmKey,
+    ) -> Result<Response<Body>, io::Error> {
         let headers = request.headers().clone();
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let id = text("request-id").unwrap_or_default().to_owned();
-        if let Some(refusal) = self.refusal(&headers) {
+        if let Some(refusal) = self.refusal(&headers, vm) {
             return Ok(refusal);
         }
         self.check_drain(&id);
@@ -404,7 +504,7 @@
     }
 
     /// Returns a refusal if the server cannot run the request. A refused request has not run.
-    fn refusal(&self, headers: &HeaderMap) -> Option<Response<Body>> {
+    fn refusal(&self, headers: &HeaderMap, vm: VmKey) -> Option<Response<Body>> {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let (id, is_refused) = self.with(|state| {
             let draw = state.random.random::<f64>();
@@ -416,6 +516,10 @@
                 String::new(),
             ));
         }
+        self.check_statements(vm, text("request-id").unwrap_or_default());
+        if let Some(refusal) = self.pause_refusal(vm) {
+            return Some(refusal);
+        }
         if is_refused {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
             response.headers_mut().insert("not-run", 1.into());
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform's store and for backend servers, which speak the platform's protocol.
 
 mod backend_server;
+mod statements;
 mod store;
 
 pub use self::{
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -81,6 +81,10 @@
     ServerRemoved = 331,
     /// The registration of a backend server is invalid.
     ServerUnreadable = 332,
+    /// A backend server said in a response that it is leaving.
+    ServerLeaving = 333,
+    /// A backend server refused a request and asked for a pause.
+    ServerPaused = 334,
     /// The operator announced a version of an adapter.
     VersionAnnounced = 340,
     /// An engine started or stopped accepting requests.
@@ -160,6 +164,8 @@
             | Self::ConfigurationAdopted
             | Self::ServerListed
             | Self::ServerRemoved
+            | Self::ServerLeaving
+            | Self::ServerPaused
             | Self::VersionAnnounced
             | Self::EngineState
             | Self::EngineRegained
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -13,7 +13,7 @@
     bytes::Bytes,
     hyper::{Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
-        EngineRefusal, EngineReport, EngineWatch, MissingReport, Order, OrderOutcome,
+        EngineRefusal, EngineReport, EngineWatch, MissingReport, Order, OrderOutcome, ServerNotice,
         message::{Head, Part, ToEntryKind},
     },
     magnoliasail_platform::{
@@ -32,6 +32,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between reports while a load is in progress or the engine's state is unknown.
 const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between reports while the engine refuses them and asks for a pause.
+const PAUSED_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between reports otherwise.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -42,6 +44,8 @@
     Unreachable { source: SendError },
     #[snafu(display("the engine responded to the request for its report with status {status}"))]
     Status { status: StatusCode },
+    #[snafu(display("the engine refused the request for its report and asked for a pause"))]
+    Paused,
     #[snafu(display("{source}"))]
     Malformed { source: DecodeError },
 }
@@ -50,6 +54,7 @@
     const fn missing_report(&self) -> MissingReport {
         match self {
             Self::Unreachable { source } if source.is_pool_exhausted() => MissingReport::NotSent,
+            Self::Paused => MissingReport::Paused,
             _ => MissingReport::Unanswered,
         }
     }
@@ -61,21 +66,26 @@
     let mut watch = EngineWatch::default();
     loop {
         let ticket = state.scheduler.borrow().report_ticket();
+        let mut is_paused = false;
         match request_report(&state).await {
-            Ok(report) => {
+            Ok(ReceivedReport { report, notice }) => {
                 if watch.record_report() {
                     emit(EventId::EngineRegained, "the engine sends reports again");
                 }
                 state.apply_report(&report, ticket);
+                state.apply_notice(report.started_ms, notice);
             }
             Err(error) => {
+                is_paused = matches!(error, ReportError::Paused);
                 if watch.record_missing(error.missing_report()) {
                     emit(EventId::EngineLost, error);
                     state.mark_engine_unreachable();
                 }
             }
         }
-        let poll_interval = if state.scheduler.borrow().has_pending_loads() {
+        let poll_interval = if is_paused {
+            PAUSED_POLL_INTERVAL
+        } else if state.scheduler.borrow().has_pending_loads() {
             LOADING_POLL_INTERVAL
         } else {
             IDLE_POLL_INTERVAL
@@ -96,25 +106,46 @@
     }
 }
 
-async fn request_report(state: &AgentState) -> Result<EngineReport, ReportError> {
+/// A report, with what the engine said in the headers of the response.
+struct ReceivedReport {
+    report: EngineReport,
+    notice: ServerNotice,
+}
+
+/// Requests a report. Reports show whether the engine is alive and has started anew, so they are
+/// requested while it drains, leaves or pauses too.
+async fn request_report(state: &Rc<AgentState>) -> Result<ReceivedReport, ReportError> {
+    let started_ms = state.engine_started_ms();
     let request = report::request(&state.engine_address.to_string());
-    let (status, body) = state
+    let response = state
         .control_pool
         .call(request, REPORT_TIMEOUT)
         .await
         .context(UnreachableSnafu)?;
-    if status != StatusCode::OK {
-        return StatusSnafu { status }.fail();
+    let status = response.status;
+    let notice = headers::server_notice(status, &response.headers);
+    if status == StatusCode::OK {
+        let report = report::decode(&response.body).context(MalformedSnafu)?;
+        return Ok(ReceivedReport { report, notice });
+    }
+    state.apply_notice(started_ms, notice);
+    if notice.pause.is_some() {
+        return PausedSnafu.fail();
     }
-    report::decode(&body).context(MalformedSnafu)
+    StatusSnafu { status }.fail()
 }
 
 /// Sends an order to the engine and records its outcome.
 pub(super) async fn send_order(state: Rc<AgentState>, order: Order) {
     let host = state.engine_address.to_string();
+    let started_ms = state.engine_started_ms();
     let request = orders::request(&host, &state.settings.vm_name, &order);
     let outcome = match state.control_pool.call(request, ORDER_TIMEOUT).await {
-        Ok((status, _)) => orders::outcome(status),
+        Ok(response) => {
+            let notice = headers::server_notice(response.status, &response.headers);
+            state.apply_notice(started_ms, notice);
+            orders::outcome(response.status)
+        }
         Err(error) => {
             emit(EventId::OrderLost, error);
             OrderOutcome::Unknown
@@ -131,6 +162,7 @@
         return;
     };
     let started_ms = state.clock.now_ms();
+    let engine_started_ms = state.engine_started_ms();
     let stall_timeouts = state.stall_timeouts(key);
     let end = match build_request(&state, key) {
         Some((request, id)) => {
@@ -143,6 +175,8 @@
             .await
             {
                 Some(Ok(response)) => {
+                    let notice = headers::server_notice(response.status, &response.headers);
+                    state.apply_notice(engine_started_ms, notice);
                     let part_timeout =
                         stall_timeouts.map(|stall_timeouts| stall_timeouts.between_parts);
                     forward_response(&state, key, started_ms, part_timeout, response).await
@@ -156,7 +190,10 @@
     match end {
         AttemptEnd::Complete => state.send(link, ToEntryKind::End(attempt)),
         AttemptEnd::Aborted => state.send(link, ToEntryKind::Broken(attempt)),
-        AttemptEnd::Refused(reason) => state.refuse(link, attempt, reason, 0),
+        AttemptEnd::Refused(reason) => {
+            let retry_after_ms = state.pause_left_ms();
+            state.refuse(link, attempt, reason, retry_after_ms);
+        }
     }
     state.finish(key, matches!(end, AttemptEnd::Complete));
     state.send_engine_state(link);
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -9,6 +9,7 @@
     crate::{
         events::{EventId, emit},
         gateway::{
+            announcement::record_notice,
             header_codec,
             metrics::{GatewayMetrics, Stage},
             pool::{Pool, SharedIdleLimit},
@@ -16,9 +17,9 @@
         },
     },
     magnoliasail_core::gateway::{
-        AdapterVersion, Configuration, EngineAction, EngineRefusal, EngineReport, EngineRequest,
-        EngineScheduler, HoldingsTracker, Order, OrderOutcome, RequestMetadata, SchedulerSettings,
-        adapter_key,
+        AdapterVersion, Announcement, Configuration, EngineAction, EngineRefusal, EngineReport,
+        EngineRequest, EngineScheduler, HoldingsTracker, Order, OrderOutcome, RequestMetadata,
+        SchedulerSettings, ServerNotice, adapter_key,
         message::{EngineState, Refused, Submit, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::{headers, settings::NodeSettings},
@@ -31,7 +32,7 @@
         time::Duration,
     },
     strum::IntoEnumIterator,
-    tokio::{sync::Notify, task::AbortHandle},
+    tokio::{sync::Notify, task::AbortHandle, time::sleep},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -277,6 +278,32 @@
         self.broadcast_holdings_update();
     }
 
+    /// Returns the start time of the engine that its last report gave.
+    pub(super) fn engine_started_ms(&self) -> Option<u64> {
+        self.scheduler.borrow().started_ms()
+    }
+
+    /// Returns the time left until the end of the pause that the engine asked for, in milliseconds.
+    pub(super) fn pause_left_ms(&self) -> u64 {
+        self.scheduler.borrow().pause_left_ms(self.clock.now_ms())
+    }
+
+    /// Applies what the engine said in a response to a request that was sent to the start
+    /// `started_ms` of it.
+    pub(super) fn apply_notice(self: &Rc<Self>, started_ms: Option<u64>, notice: ServerNotice) {
+        if notice == ServerNotice::default() {
+            return;
+        }
+        let mut announcement = None;
+        self.update_scheduler(|scheduler, now_ms, actions| {
+            announcement = scheduler.apply_notice(notice, started_ms, now_ms, actions);
+        });
+        record_notice(&self.metrics, self.engine_address, notice, announcement);
+        if matches!(announcement, Some(Announcement::Pause { .. })) {
+            tokio::task::spawn_local(resume_after_pause(Rc::clone(self)));
+        }
+    }
+
     /// Refuses queued requests because the engine sends no reports.
     ///
     /// Running requests go on: an engine that is about to exit accepts no connections but completes
@@ -497,7 +524,8 @@
     }
 
     fn is_serving(&self) -> bool {
-        !self.is_draining.get() && self.scheduler.borrow().is_serving()
+        let now_ms = self.clock.now_ms();
+        !self.is_draining.get() && self.scheduler.borrow().is_serving(now_ms)
     }
 
     fn engine_state(&self) -> EngineState {
@@ -506,7 +534,7 @@
         let clamped = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
         EngineState {
             load: scheduler.load(),
-            is_serving: !self.is_draining.get() && scheduler.is_serving(),
+            is_serving: !self.is_draining.get() && scheduler.is_serving(now_ms),
             entries: self.links.borrow().len() as u32,
             slots: scheduler.limits().batch_slots,
             ready_in_ms: scheduler.ready_in_ms(now_ms).unwrap_or(0),
@@ -517,6 +545,19 @@
             fetch_ms: clamped(scheduler.expected_fetch_ms(now_ms)),
             prompt_tokens_per_s: (scheduler.prompt_tokens_per_ms() * 1_000.0) as u32,
             batch_turnover_us: (scheduler.batch_turnover_ms() * 1_000.0) as u32,
+            is_ending: self.is_draining.get() || scheduler.is_ending(),
+        }
+    }
+}
+
+/// Starts queued requests and orders at the end of the pause that the engine asked for.
+async fn resume_after_pause(state: Rc<AgentState>) {
+    loop {
+        let left_ms = state.pause_left_ms();
+        if left_ms == 0 {
+            break;
         }
+        sleep(Duration::from_millis(left_ms)).await;
     }
+    state.update_scheduler(|scheduler, now_ms, actions| scheduler.advance(now_ms, actions));
 }
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         engine_link::{AttemptUpdate, EngineLink},
-        state::{EntryState, PickedServer},
+        state::{EntryState, PickedServer, retry_jitter_ms},
     },
     crate::{
         events::{EventId, emit},
@@ -157,6 +157,14 @@
             reason: EngineRefusal::EngineRefused | EngineRefusal::WrongServer,
             ..
         }) => StartOutcome::RefusedByServer,
+        Some(AttemptUpdate::Refused {
+            reason: reason @ EngineRefusal::Paused,
+            retry_after_ms,
+        }) => StartOutcome::RefusedByAgent {
+            reason,
+            // All callers of the engine would return at the same time, the end of its pause.
+            retry_after_ms: retry_after_ms + retry_jitter_ms(),
+        },
         Some(AttemptUpdate::Refused {
             reason,
             retry_after_ms,
@@ -213,6 +221,8 @@
                 server.apply_load(load);
             }
             drop(directory);
+            let notice = headers::server_notice(response.status, &response.headers);
+            state.apply_notice(pick, notice);
             if headers::proves_not_run(response.status, &response.headers) {
                 return StartOutcome::RefusedByServer;
             }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -131,8 +131,10 @@
             }
             let is_server_error = started.status.is_server_error();
             let server = Arc::clone(started.in_flight.server());
+            let is_pause =
+                started.status == StatusCode::SERVICE_UNAVAILABLE && self.state.is_paused(&server);
             let complete = collect_response(started).await;
-            if is_server_error || complete.is_none() {
+            if (is_server_error && !is_pause) || complete.is_none() {
                 self.record_failure(&server);
             }
             if (is_server_error || complete.is_none()) && self.try_retry() {
@@ -174,6 +176,9 @@
                 None
             };
             let Some(pick) = pick else {
+                if placements == 0 {
+                    cause = self.state.no_server_cause(&self.route.service);
+                }
                 return Err(self.refusal(cause, retry_after_ms));
             };
             placements += 1;
@@ -205,7 +210,7 @@
                 } => {
                     self.log_failed_attempt(&pick, reason.into());
                     self.state.metrics.count_retry(RetryCause::AgentRefused);
-                    cause = RefusalCause::Overloaded;
+                    cause = RefusalCause::of_agent(reason);
                     if agent_retry_after_ms > 0 {
                         retry_after_ms = retry_after_ms.min(agent_retry_after_ms);
                     }
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -51,6 +51,8 @@
     /// The queue of messages to send; `None` while the link is down.
     outbox: RefCell<Option<Outbox<ToAgent>>>,
     state: Cell<EngineState>,
+    /// When `state` was received.
+    state_received_at: Cell<Instant>,
     /// Requests that `state` does not include yet.
     unreported: Cell<UnreportedWork>,
     /// When the availability of the engine last changed, through a report or the end of the link;
@@ -71,6 +73,7 @@
             address,
             outbox: RefCell::default(),
             state: Cell::default(),
+            state_received_at: Cell::new(Instant::now()),
             unreported: Cell::default(),
             state_changed_at: Cell::new(Instant::now()),
             changes,
@@ -85,7 +88,7 @@
     }
 
     /// Returns the engine's state if the link is up and the engine accepts requests, now or when
-    /// its base model is loaded.
+    /// its base model is loaded and its pause has ended.
     ///
     /// In the result, `ready_in_ms` is the time left from now, or 0 if the engine accepts requests
     /// already.
@@ -96,7 +99,7 @@
             (true, _) => 0,
             (false, 0) => return None,
             (false, reported_ms) => {
-                let elapsed_ms = self.state_changed_at.get().elapsed().as_millis() as u64;
+                let elapsed_ms = self.state_received_at.get().elapsed().as_millis() as u64;
                 reported_ms.saturating_sub(elapsed_ms).max(1)
             }
         };
@@ -111,7 +114,9 @@
     pub(super) fn is_starting(&self) -> bool {
         /// Time in which an agent that has started finds out what its engine has.
         const STARTUP_WINDOW: Duration = Duration::from_millis(600);
-        self.usable_state().is_none() && self.state_changed_at.get().elapsed() < STARTUP_WINDOW
+        self.usable_state().is_none()
+            && !self.state.get().is_ending
+            && self.state_changed_at.get().elapsed() < STARTUP_WINDOW
     }
 
     /// Returns the expected time until the first event of a request of this rank that is sent now, in
@@ -125,6 +130,7 @@
 
     fn set_state(&self, state: EngineState) {
         let old = self.state.replace(state);
+        self.state_received_at.set(Instant::now());
         self.unreported.set(UnreportedWork::default());
         let availability = |state: EngineState| (state.is_serving, state.ready_in_ms > 0);
         if availability(old) != availability(state) {
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -8,6 +8,7 @@
         Response, StatusCode,
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
+    magnoliasail_core::gateway::EngineRefusal,
     strum::{Display, EnumIter, IntoStaticStr},
 };
 
@@ -25,6 +26,8 @@
     BodyBroken,
     /// No server of the service is available for the request.
     NoServer,
+    /// All servers of the service that could serve the request have asked for a pause.
+    ServersPaused,
     /// The agents refused the request, mostly since their engines are too busy.
     Overloaded,
     /// The servers refused the request, which has not run.
@@ -38,6 +41,14 @@
 }
 
 impl RefusalCause {
+    /// Returns the cause of a refusal for which an agent gave a reason.
+    pub(super) const fn of_agent(reason: EngineRefusal) -> Self {
+        match reason {
+            EngineRefusal::Paused => Self::ServersPaused,
+            _ => Self::Overloaded,
+        }
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -45,6 +56,7 @@
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::NoConfiguration
             | Self::NoServer
+            | Self::ServersPaused
             | Self::Overloaded
             | Self::ServersRefused
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
@@ -65,6 +77,7 @@
             Self::BodyTooLong => "the body exceeds the operator's limit; send a smaller one",
             Self::BodyBroken => "the body is incomplete; send the request again",
             Self::NoServer => "no server is available for the request; retry later",
+            Self::ServersPaused => "the servers take no requests for a moment; retry later",
             Self::Overloaded => "the servers are busy; retry later",
             Self::ServersRefused => "the servers refused the request; retry later",
             Self::ExpiredUnrun => "the deadline passed before the request ran; retry it",
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -3,13 +3,14 @@
 use {
     super::{attempt::OutgoingRequest, engine_link::EngineLink, refusal::RefusalCause},
     crate::gateway::{
+        announcement::record_notice,
         metrics::{GatewayMetrics, RetryCause},
         pool::{Pool, SharedIdleLimit},
         steady_clock::SteadyClock,
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryWindow,
-        RouteTable, ServerView, adapter_key, plain_wait_ms,
+        Affinity, Candidate, Directory, Holding, Ineligibility, Placement, PlacementCosts,
+        RetryWindow, RouteTable, ServerNotice, ServerView, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -53,6 +54,8 @@
     pub(super) id: Arc<str>,
     pub(super) service: Arc<str>,
     pub(super) address: SocketAddr,
+    /// The start time of the server, to which its announcements are bound.
+    pub(super) started_ms: Option<u64>,
     /// Whether the server is an engine, which is reached through its agent.
     pub(super) is_engine: bool,
 }
@@ -228,6 +231,7 @@
             id: Arc::clone(&server.entry.id),
             service: Arc::clone(&server.entry.service),
             address: server.entry.address,
+            started_ms: server.entry.started_ms,
             is_engine: false,
         };
         let candidate = Candidate {
@@ -244,24 +248,56 @@
         (pick, candidate)
     }
 
+    /// Applies what a server said in its response.
+    pub(super) fn apply_notice(&self, pick: &PickedServer, notice: ServerNotice) {
+        if notice == ServerNotice::default() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let mut directory = self.directory.borrow_mut();
+        let announcement = directory.apply_notice(&pick.id, pick.started_ms, notice, now_ms);
+        drop(directory);
+        record_notice(&self.metrics, &pick.id, notice, announcement);
+    }
+
+    /// Returns whether a server has asked for a pause that has not ended.
+    pub(super) fn is_paused(&self, server: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        let directory = self.directory.borrow();
+        let eligibility = directory.get(server).map(|server| server.check(now_ms));
+        matches!(eligibility, Some(Err(Ineligibility::Paused { .. })))
+    }
+
+    /// Returns the cause for which there is no server for a request.
+    pub(super) fn no_server_cause(&self, service: &str) -> RefusalCause {
+        let now_ms = self.clock.now_ms();
+        match self.directory.borrow().pause_left_ms(service, now_ms) {
+            Some(_) => RefusalCause::ServersPaused,
+            None => RefusalCause::NoServer,
+        }
+    }
+
     /// Returns the time after which to retry while no server of a service can take a request, in
     /// milliseconds: the expected time until one is available, plus jitter that spreads the
     /// callers.
     pub(super) fn retry_after_ms(&self, service: &str) -> u64 {
-        /// The time assumed if no agent reports one: about that which a server needs to be listed
-        /// again or to restart.
+        /// The time assumed if a server may take requests already or none is known to: about that
+        /// which a server needs to be listed again or to restart.
         const DEFAULT_MS: u64 = 800;
-        /// The retries of callers are spread over this time.
-        const JITTER_MS: u64 = 600;
+        let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        let soonest_ms = directory
-            .usable(service, self.clock.now_ms())
+        let engines_ready_in_ms = directory
+            .usable(service, now_ms)
             .filter_map(|server| links.get(&server.entry.address.ip())?.usable_state())
-            .map(|state| state.ready_in_ms)
-            .filter(|&ready_in_ms| ready_in_ms > 0)
-            .min();
-        soonest_ms.unwrap_or(DEFAULT_MS) + rand::rng().random_range(0..JITTER_MS)
+            .map(|state| match state.ready_in_ms {
+                0 => DEFAULT_MS,
+                ready_in_ms => ready_in_ms,
+            });
+        let soonest_ms = engines_ready_in_ms
+            .min()
+            .or_else(|| directory.pause_left_ms(service, now_ms));
+        soonest_ms.unwrap_or(DEFAULT_MS) + retry_jitter_ms()
     }
 
     /// Counts a request towards the retry budget of its service.
@@ -313,6 +349,13 @@
     }
 }
 
+/// Returns a random time by which the retries of callers are spread, in milliseconds.
+pub(super) fn retry_jitter_ms() -> u64 {
+    /// The retries of callers are spread over this time.
+    const JITTER_MS: u64 = 600;
+    rand::rng().random_range(0..JITTER_MS)
+}
+
 /// Picks the server whose candidate, at the same index, has the lowest cost.
 fn pick_candidate(
     costs: PlacementCosts,
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -117,7 +117,7 @@
                         entry.id, entry.address, entry.is_draining, change.revision
                     ),
                 );
-                directory.insert(entry);
+                directory.insert(entry, now_ms);
             }
             Err(error) => emit(
                 EventId::ServerUnreadable,
--- a/crates/magnoliasail/src/gateway/follower.rs
+++ b/crates/magnoliasail/src/gateway/follower.rs
@@ -221,13 +221,15 @@
         request: hyper::Request<bytes::Bytes>,
         limit: Duration,
     ) -> Result<Changes, FollowError> {
-        let (status, body) = self
+        let response = self
             .pool
             .call(request, limit)
             .await
             .map_err(|source| FollowError::Unreachable { source })?;
-        match status {
-            StatusCode::OK => decode(&body).map_err(|source| FollowError::Malformed { source }),
+        match response.status {
+            StatusCode::OK => {
+                decode(&response.body).map_err(|source| FollowError::Malformed { source })
+            }
             StatusCode::GONE => Err(FollowError::Compacted),
             status => Err(FollowError::Status { status }),
         }
--- a/crates/magnoliasail/src/gateway/metrics.rs
+++ b/crates/magnoliasail/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
     http_body_util::Full,
     hyper::{Response, header::CONTENT_TYPE, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
+    magnoliasail_core::gateway::PauseSource,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -48,6 +49,30 @@
     BudgetSpent,
 }
 
+/// What a backend server said in a response about the further work that it wants.
+#[derive(Clone, Copy, Debug, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum NoticeKind {
+    /// The server is leaving; counted once for each start of a server.
+    Leaving,
+    /// The server asked for a pause.
+    Pause,
+    /// The server asked for a longer pause than is granted.
+    PauseLimited,
+    /// The server asked for a pause without a positive number of seconds.
+    PauseUnreadable,
+}
+
+impl From<PauseSource> for NoticeKind {
+    fn from(source: PauseSource) -> Self {
+        match source {
+            PauseSource::Stated => Self::Pause,
+            PauseSource::Limited => Self::PauseLimited,
+            PauseSource::Unreadable => Self::PauseUnreadable,
+        }
+    }
+}
+
 /// Stage of a request whose duration is measured.
 #[derive(Clone, Copy, Debug, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -70,6 +95,7 @@
     registry: Registry,
     refusals: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
+    server_notices: Family<ReasonLabel, Counter>,
     stages: Family<StageLabel, Histogram>,
     pub(super) requests: Counter,
     pub(super) answered: Counter,
@@ -91,6 +117,7 @@
             registry: Registry::with_prefix("magnoliasail_platform"),
             refusals: Family::default(),
             retries: Family::default(),
+            server_notices: Family::default(),
             stages: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.002, 2.0, 13))
             }),
@@ -112,6 +139,14 @@
             let reason = cause.into();
             drop(metrics.retries.get_or_create(&ReasonLabel { reason }));
         }
+        for kind in NoticeKind::iter() {
+            let reason = kind.into();
+            drop(
+                metrics
+                    .server_notices
+                    .get_or_create(&ReasonLabel { reason }),
+            );
+        }
         metrics.register();
         Rc::new(metrics)
     }
@@ -126,6 +161,7 @@
         register!(
             refusals: "Requests or attempts refused, by reason",
             retries: "Attempts followed by another, and retries denied by the budget, by reason",
+            server_notices: "Servers that said they leave, and refusals that asked for a pause, by reason",
             requests: "Requests or attempts received",
             answered: "Requests or attempts answered by a server",
             streams_broken: "Streams that ended early",
@@ -153,6 +189,13 @@
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    pub(super) fn count_notice(&self, kind: NoticeKind) {
+        let reason = kind.into();
+        self.server_notices
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     pub(super) fn observe_stage(&self, stage: Stage, duration_ms: u64) {
         let stage = StageLabel {
             stage: stage.into(),
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! `RefCell`; no borrow is held across an await. Only the log writer has a thread of its own.
 
 mod agent;
+mod announcement;
 mod entry;
 mod follower;
 mod header_codec;
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -137,6 +137,13 @@
     pool: Rc<Pool>,
 }
 
+/// A complete response of a server.
+pub(super) struct CompleteResponse {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
 impl Pool {
     /// Creates a pool of at most `max_open` connections, of which none is open yet.
     pub(super) fn new(
@@ -212,7 +219,7 @@
         }
     }
 
-    /// Sends an idempotent request and returns the status and the complete body of the response.
+    /// Sends an idempotent request and returns the complete response.
     ///
     /// # Errors
     ///
@@ -222,12 +229,16 @@
         self: &Rc<Self>,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), SendError> {
+    ) -> Result<CompleteResponse, SendError> {
         let exchange = async {
             let response = self.send(request, None, true).await?;
             let status = response.status;
-            let (_, body) = response.collect().await?;
-            Ok((status, body))
+            let (headers, body) = response.collect().await?;
+            Ok(CompleteResponse {
+                status,
+                headers,
+                body,
+            })
         };
         timeout(limit, exchange)
             .await
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -312,6 +312,177 @@
     });
 }
 
+/// The store still lists both servers as ready.
+#[test]
+fn servers_that_say_they_leave_get_no_new_requests() {
+    with_fleet(78, |fleet| async move {
+        fleet.servers[0].set_leaving();
+        fleet.servers[2].set_leaving();
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        // Some requests reach the leaving servers, which say so in their answers.
+        for number in 0..20 {
+            let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+            assert_eq!(caller.call(&call(kind, number)).await, Outcome::Served);
+        }
+        sleep(PROPAGATION_TIME).await;
+        for number in 20..60 {
+            let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+            assert_eq!(caller.call(&call(kind, number)).await, Outcome::Served);
+        }
+        assert_no_violations(&fleet);
+        let output = fleet.output();
+        assert!(output.contains("server_leaving: server="), "{output}");
+    });
+}
+
+#[test]
+fn caller_does_not_see_that_a_server_is_leaving() {
+    with_fleet(79, |fleet| async move {
+        for server in &fleet.servers {
+            server.set_leaving();
+        }
+        let answer = get(&fleet, "safe").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(!answer.contains("server-leaving"), "{answer}");
+    });
+}
+
+#[test]
+fn leaving_server_that_restarts_under_the_same_id_is_used_again() {
+    with_fleet(80, |fleet| async move {
+        fleet.servers[2].set_leaving();
+        fleet.servers[3].set_leaving();
+        let answer = get(&fleet, "safe").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        for server in [2, 3] {
+            fleet.servers[server].crash_keeping_id();
+            sleep(Duration::from_millis(100)).await;
+            let restart = fleet.servers[server].start().await;
+            restart.expect("the server restarts");
+            fleet.publish_server(server);
+        }
+        sleep(PROPAGATION_TIME).await;
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..10 {
+            let call = call(CallKind::Safe, number);
+            assert_eq!(caller.call(&call).await, Outcome::Served, "{}", call.id);
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Faults of a server that refuses every request and asks for a pause.
+fn pausing(retry_after_ms: u64) -> ServerFaults {
+    ServerFaults {
+        paused_share: 1.0,
+        retry_after_ms,
+        ..ServerFaults::default()
+    }
+}
+
+#[test]
+fn servers_that_ask_for_a_pause_get_no_requests_until_its_end() {
+    with_fleet(81, |fleet| async move {
+        fleet.servers[0].set_faults(pausing(2_000));
+        fleet.servers[2].set_faults(pausing(2_000));
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..60 {
+            let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+            let call = call(kind, number);
+            // A stream or an unsafe request that was refused may have no server left.
+            let outcome = caller.call(&call).await;
+            assert!(
+                matches!(outcome, Outcome::Served | Outcome::NotRun),
+                "{}: {outcome:?}",
+                call.id
+            );
+            sleep(Duration::from_millis(25)).await;
+        }
+        assert_no_violations(&fleet);
+        for server in &fleet.servers {
+            server.set_faults(ServerFaults::default());
+        }
+        sleep(Duration::from_millis(2_200)).await;
+        for server in [1, 3] {
+            fleet.servers[server].crash();
+            fleet.remove_server(server);
+        }
+        sleep(PROPAGATION_TIME).await;
+        for number in 100..120 {
+            let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+            let call = call(kind, number);
+            assert_eq!(caller.call(&call).await, Outcome::Served, "{}", call.id);
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Returns the value of `retry-after` in an answer, in seconds.
+fn retry_after_s(answer: &str) -> f64 {
+    let line = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after: "));
+    line.and_then(|value| value.parse().ok())
+        .unwrap_or_else(|| panic!("no retry-after in {answer}"))
+}
+
+#[test]
+fn callers_are_told_the_end_of_the_pause_when_all_servers_ask_for_one() {
+    with_fleet(82, |fleet| async move {
+        for server in &fleet.servers[2..] {
+            server.set_faults(pausing(3_000));
+        }
+        // The first requests find out that the servers have paused.
+        for _ in 0..2 {
+            let _ = get(&fleet, "safe").await;
+        }
+        let runs_before = fleet.output().matches("outcome=refused_by_server").count();
+        let answer = get(&fleet, "safe").await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains(r#""code":"servers_paused""#), "{answer}");
+        assert!(answer.contains(r#""outcome":"not_run""#), "{answer}");
+        let retry_after_s = retry_after_s(&answer);
+        assert!((0.5..=3.6).contains(&retry_after_s), "{answer}");
+        let runs_after = fleet.output().matches("outcome=refused_by_server").count();
+        assert_eq!(runs_before, runs_after, "no server was asked");
+        for server in &fleet.servers[2..] {
+            server.set_faults(ServerFaults::default());
+        }
+        sleep(Duration::from_secs_f64(retry_after_s)).await;
+        let answer = get(&fleet, "safe").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Streams are refused by the agents, which know the pause of their engines.
+#[test]
+fn streams_are_refused_at_once_while_all_engines_pause() {
+    with_fleet(83, |fleet| async move {
+        for server in &fleet.servers[..2] {
+            server.set_faults(pausing(3_000));
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..30 {
+            let call = call(CallKind::ResumableStream, number);
+            assert_eq!(caller.call(&call).await, Outcome::NotRun, "{}", call.id);
+            sleep(Duration::from_millis(50)).await;
+        }
+        let output = fleet.output();
+        assert!(output.contains("cause=servers_paused"), "{output}");
+        assert!(output.contains("server_paused: server="), "{output}");
+        for server in &fleet.servers[..2] {
+            server.set_faults(ServerFaults::default());
+        }
+        sleep(Duration::from_millis(3_200)).await;
+        for number in 30..40 {
+            let call = call(CallKind::ResumableStream, number);
+            assert_eq!(caller.call(&call).await, Outcome::Served, "{}", call.id);
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
 #[test]
 fn entry_keeps_its_configuration_while_the_store_is_unavailable() {
     with_fleet(65, |fleet| async move {
