test(soak): let servers say that they leave and ask for pauses

Cause: the soak had no server that announces in its responses what it wants, so it could not find work that is sent against it.

Change: after 0.4 of the faults a server starts to say that it is leaving, until it is restarted under the same id at the next announcement, or asks for pauses at a share of its requests and orders. The draws come from a stream of their own, so that the faults of known seeds stay the same.

Conclusion: the soak finds work that a server has asked not to get.

--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -34,6 +34,11 @@
 const CALL_DEADLINE: Duration = Duration::from_millis(2_500);
 /// Time for the fleet to recover after the last fault, before the callers stop.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
+/// Distinguishes the random numbers of announcements from those of the other faults, so that the
+/// schedules of known seeds stay the same.
+const ANNOUNCEMENT_STREAM: u64 = 0xa11;
+/// Share of the faults of the schedule after which a server makes an announcement.
+const ANNOUNCEMENT_SHARE: f64 = 0.4;
 /// Share of calls that each entry must serve after the recovery time.
 const MIN_SERVED_SHARE: f64 = 0.9;
 /// Calls to each entry that check the recovery.
@@ -89,6 +94,9 @@
 pub struct Soak {
     settings: SoakSettings,
     random: Pcg64Mcg,
+    announcement_random: Pcg64Mcg,
+    /// The server that says that it is leaving.
+    leaving_server: Option<usize>,
     fleet: Fleet,
     schedule: Vec<String>,
     /// Path prefixes of the routes that were added to the configuration.
@@ -110,11 +118,15 @@
     ///
     /// Returns an error if the fleet cannot be started.
     pub async fn start(settings: SoakSettings) -> io::Result<Self> {
-        let random = Pcg64Mcg::seed_from_u64(settings.fleet.seed);
+        let seed = settings.fleet.seed;
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        let announcement_random = Pcg64Mcg::seed_from_u64(seed ^ ANNOUNCEMENT_STREAM);
         let fleet = Fleet::start(settings.fleet.clone()).await?;
         Ok(Self {
             settings,
             random,
+            announcement_random,
+            leaving_server: None,
             fleet,
             schedule: Vec::new(),
             added_prefixes: Vec::new(),
@@ -130,6 +142,9 @@
         let state = Arc::new(CallerState::default());
         let callers = self.start_callers(&state);
         for _ in 0..self.settings.faults {
+            if self.announcement_random.random_bool(ANNOUNCEMENT_SHARE) {
+                self.announce().await?;
+            }
             self.inject_fault().await?;
             let pause_ms = self.random.random_range(50..600);
             sleep(Duration::from_millis(pause_ms)).await;
@@ -281,6 +296,43 @@
         Ok(())
     }
 
+    /// Makes a server say that it is leaving, which it does until the next announcement, or makes it
+    /// ask for pauses until its faults are replaced.
+    async fn announce(&mut self) -> io::Result<()> {
+        self.restart_leaving_server().await?;
+        let server_count = self.fleet.servers.len();
+        let server = self.announcement_random.random_range(0..server_count);
+        if self.announcement_random.random() {
+            self.record_fault(format!("server {server} says that it is leaving"));
+            self.fleet.servers[server].set_leaving();
+            self.leaving_server = Some(server);
+            return Ok(());
+        }
+        let faults = ServerFaults {
+            paused_share: self.announcement_random.random_range(0.05..0.5),
+            retry_after_ms: self.announcement_random.random_range(200..3_000),
+            ..ServerFaults::default()
+        };
+        self.record_fault(format!("server {server}: {faults:?}"));
+        self.fleet.servers[server].set_faults(faults);
+        Ok(())
+    }
+
+    /// Restarts the server that says that it is leaving, under the same id.
+    async fn restart_leaving_server(&mut self) -> io::Result<()> {
+        /// Time for the listener of the server to close.
+        const RESTART_TIME: Duration = Duration::from_millis(200);
+        let Some(server) = self.leaving_server.take() else {
+            return Ok(());
+        };
+        self.record_fault(format!("restart server {server}, which is leaving"));
+        self.fleet.servers[server].crash_keeping_id();
+        sleep(RESTART_TIME).await;
+        self.fleet.servers[server].start().await?;
+        self.fleet.publish_server(server);
+        Ok(())
+    }
+
     async fn disturb_path(&mut self, proxy: usize, mode: ProxyMode, duration: Duration) {
         self.record_fault(format!("path {proxy}: {mode:?} for {duration:?}"));
         self.fleet.proxies[proxy].set_mode(mode);
@@ -301,6 +353,7 @@
 
     /// Ends every fault that is still active.
     async fn clear_faults(&mut self) -> io::Result<()> {
+        self.restart_leaving_server().await?;
         self.fleet.store.set_mode(StoreMode::Up);
         for proxy in &self.fleet.proxies {
             proxy.set_mode(ProxyMode::Open);
