fix(gateway): refuse at once what a prolonged pause makes late

Cause: an agent looked at its queue only when an engine newly asked for a pause. When a pause was prolonged, requests that then could not meet their objective waited until the next report, up to 250 ms. Requests also waited for a pause that ended just before their objective, although another engine could have served them sooner. And an entry counted a 503 with `Retry-After` but without `Not-Run` from an engine as a failure of that engine, because only the agent knows of the pause.

What callers saw: a later refusal, and engines avoided for the wrong reason.

Change: each notice advances the scheduler. A request waits for a pause that takes at most half of the time left to its objective. Whether a response is a pause is read from the response itself.

`a_pause_without_proof_is_kept_and_its_request_is_not_retried` is new, and was not run on the code before.

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -310,9 +310,7 @@
             return None;
         }
         let announcement = self.eligibility.apply(notice, now_ms);
-        if announcement.is_some() {
-            self.advance(now_ms, actions);
-        }
+        self.advance(now_ms, actions);
         announcement
     }
 
@@ -628,18 +626,22 @@
 
 /// Returns the reason to refuse a request that arrives or waits while the engine may get no new work.
 ///
-/// A request may wait for the end of a pause if it can still start within its objective.
+/// A request waits for the end of a pause only if the pause ends well before its objective; otherwise
+/// another engine may serve it sooner.
 fn refusal_reason(
     eligibility: Result<(), Ineligibility>,
     request: &EngineRequest,
     now_ms: TimeMs,
 ) -> Option<EngineRefusal> {
+    /// Part of the time left to the objective for which a request may wait.
+    const MAX_WAIT_PART: u64 = 2;
     match eligibility.err()? {
         Ineligibility::Unreachable | Ineligibility::Removed => Some(EngineRefusal::EngineDown),
         Ineligibility::Draining => Some(EngineRefusal::Draining),
         Ineligibility::Leaving => Some(EngineRefusal::Leaving),
         Ineligibility::Paused { left_ms } => {
-            (now_ms + left_ms > request.objective_ms).then_some(EngineRefusal::Paused)
+            let max_wait_ms = request.objective_ms.saturating_sub(now_ms) / MAX_WAIT_PART;
+            (left_ms > max_wait_ms).then_some(EngineRefusal::Paused)
         }
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -22,6 +22,7 @@
     bytes::BytesMut,
     hyper::{HeaderMap, Response, StatusCode},
     magnoliasail_core::gateway::RouteMatch,
+    magnoliasail_platform::headers,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -131,10 +132,9 @@
             }
             let is_server_error = started.status.is_server_error();
             let server = Arc::clone(started.in_flight.server());
-            let is_pause =
-                started.status == StatusCode::SERVICE_UNAVAILABLE && self.state.is_paused(&server);
+            let notice = headers::server_notice(started.status, &started.headers);
             let complete = collect_response(started).await;
-            if (is_server_error && !is_pause) || complete.is_none() {
+            if (is_server_error && notice.pause.is_none()) || complete.is_none() {
                 self.record_failure(&server);
             }
             if (is_server_error || complete.is_none()) && self.try_retry() {
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -9,8 +9,8 @@
         steady_clock::SteadyClock,
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Holding, Ineligibility, Placement, PlacementCosts,
-        RetryWindow, RouteTable, ServerNotice, ServerView, adapter_key, plain_wait_ms,
+        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryWindow,
+        RouteTable, ServerNotice, ServerView, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -260,14 +260,6 @@
         record_notice(&self.metrics, &pick.id, notice, announcement);
     }
 
-    /// Returns whether a server has asked for a pause that has not ended.
-    pub(super) fn is_paused(&self, server: &str) -> bool {
-        let now_ms = self.clock.now_ms();
-        let directory = self.directory.borrow();
-        let eligibility = directory.get(server).map(|server| server.check(now_ms));
-        matches!(eligibility, Some(Err(Ineligibility::Paused { .. })))
-    }
-
     /// Returns the cause for which there is no server for a request.
     pub(super) fn no_server_cause(&self, service: &str) -> RefusalCause {
         let now_ms = self.clock.now_ms();
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -455,6 +455,26 @@
     });
 }
 
+/// Only `not-run` proves that the request has not run, but the pause holds all the same.
+#[test]
+fn a_pause_without_proof_is_kept_and_its_request_is_not_retried() {
+    with_fleet(84, |fleet| async move {
+        fleet.servers[2].set_faults(ServerFaults {
+            is_pause_unproven: true,
+            ..pausing(2_000)
+        });
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        let mut refused = 0;
+        for number in 0..40 {
+            let outcome = caller.call(&call(CallKind::Unsafe, number)).await;
+            refused += u32::from(outcome == Outcome::NotRun);
+            sleep(Duration::from_millis(25)).await;
+        }
+        assert_eq!(refused, 1, "{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
+
 /// Streams are refused by the agents, which know the pause of their engines.
 #[test]
 fn streams_are_refused_at_once_while_all_engines_pause() {
