--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -174,11 +174,13 @@
 
     /// Sends a signal to a process. `name` is the signal's name for `kill`, such as `TERM`.
     pub fn signal(&self, process: usize, name: &str) {
+        self.forget_statements();
         self.processes[process].signal(name);
     }
 
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, process: usize) {
+        self.forget_statements();
         self.processes[process].kill();
     }
 
@@ -194,6 +196,7 @@
     /// Returns an error if the process cannot be started.
     pub fn restart(&mut self, process: usize) -> io::Result<()> {
         self.processes[process].kill();
+        self.forget_statements();
         self.processes[process].start()
     }
 
@@ -203,6 +206,14 @@
         self.publish_configuration(&[]);
     }
 
+    /// Makes the servers forget what they have told VMs, since a process that was restarted has
+    /// forgotten it too, and one that was paused may act late.
+    fn forget_statements(&self) {
+        for server in &self.servers {
+            server.forget_statements();
+        }
+    }
+
     /// Publishes the next version of the configuration, with one route to the plain service for
     /// each of `added_prefixes`.
     pub fn publish_configuration(&mut self, added_prefixes: &[&str]) {
@@ -276,6 +287,7 @@
             if is_engine {
                 server.set_software_version(&format!("v{version}"));
             }
+            server.set_single_vm(is_engine || self.settings.entries == 1);
             server.start().await?;
             if is_engine {
                 // Entries reach the agent through a proxy, at the address that the store lists.
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -27,6 +27,7 @@
     bytes::BytesMut,
     hyper::{HeaderMap, Response, StatusCode},
     magnoliasail_core::gateway::{RequestKind, RouteMatch, VersionConstraint},
+    magnoliasail_platform::headers,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep_until, timeout},
 };
@@ -151,8 +152,9 @@
             let is_server_error = started.status.is_server_error();
             let server = Arc::clone(started.in_flight.server());
             self.responding_server = Some(Arc::clone(&server));
+            let notice = headers::server_notice(started.status, &started.headers);
             let complete = collect_response(started).await;
-            if is_server_error || complete.is_none() {
+            if (is_server_error && notice.pause.is_none()) || complete.is_none() {
                 self.record_failure(&server);
             }
             if (is_server_error || complete.is_none()) && self.try_retry() {
@@ -196,7 +198,10 @@
             .state
             .has_eligible_server(&self.route.service, &self.version);
         if !has_server {
-            return Err(self.refusal(RefusalCause::VersionGone, u64::MAX));
+            let cause = self
+                .state
+                .no_server_cause(&self.route.service, &self.version);
+            return Err(self.refusal(cause, u64::MAX));
         }
         Ok(())
     }
@@ -256,6 +261,11 @@
                 None
             };
             let Some(pick) = pick else {
+                if placements == 0 {
+                    cause = self
+                        .state
+                        .no_server_cause(&self.route.service, &self.version);
+                }
                 return Err(self.refusal(cause, retry_after_ms));
             };
             placements += 1;
@@ -289,7 +299,7 @@
                 } => {
                     self.log_failed_attempt(&pick, reason.into());
                     self.state.metrics.count_retry(RetryCause::AgentRefused);
-                    cause = RefusalCause::Overloaded;
+                    cause = RefusalCause::of_agent(reason);
                     if agent_retry_after_ms > 0 {
                         retry_after_ms = retry_after_ms.min(agent_retry_after_ms);
                     }
@@ -381,7 +391,10 @@
         }
         Refusal {
             cause: RefusalCause::StoppedUnrun,
-            retry_after_ms: Some(self.state.retry_after_ms(&self.route.service)),
+            retry_after_ms: Some(
+                self.state
+                    .retry_after_ms(&self.route.service, &self.version),
+            ),
         }
     }
 
@@ -395,7 +408,9 @@
             };
         }
         let retry_after_ms = match agent_retry_after_ms {
-            u64::MAX => self.state.retry_after_ms(&self.route.service),
+            u64::MAX => self
+                .state
+                .retry_after_ms(&self.route.service, &self.version),
             known_ms => known_ms,
         };
         Refusal {
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -8,6 +8,7 @@
         Response, StatusCode,
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
+    magnoliasail_core::gateway::EngineRefusal,
     strum::{Display, EnumIter, IntoStaticStr},
 };
 
@@ -29,6 +30,8 @@
     VersionGone,
     /// The request resumes a stream, and it is unknown which of several software versions began it.
     VersionUnknown,
+    /// All servers of the service that could serve the request have asked for a pause.
+    ServersPaused,
     /// The agents refused the request, mostly since their engines are too busy.
     Overloaded,
     /// The servers refused the request, which has not run.
@@ -46,6 +49,14 @@
 }
 
 impl RefusalCause {
+    /// Returns the cause of a refusal for which an agent gave a reason.
+    pub(super) const fn of_agent(reason: EngineRefusal) -> Self {
+        match reason {
+            EngineRefusal::Paused => Self::ServersPaused,
+            _ => Self::Overloaded,
+        }
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -55,6 +66,7 @@
             | Self::NoServer
             | Self::VersionGone
             | Self::VersionUnknown
+            | Self::ServersPaused
             | Self::Overloaded
             | Self::ServersRefused
             | Self::ExpiredUnrun
@@ -85,6 +97,7 @@
             Self::VersionUnknown => {
                 "the version that began the stream is unknown; start a new stream"
             }
+            Self::ServersPaused => "the servers take no requests for a moment; retry later",
             Self::Overloaded => "the servers are busy; retry later",
             Self::ServersRefused => "the servers refused the request; retry later",
             Self::ExpiredUnrun => "the deadline passed before the request ran; retry it",
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -3,6 +3,7 @@
 use {
     super::{attempt::OutgoingRequest, engine_link::EngineLink, refusal::RefusalCause},
     crate::gateway::{
+        announcement::record_notice,
         metrics::{GatewayMetrics, RetryCause},
         phase::Phase,
         pool::{Pool, SharedIdleLimit},
@@ -10,8 +11,8 @@
     },
     magnoliasail_core::gateway::{
         Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, RetryBudget,
-        RetryWindow, RouteTable, ServerView, StreamOrigins, VersionConstraint, VersionHistory,
-        adapter_key, plain_wait_ms,
+        RetryWindow, RouteTable, ServerNotice, ServerView, StreamOrigins, VersionConstraint,
+        VersionHistory, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -64,6 +65,8 @@
     pub(super) service: Arc<str>,
     pub(super) address: SocketAddr,
     pub(super) software_version: Option<Arc<str>>,
+    /// The start time of the server, to which its announcements are bound.
+    pub(super) started_ms: Option<u64>,
     /// Whether the server is an engine, which is reached through its agent.
     pub(super) is_engine: bool,
 }
@@ -150,7 +153,8 @@
         let request = outgoing.metadata.id.as_deref().unwrap_or_default();
         if self.table.borrow().engine(service).is_none() {
             let directory = self.directory.borrow();
-            let untried = eligible_servers(&directory, service, version, now_ms)
+            let untried = directory
+                .usable(service, version, now_ms)
                 .filter(|server| !tried.contains(&server.entry.id));
             let (picks, candidates) = untried.map(|server| self.plain_candidate(server)).unzip();
             // A plain server has whatever a request needs.
@@ -190,7 +194,8 @@
         let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        let usable: Vec<_> = eligible_servers(&directory, service, version, now_ms)
+        let usable: Vec<_> = directory
+            .usable(service, version, now_ms)
             .filter_map(|server| {
                 let link = links.get(&server.entry.address.ip())?;
                 let holds_model =
@@ -230,16 +235,18 @@
         }
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        eligible_servers(&directory, service, version, self.clock.now_ms()).any(|server| {
-            let link = links.get(&server.entry.address.ip());
-            link.is_none_or(|link| link.is_starting())
-        })
+        directory
+            .usable(service, version, self.clock.now_ms())
+            .any(|server| {
+                let link = links.get(&server.entry.address.ip());
+                link.is_none_or(|link| link.is_starting())
+            })
     }
 
     /// Returns whether a server that may get new requests has an allowed software version.
     pub(super) fn has_eligible_server(&self, service: &str, version: &VersionConstraint) -> bool {
         let directory = self.directory.borrow();
-        let mut servers = eligible_servers(&directory, service, version, self.clock.now_ms());
+        let mut servers = directory.usable(service, version, self.clock.now_ms());
         servers.next().is_some()
     }
 
@@ -258,6 +265,7 @@
             service: Arc::clone(&server.entry.service),
             address: server.entry.address,
             software_version: server.entry.software_version.clone(),
+            started_ms: server.entry.started_ms,
             is_engine: false,
         };
         let candidate = Candidate {
@@ -274,24 +282,57 @@
         (pick, candidate)
     }
 
+    /// Applies what a server said in its response.
+    pub(super) fn apply_notice(&self, pick: &PickedServer, notice: ServerNotice) {
+        if notice == ServerNotice::default() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let mut directory = self.directory.borrow_mut();
+        let announcement = directory.apply_notice(&pick.id, pick.started_ms, notice, now_ms);
+        drop(directory);
+        record_notice(&self.metrics, &pick.id, notice, announcement);
+    }
+
+    /// Returns the cause for which there is no server for a request.
+    pub(super) fn no_server_cause(
+        &self,
+        service: &str,
+        version: &VersionConstraint,
+    ) -> RefusalCause {
+        let now_ms = self.clock.now_ms();
+        let directory = self.directory.borrow();
+        match directory.pause_left_ms(service, version, now_ms) {
+            Some(_) => RefusalCause::ServersPaused,
+            None if *version == VersionConstraint::Any => RefusalCause::NoServer,
+            None if directory.usable(service, version, now_ms).next().is_some() => {
+                RefusalCause::NoServer
+            }
+            None => RefusalCause::VersionGone,
+        }
+    }
+
     /// Returns the time after which to retry while no server of a service can take a request, in
     /// milliseconds: the expected time until one is available, plus jitter that spreads the
     /// callers.
-    pub(super) fn retry_after_ms(&self, service: &str) -> u64 {
-        /// The time assumed if no agent reports one: about that which a server needs to be listed
-        /// again or to restart.
+    pub(super) fn retry_after_ms(&self, service: &str, version: &VersionConstraint) -> u64 {
+        /// The time assumed if a server may take requests already or none is known to: about that
+        /// which a server needs to be listed again or to restart.
         const DEFAULT_MS: u64 = 800;
-        /// The retries of callers are spread over this time.
-        const JITTER_MS: u64 = 600;
+        let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
-        let soonest_ms = directory
-            .usable(service, self.clock.now_ms())
+        let engines_ready_in_ms = directory
+            .usable(service, version, now_ms)
             .filter_map(|server| links.get(&server.entry.address.ip())?.usable_state())
-            .map(|state| state.ready_in_ms)
-            .filter(|&ready_in_ms| ready_in_ms > 0)
-            .min();
-        soonest_ms.unwrap_or(DEFAULT_MS) + rand::rng().random_range(0..JITTER_MS)
+            .map(|state| match state.ready_in_ms {
+                0 => DEFAULT_MS,
+                ready_in_ms => ready_in_ms,
+            });
+        let soonest_ms = engines_ready_in_ms
+            .min()
+            .or_else(|| directory.pause_left_ms(service, version, now_ms));
+        soonest_ms.unwrap_or(DEFAULT_MS) + retry_jitter_ms()
     }
 
     /// Counts a request towards the retry budget of its service.
@@ -347,16 +388,11 @@
     }
 }
 
-/// Returns the servers of a service that may get new requests and have an allowed software version.
-fn eligible_servers<'a>(
-    directory: &'a Directory,
-    service: &'a str,
-    version: &'a VersionConstraint,
-    now_ms: u64,
-) -> impl Iterator<Item = &'a ServerView> {
-    directory
-        .usable(service, now_ms)
-        .filter(|server| version.allows(server.entry.software_version.as_deref()))
+/// Returns a random time by which the retries of callers are spread, in milliseconds.
+pub(super) fn retry_jitter_ms() -> u64 {
+    /// The retries of callers are spread over this time.
+    const JITTER_MS: u64 = 600;
+    rand::rng().random_range(0..JITTER_MS)
 }
 
 /// Picks the server whose candidate, at the same index, has the lowest cost.
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -124,7 +124,7 @@
                 );
                 let mut versions = self.0.versions.borrow_mut();
                 versions.record(&entry.service, entry.software_version.as_ref(), now_ms);
-                directory.insert(entry);
+                directory.insert(entry, now_ms);
             }
             Err(error) => emit(
                 EventId::ServerUnreadable,
--- a/crates/magnoliasail/tests/software_versions.rs
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -29,6 +29,9 @@
     delay_ms: 0,
     event_delay_ms: 0,
     idle_timeout_ms: 0,
+    paused_share: 0.0,
+    retry_after_ms: 0,
+    is_pause_unproven: false,
 };
 const ENGINES: usize = 4;
 /// The engines of the first software version; the others have the second.
