feat(soak): let the stand-in store come back from an older copy

Cause: the stand-in lost nothing that it had acknowledged, so that no test could play a store that goes back in time.

Change: `roll_back_to` and `roll_back` discard the newest writes, whose revisions are then given out again, and begin a new era, which each response names. Requests in progress end; a watch from a revision that the store does not have gets status 410. `EraHeader` makes the header missing, malformed or late.

--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -5,7 +5,7 @@
 
 pub use self::{
     backend_server::{BackendServer, ServerFaults, ServerKind},
-    store::{Store, StoreMode},
+    store::{EraHeader, Store, StoreMode},
 };
 
 pub(crate) use self::backend_server::{adapter_name, event_count};
--- a/crates/magnoliasail-soak/src/standin/store.rs
+++ b/crates/magnoliasail-soak/src/standin/store.rs
@@ -1,7 +1,9 @@
 //! A stand-in for the platform's key-value store, with ranges, watches and fault modes.
 //!
 //! Each write gets the next revision. `/kv-range` lists the keys under a prefix page by page, and
-//! `/kv-watch` returns the changes after a revision, or status 410 if they have been compacted.
+//! `/kv-watch` returns the changes after a revision, or status 410 if they have been compacted or
+//! the store does not have the revision. A rollback discards the newest writes, whose revisions are
+//! then given out again, and starts a new era.
 
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -45,7 +47,29 @@
     Unresponsive,
 }
 
+/// What the store's responses say about its era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EraHeader {
+    /// The number of the current era.
+    #[default]
+    Current,
+    /// Nothing, as with stores that do not number their eras.
+    Missing,
+    /// A text that is not a number.
+    Malformed,
+    /// The number of the era before the current one, as in a late response.
+    Previous,
+}
+
+/// A write of one key, kept so that a rollback can discard it.
 #[derive(Debug)]
+struct Write {
+    key: String,
+    item: Item,
+    written_at: Instant,
+}
+
+#[derive(Clone, Debug)]
 struct Item {
     /// `None` if the key has been removed.
     value: Option<String>,
@@ -61,6 +85,22 @@
     /// Watches from a revision before this one get status 410.
     compacted_revision: u64,
     items: BTreeMap<String, Item>,
+    /// All writes that are in force, in the order of their revisions.
+    writes: Vec<Write>,
+    /// Number of rollbacks so far.
+    era: u64,
+    era_header: EraHeader,
+}
+
+impl State {
+    fn era_header_value(&self) -> Option<String> {
+        match self.era_header {
+            EraHeader::Current => Some(self.era.to_string()),
+            EraHeader::Missing => None,
+            EraHeader::Malformed => Some(format!("era {}", self.era)),
+            EraHeader::Previous => Some(self.era.saturating_sub(1).to_string()),
+        }
+    }
 }
 
 /// A stand-in for the platform's store. Clones share the same keys.
@@ -110,6 +150,42 @@
         self.with(|state| state.compacted_revision = state.revision);
     }
 
+    /// Returns the revision of the newest write.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.with(|state| state.revision)
+    }
+
+    /// Discards all writes after `revision` and starts a new era, as if the store had been restored
+    /// from a copy. Revisions after it are given out again.
+    pub fn roll_back_to(&self, revision: u64) {
+        self.with(|state| {
+            state.writes.retain(|write| write.item.revision <= revision);
+            state.items.clear();
+            for write in &state.writes {
+                state.items.insert(write.key.clone(), write.item.clone());
+            }
+            state.revision = revision.min(state.revision);
+            state.compacted_revision = state.compacted_revision.min(state.revision);
+            state.era += 1;
+        });
+    }
+
+    /// Discards all writes of the time `age` before now, as [`Self::roll_back_to`] does.
+    pub fn roll_back(&self, age: Duration) {
+        let revision = self.with(|state| {
+            let kept = |write: &&Write| write.written_at.elapsed() >= age;
+            let newest = state.writes.iter().rev().find(kept);
+            newest.map_or(0, |write| write.item.revision)
+        });
+        self.roll_back_to(revision);
+    }
+
+    /// Sets what responses say about the era from now on.
+    pub fn set_era_header(&self, era_header: EraHeader) {
+        self.with(|state| state.era_header = era_header);
+    }
+
     fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
         act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -121,15 +197,36 @@
                 value,
                 revision: state.revision,
             };
-            state.items.insert(key.to_owned(), item);
+            state.items.insert(key.to_owned(), item.clone());
+            state.writes.push(Write {
+                key: key.to_owned(),
+                item,
+                written_at: Instant::now(),
+            });
         });
     }
 
     async fn handle(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let era = self.with(|state| state.era);
+        let mut response = self.respond(&request).await;
+        let (is_current, header) = self.with(|state| (state.era == era, state.era_header_value()));
+        if !is_current {
+            // The store was restored meanwhile, which ends the requests in progress.
+            response = unavailable_response();
+        }
+        // While the store is away, another process responds in its place and knows no era.
+        let is_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(header) = header.filter(|_| !is_away).and_then(|era| era.parse().ok()) {
+            response.headers_mut().insert("store-era", header);
+        }
+        Ok(response)
+    }
+
+    async fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         match self.with(|state| state.mode) {
             StoreMode::Up => {}
             StoreMode::Unavailable => {
-                return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+                return unavailable_response();
             }
             StoreMode::Slow { delay_ms } => sleep(Duration::from_millis(delay_ms)).await,
             StoreMode::Unresponsive => std::future::pending().await,
@@ -138,17 +235,16 @@
         let prefix = query.get("path_prefix").cloned().unwrap_or_default();
         let after = query.get("after").cloned();
         match request.uri().path() {
-            "/kv-range" => Ok(json_response(
-                StatusCode::OK,
-                &self.list_page(&prefix, after.as_deref()),
-            )),
+            "/kv-range" => {
+                json_response(StatusCode::OK, &self.list_page(&prefix, after.as_deref()))
+            }
             "/kv-watch" => {
                 let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
                 let wait_ms = query.get("wait_ms").and_then(|wait| wait.parse().ok());
                 let wait = Duration::from_millis(wait_ms.unwrap_or(0));
-                Ok(self.watch(&prefix, after, wait).await)
+                self.watch(&prefix, after, wait).await
             }
-            _ => Ok(json_response(StatusCode::NOT_FOUND, &Value::Null)),
+            _ => json_response(StatusCode::NOT_FOUND, &Value::Null),
         }
     }
 
@@ -170,8 +266,9 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<Full<Bytes>> {
         let deadline = Instant::now() + wait;
+        let first_era = self.with(|state| state.era);
         loop {
-            let (events, revision, is_compacted) = self.with(|state| {
+            let (events, revision, is_unknown) = self.with(|state| {
                 let mut changed: Vec<(&String, &Item)> = state
                     .items
                     .iter()
@@ -182,9 +279,12 @@
                     .iter()
                     .map(|(key, item)| item_json(key, item))
                     .collect();
-                (events, state.revision, after < state.compacted_revision)
+                let is_restored = state.era != first_era;
+                let is_unknown =
+                    is_restored || after < state.compacted_revision || after > state.revision;
+                (events, state.revision, is_unknown)
             });
-            if is_compacted {
+            if is_unknown {
                 return json_response(StatusCode::GONE, &Value::Null);
             }
             if !events.is_empty() || Instant::now() >= deadline {
@@ -215,6 +315,10 @@
         .collect()
 }
 
+fn unavailable_response() -> Response<Full<Bytes>> {
+    json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null)
+}
+
 fn json_response(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = status;
