feat(gateway): follow a store that is restored from an older copy

Cause: the follower knew the keys of the store by revision alone. After a restoration, revisions go back and are given out again: new writes with a known revision were skipped for good, a watch from a revision that existed again missed what lay before it, and servers that had been removed came back with the copy.

What callers saw: a configuration that was published after the restoration never applied, and requests went to servers that had left.

Change: `StoreFollow` (core, pure) knows writes by `StorePosition` (era, revision) and judges the era of each response before its content is used: a newer era lists the keys afresh at once, also in the middle of a list; an earlier, unreadable or suddenly missing era is discarded, counted and logged (events 312 and 313). It tells rows that may be part of the copy from newer writes. `Directory::restore` takes such a row without undoing draining, a removal or a later start; removed servers are remembered (`DepartedServers`) and used again once they are written, start anew or stay listed for ten seconds. Servers that the copy lacks have the two seconds of grace. No further calls to the store in calm operation.

Conclusion: what is in force is not taken back by an older copy. Open: a watch that the store neither ends nor answers shows the new era only at its end.

--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -3,9 +3,12 @@
 //! The platform's list drops servers that have left, but an outage of the list itself can also drop
 //! healthy servers. A removal takes effect at once while the list is reliable. A removal soon after
 //! an outage takes effect only if the server is not listed again within a grace period.
+//!
+//! The list itself may be restored from an older copy. What such a copy says of a server undoes
+//! neither its removal nor its draining: only a newer row does.
 
 use {
-    super::{ServerEntry, ServerHealth, ServerLoad},
+    super::{ServerEntry, ServerHealth, ServerLoad, departed_servers::DepartedServers},
     crate::TimeMs,
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -19,6 +22,7 @@
     servers: BTreeMap<Arc<str>, ServerView>,
     /// When the list was last unreliable.
     unreliable_ms: Option<TimeMs>,
+    departed: DepartedServers,
 }
 
 /// State of a backend server as seen by one entry.
@@ -59,6 +63,7 @@
     /// Inserts or updates a row of the list. A server that takes over the address of an older one
     /// replaces it.
     pub fn insert(&mut self, entry: ServerEntry) {
+        self.departed.clear(&entry.id);
         self.servers.retain(|id, server| {
             *id == entry.id
                 || server.entry.address != entry.address
@@ -89,6 +94,44 @@
         }
     }
 
+    /// Inserts or updates a row of a list that was restored from a copy, so that the row may be older
+    /// than what is known of the server.
+    ///
+    /// A server that drains stays draining. A server that was removed stays out until a newer row is
+    /// inserted, or until it has stayed in the list for longer than a dead server can.
+    pub fn restore(&mut self, entry: ServerEntry, now_ms: TimeMs) {
+        if self.is_superseded(&entry) {
+            return;
+        }
+        let known = self
+            .servers
+            .get(&entry.id)
+            .filter(|server| server.entry.started_ms == entry.started_ms);
+        let is_removed = known.is_some_and(|server| server.removed_ms.is_some());
+        let is_draining = known.is_some_and(|server| server.entry.is_draining);
+        let entry = ServerEntry {
+            is_draining: entry.is_draining || is_draining,
+            ..entry
+        };
+        if is_removed || self.departed.contains(&entry) {
+            self.departed.hold(entry, now_ms);
+        } else {
+            self.insert(entry);
+        }
+    }
+
+    /// Returns whether a later start of the server is known, or another server at its address that
+    /// did not start earlier.
+    fn is_superseded(&self, entry: &ServerEntry) -> bool {
+        self.servers.values().any(|server| {
+            if server.entry.id == entry.id {
+                is_older(entry, &server.entry)
+            } else {
+                server.entry.address == entry.address && !is_older(&server.entry, entry)
+            }
+        })
+    }
+
     /// Records that the list no longer contains a server. The removal is delayed if the list was
     /// unreliable shortly before.
     pub fn remove(&mut self, id: &str, now_ms: TimeMs) {
@@ -98,6 +141,7 @@
             }
             _ => now_ms,
         };
+        self.departed.discard_held(id);
         if let Some(server) = self.servers.get_mut(id) {
             server.removed_ms.get_or_insert(effective_ms);
         }
@@ -151,12 +195,20 @@
     /// Drops servers whose removal has taken effect and that have no requests of this entry in
     /// flight.
     pub fn prune(&mut self, now_ms: TimeMs) {
+        let departed = &mut self.departed;
         self.servers.retain(|_, server| {
-            server.in_flight > 0
+            let is_kept = server.in_flight > 0
                 || server
                     .removed_ms
-                    .is_none_or(|removed_ms| removed_ms > now_ms)
+                    .is_none_or(|removed_ms| removed_ms > now_ms);
+            if !is_kept {
+                departed.record(&server.entry, now_ms);
+            }
+            is_kept
         });
+        for entry in self.departed.take_proven_live(self.unreliable_ms, now_ms) {
+            self.insert(entry);
+        }
     }
 
     /// Returns the number of known servers, including leaving ones.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod adapter_version;
 mod base_models;
 mod configuration;
+mod departed_servers;
 mod directory;
 mod engine_action;
 mod engine_queue;
@@ -23,6 +24,7 @@
 mod engine_scheduler;
 mod engine_watch;
 mod event_stream;
+mod freshness;
 mod holdings;
 mod host_copies;
 mod idle_limit;
@@ -38,6 +40,8 @@
 mod scheduler_settings;
 mod server_entry;
 mod server_health;
+mod store_follow;
+mod store_position;
 mod unreported;
 
 pub use self::{
@@ -54,6 +58,7 @@
     engine_scheduler::EngineScheduler,
     engine_watch::{EngineWatch, MissingReport},
     event_stream::{EventSplitter, StreamEvent},
+    freshness::Freshness,
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
@@ -64,5 +69,7 @@
     scheduler_settings::SchedulerSettings,
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
+    store_follow::{AnswerEra, AnswerUse, DiscardReason, StoreFollow, StoreRead},
+    store_position::StorePosition,
     unreported::UnreportedWork,
 };
--- a/crates/magnoliasail-core/tests/gateway/directory.rs
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -105,3 +105,113 @@
     directory.prune(2_000);
     assert!(directory.is_empty());
 }
+
+fn draining(id: &str, port: u16) -> ServerEntry {
+    ServerEntry {
+        is_draining: true,
+        ..entry(id, port)
+    }
+}
+
+fn started_later(id: &str, port: u16) -> ServerEntry {
+    ServerEntry {
+        started_ms: Some(5_000),
+        ..entry(id, port)
+    }
+}
+
+#[test]
+fn a_copy_that_says_ready_does_not_undo_draining_until_a_newer_row_or_start_does() {
+    let mut directory = Directory::default();
+    for (id, port) in [("written", 1), ("restarted", 2), ("silent", 3)] {
+        directory.insert(draining(id, port));
+        directory.restore(entry(id, port), 1_000);
+    }
+    assert!(usable(&directory, 1_000).is_empty());
+    directory.insert(entry("written", 1));
+    directory.restore(started_later("restarted", 2), 1_000);
+    assert_eq!(usable(&directory, 1_000), ["restarted", "written"]);
+}
+
+#[test]
+fn a_copy_that_says_draining_is_believed() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1));
+    directory.restore(draining("a", 1), 1_000);
+    assert!(usable(&directory, 1_000).is_empty());
+}
+
+#[test]
+fn a_removed_server_that_a_copy_lists_stays_out_until_it_is_written_or_starts_again() {
+    for is_pruned in [false, true] {
+        let mut directory = Directory::default();
+        for (id, port) in [("written", 1), ("restarted", 2), ("silent", 3)] {
+            directory.insert(entry(id, port));
+            directory.remove(id, 1_000);
+            if is_pruned {
+                directory.prune(1_000);
+            }
+            directory.restore(entry(id, port), 2_000);
+        }
+        directory.prune(3_000);
+        assert!(usable(&directory, 3_000).is_empty());
+        directory.insert(entry("written", 1));
+        directory.restore(started_later("restarted", 2), 3_000);
+        assert_eq!(usable(&directory, 3_000), ["restarted", "written"]);
+    }
+}
+
+#[test]
+fn an_earlier_start_in_a_copy_does_not_replace_a_later_one() {
+    let mut directory = Directory::default();
+    directory.insert(started_later("same-id", 1));
+    directory.insert(started_later("same-address", 2));
+    directory.restore(entry("same-id", 1), 1_000);
+    directory.restore(entry("predecessor", 2), 1_000);
+    assert_eq!(usable(&directory, 1_000), ["same-address", "same-id"]);
+    let same_id = directory.get("same-id").expect("known");
+    assert_eq!(same_id.entry.started_ms, Some(5_000));
+}
+
+#[test]
+fn a_server_that_never_left_is_used_when_a_copy_lists_it() {
+    let mut directory = Directory::default();
+    directory.insert(entry("known", 1));
+    directory.restore(entry("known", 1), 1_000);
+    directory.restore(entry("unknown", 2), 1_000);
+    assert_eq!(usable(&directory, 1_000), ["known", "unknown"]);
+}
+
+/// A server that is dead is removed from the list within some heartbeats.
+#[test]
+fn a_removed_server_that_stays_listed_in_a_reliable_list_is_used_again() {
+    let mut directory = Directory::default();
+    for (id, port) in [("alive", 1), ("dead", 2)] {
+        directory.insert(entry(id, port));
+        directory.remove(id, 1_000);
+        directory.prune(1_000);
+        directory.restore(entry(id, port), 2_000);
+    }
+    directory.mark_list_unreliable(4_000);
+    directory.remove("dead", 8_000);
+    directory.prune(13_000);
+    assert!(usable(&directory, 13_000).is_empty());
+    directory.prune(14_000);
+    assert_eq!(usable(&directory, 14_000), ["alive"]);
+}
+
+#[test]
+fn a_server_that_a_copy_lacks_has_two_seconds_to_be_listed_again() {
+    let mut directory = Directory::default();
+    directory.insert(entry("back", 1));
+    directory.insert(entry("gone", 2));
+    // A new era makes the list unreliable.
+    directory.mark_list_unreliable(50_000);
+    directory.remove("back", 50_100);
+    directory.remove("gone", 50_100);
+    directory.prune(51_900);
+    assert_eq!(usable(&directory, 51_900), ["back", "gone"]);
+    directory.insert(entry("back", 1));
+    directory.prune(52_000);
+    assert_eq!(usable(&directory, 52_000), ["back"]);
+}
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions under load and faults.
 
+mod adapter_versions;
 mod directory;
 mod engine_watch;
 mod expected_wait;
@@ -11,4 +12,5 @@
 mod retries;
 mod routes;
 mod scheduler;
+mod store_follow;
 mod streams;
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -71,6 +71,10 @@
     StoreLost = 310,
     /// The platform's store can be read again after a failure.
     StoreRegained = 311,
+    /// The platform's store was restored from a copy, and its keys are read again.
+    StoreEraChanged = 312,
+    /// A response of the platform's store was not used because of its era.
+    StoreAnswerDiscarded = 313,
     /// A version of the configuration was applied.
     ConfigurationAdopted = 320,
     /// A configuration or a version announcement that the operator published is invalid.
@@ -146,6 +150,8 @@
             | Self::LogLinesDropped
             | Self::AcceptFailed
             | Self::StoreLost
+            | Self::StoreEraChanged
+            | Self::StoreAnswerDiscarded
             | Self::ServerUnreadable
             | Self::EngineLost
             | Self::OrderLost => Level::Warn,
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -98,15 +98,16 @@
 
 async fn request_report(state: &AgentState) -> Result<EngineReport, ReportError> {
     let request = report::request(&state.engine_address.to_string());
-    let (status, body) = state
+    let response = state
         .control_pool
         .call(request, REPORT_TIMEOUT)
         .await
         .context(UnreachableSnafu)?;
+    let status = response.status();
     if status != StatusCode::OK {
         return StatusSnafu { status }.fail();
     }
-    report::decode(&body).context(MalformedSnafu)
+    report::decode(response.body()).context(MalformedSnafu)
 }
 
 /// Sends an order to the engine and records its outcome.
@@ -114,7 +115,7 @@
     let host = state.engine_address.to_string();
     let request = orders::request(&host, &state.settings.vm_name, &order);
     let outcome = match state.control_pool.call(request, ORDER_TIMEOUT).await {
-        Ok((status, _)) => orders::outcome(status),
+        Ok(response) => orders::outcome(response.status()),
         Err(error) => {
             emit(EventId::OrderLost, error);
             OrderOutcome::Unknown
--- a/crates/magnoliasail/src/gateway/agent/operator_observer.rs
+++ b/crates/magnoliasail/src/gateway/agent/operator_observer.rs
@@ -9,7 +9,7 @@
             store_client::{apply_configuration, store_pool},
         },
     },
-    magnoliasail_core::gateway::Configuration,
+    magnoliasail_core::gateway::{Configuration, DiscardReason, Freshness},
     magnoliasail_platform::{configuration, registry, store::Change},
     std::{cell::Cell, rc::Rc, time::Duration},
 };
@@ -62,7 +62,7 @@
 }
 
 impl ChangeObserver for OperatorObserver {
-    fn on_change(&self, change: &Change) {
+    fn on_change(&self, change: &Change, _freshness: Freshness) {
         let Some(value) = &change.value else { return };
         if change.key == configuration::KEY {
             apply_configuration(change, &self.state.metrics, |configuration| {
@@ -88,6 +88,15 @@
         }
     }
 
+    /// Versions only increase, so that nothing of an older copy is applied.
+    fn on_new_era(&self) {
+        self.state.metrics.store_era_changes.inc();
+    }
+
+    fn on_answer_discarded(&self, reason: DiscardReason) {
+        self.state.metrics.count_discarded_store_answer(reason);
+    }
+
     fn on_store_error(&self) {
         self.state.metrics.store_troubles.inc();
     }
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -11,6 +11,7 @@
             store_client::{apply_configuration, store_pool},
         },
     },
+    magnoliasail_core::gateway::{DiscardReason, Freshness},
     magnoliasail_platform::{configuration, registry, store::Change},
     std::{
         collections::HashSet,
@@ -62,14 +63,25 @@
 }
 
 impl ChangeObserver for StoreObserver {
-    fn on_change(&self, change: &Change) {
+    fn on_change(&self, change: &Change, freshness: Freshness) {
         if change.key == configuration::KEY {
             self.apply_configuration(change);
         } else if let Some(id) = registry::server_id(&change.key) {
-            self.apply_server(id, change);
+            self.apply_server(id, change, freshness);
         }
     }
 
+    fn on_new_era(&self) {
+        let now_ms = self.0.clock.now_ms();
+        self.0.metrics.store_era_changes.inc();
+        // Servers that the copy lacks have time to be listed again.
+        self.0.directory.borrow_mut().mark_list_unreliable(now_ms);
+    }
+
+    fn on_answer_discarded(&self, reason: DiscardReason) {
+        self.0.metrics.count_discarded_store_answer(reason);
+    }
+
     fn on_store_error(&self) {
         let now_ms = self.0.clock.now_ms();
         self.0.metrics.store_troubles.inc();
@@ -97,7 +109,7 @@
         });
     }
 
-    fn apply_server(&self, id: Arc<str>, change: &Change) {
+    fn apply_server(&self, id: Arc<str>, change: &Change, freshness: Freshness) {
         let now_ms = self.0.clock.now_ms();
         let mut directory = self.0.directory.borrow_mut();
         let Some(value) = change.value.as_ref().filter(|_| !change.is_removed) else {
@@ -117,7 +129,10 @@
                         entry.id, entry.address, entry.is_draining, change.revision
                     ),
                 );
-                directory.insert(entry);
+                match freshness {
+                    Freshness::Written => directory.insert(entry),
+                    Freshness::Restored => directory.restore(entry, now_ms),
+                }
             }
             Err(error) => emit(
                 EventId::ServerUnreadable,
--- a/crates/magnoliasail/src/gateway/follower.rs
+++ b/crates/magnoliasail/src/gateway/follower.rs
@@ -1,25 +1,26 @@
 //! Follows the keys in the platform's store that start with a prefix.
 //!
 //! A follower lists the keys, then watches for changes after the revision of the first page. If the
-//! store no longer has the history for a watch, the follower lists the keys again. It notifies its
-//! observer of each change once, in the order of revisions, and reports keys that are missing from
-//! a new list as removed. Other failed reads are reported too; data reported before stays in use.
+//! store no longer has the history for a watch, or was restored from a copy, the follower lists the
+//! keys again. It notifies its observer of each change once, in the order of positions, and reports
+//! keys that are missing from a new list as removed. Other failed reads are reported too; data
+//! reported before stays in use. [`StoreFollow`] decides what is read next and which response is
+//! used.
 
 use {
     super::pool::{Pool, SendError},
     crate::events::{EventId, emit},
-    hyper::StatusCode,
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode},
+    magnoliasail_core::gateway::{AnswerUse, DiscardReason, Freshness, StoreFollow, StoreRead},
     magnoliasail_platform::{
         DecodeError,
+        headers::store_era,
         store::{Change, Changes, decode, range_request, watch_request},
     },
     rand::Rng,
     snafu::Snafu,
-    std::{
-        collections::{HashMap, HashSet},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -35,7 +36,13 @@
 /// Receives the notifications of a follower.
 pub(super) trait ChangeObserver {
     /// Handles a change of a key.
-    fn on_change(&self, change: &Change);
+    fn on_change(&self, change: &Change, freshness: Freshness);
+
+    /// Handles a restoration of the store from a copy. The changes of a new list follow.
+    fn on_new_era(&self);
+
+    /// Handles a response that is not used because of its era. A failed read is reported next.
+    fn on_answer_discarded(&self, reason: DiscardReason);
 
     /// Handles a failed read of the store. A watch for which the store no longer has the history is
     /// not reported.
@@ -58,6 +65,19 @@
         "the store no longer has the history for the watch; the keys are listed again"
     ))]
     Compacted,
+    #[snafu(display("the store has entered a new era; the keys are listed again"))]
+    NewEra,
+    #[snafu(display("the response is not used ({reason}); the read is retried"))]
+    Discarded { reason: DiscardReason },
+}
+
+/// How a read ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadEnd {
+    /// More pages of the list follow.
+    HasMore,
+    /// All changes so far have been reported.
+    CaughtUp,
 }
 
 /// Timing of a follower's calls to the store.
@@ -78,8 +98,7 @@
     long_poll: Duration,
     pause: Duration,
     observer: Rc<O>,
-    /// Existing keys with the revisions of their last changes.
-    known_revisions: HashMap<String, u64>,
+    follow: StoreFollow,
 }
 
 impl<O: ChangeObserver> Follower<O> {
@@ -97,36 +116,36 @@
             long_poll: timing.long_poll,
             pause: timing.pause,
             observer,
-            known_revisions: HashMap::new(),
+            follow: StoreFollow::default(),
         }
     }
 
     /// Follows the keys until the process exits.
     pub(super) async fn run(mut self) {
-        let mut revision = None;
         let mut backoff_ms = INITIAL_BACKOFF_MS;
         let mut is_lost = false;
+        let mut has_unread_era = false;
         loop {
-            let result = match revision {
-                None => self.list().await,
-                Some(revision) if is_lost => self.watch(revision, LOST_STORE_POLL).await,
-                Some(revision) => self.watch(revision, self.long_poll).await,
-            };
-            match result {
-                Ok(new_revision) => {
-                    revision = Some(new_revision);
+            match self.read(is_lost).await {
+                Ok(ReadEnd::HasMore) => continue,
+                Ok(ReadEnd::CaughtUp) => {
                     backoff_ms = INITIAL_BACKOFF_MS;
+                    has_unread_era = false;
                     if std::mem::take(&mut is_lost) {
-                        emit(
-                            EventId::StoreRegained,
-                            format_args!("prefix={} revision={new_revision}", self.prefix),
-                        );
+                        emit(EventId::StoreRegained, format_args!("{}", self.location()));
                     }
                     self.observer.on_caught_up();
                     sleep(self.pause).await;
                     continue;
                 }
-                Err(FollowError::Compacted) => revision = None,
+                Err(FollowError::NewEra) => {
+                    self.report_new_era();
+                    // A store that enters one era after another is read at a limited rate.
+                    if !std::mem::replace(&mut has_unread_era, true) {
+                        continue;
+                    }
+                }
+                Err(FollowError::Compacted) => self.follow.list_afresh(),
                 Err(error) => {
                     if !std::mem::replace(&mut is_lost, true) {
                         emit(
@@ -143,93 +162,111 @@
         }
     }
 
-    /// Lists all keys and returns the revision from which to watch.
-    async fn list(&mut self) -> Result<u64, FollowError> {
-        let mut listed = HashSet::new();
-        let mut first_revision = None;
-        let mut after: Option<String> = None;
-        loop {
-            let request = range_request(&self.host, self.prefix, after.as_deref());
-            let page = self.call(request, LIST_TIMEOUT).await?;
-            first_revision.get_or_insert(page.revision);
-            after = page.changes.last().map(|change| change.key.clone());
-            for change in &page.changes {
-                listed.insert(change.key.clone());
-                self.notify(change);
-            }
-            if !page.has_more || after.is_none() {
-                break;
-            }
+    /// Reads a page of the list or a batch of changes, and reports its changes.
+    async fn read(&mut self, is_lost: bool) -> Result<ReadEnd, FollowError> {
+        let (request, limit) = self.next_request(is_lost);
+        let response = self
+            .pool
+            .call(request, limit)
+            .await
+            .map_err(|source| FollowError::Unreachable { source })?;
+        let page = self.check(&response)?;
+        self.follow.begin_page(page.revision);
+        for change in &page.changes {
+            self.notify(change);
+        }
+        let missing = self.follow.end_page(page.revision, page.has_more);
+        for key in missing {
+            self.notify_missing(key, page.revision);
         }
-        let revision = first_revision.unwrap_or(0);
-        self.notify_missing(&listed, revision);
-        Ok(revision)
+        Ok(match self.follow.next_read() {
+            StoreRead::List { .. } => ReadEnd::HasMore,
+            StoreRead::Watch { .. } => ReadEnd::CaughtUp,
+        })
     }
 
-    /// Reports known keys that are missing from the list as removed.
-    fn notify_missing(&mut self, listed: &HashSet<String>, revision: u64) {
-        let missing: Vec<String> = self
-            .known_revisions
-            .keys()
-            .filter(|key| !listed.contains(*key))
-            .cloned()
-            .collect();
-        for key in missing {
-            self.known_revisions.remove(&key);
-            self.observer.on_change(&Change {
-                key,
-                value: None,
-                is_removed: true,
-                revision,
-            });
+    /// Returns the request for the next read, with its time limit.
+    fn next_request(&self, is_lost: bool) -> (Request<Bytes>, Duration) {
+        match self.follow.next_read() {
+            StoreRead::List { after } => (
+                range_request(&self.host, self.prefix, after.as_deref()),
+                LIST_TIMEOUT,
+            ),
+            StoreRead::Watch { revision } => {
+                let wait = if is_lost {
+                    LOST_STORE_POLL
+                } else {
+                    self.long_poll
+                };
+                let wait_ms = wait.as_millis() as u64;
+                let request = watch_request(&self.host, self.prefix, revision, wait_ms);
+                (request, wait + WATCH_MARGIN)
+            }
         }
     }
 
-    /// Waits at most `wait` for changes after `revision`, and returns the revision from which to watch
-    /// next.
-    async fn watch(&mut self, revision: u64, wait: Duration) -> Result<u64, FollowError> {
-        let wait_ms = wait.as_millis() as u64;
-        let request = watch_request(&self.host, self.prefix, revision, wait_ms);
-        let limit = wait + WATCH_MARGIN;
-        let batch = self.call(request, limit).await?;
-        for change in &batch.changes {
-            self.notify(change);
+    /// Returns the content of a response that may be used.
+    ///
+    /// The era counts in responses with an error status too, but there it need not be named.
+    fn check(&mut self, response: &Response<Bytes>) -> Result<Changes, FollowError> {
+        let era_use = self.follow.judge(store_era(response.headers()));
+        if era_use == AnswerUse::ListAfresh {
+            return Err(FollowError::NewEra);
+        }
+        match (response.status(), era_use) {
+            (StatusCode::OK, AnswerUse::Discard(reason)) => {
+                self.report_discarded(reason);
+                Err(FollowError::Discarded { reason })
+            }
+            (StatusCode::OK, _) => {
+                decode(response.body()).map_err(|source| FollowError::Malformed { source })
+            }
+            (StatusCode::GONE, _) => Err(FollowError::Compacted),
+            (status, _) => Err(FollowError::Status { status }),
         }
-        Ok(batch.revision.max(revision))
     }
 
     /// Reports a change, unless it or a later one of the same key has been reported.
     fn notify(&mut self, change: &Change) {
-        let is_known = self
-            .known_revisions
-            .get(&change.key)
-            .is_some_and(|&revision| revision >= change.revision);
-        if is_known {
-            return;
-        }
-        if change.is_removed {
-            self.known_revisions.remove(&change.key);
-        } else {
-            self.known_revisions
-                .insert(change.key.clone(), change.revision);
+        let freshness = self
+            .follow
+            .record(&change.key, change.revision, change.is_removed);
+        if let Some(freshness) = freshness {
+            self.observer.on_change(change, freshness);
         }
-        self.observer.on_change(change);
     }
 
-    async fn call(
-        &self,
-        request: hyper::Request<bytes::Bytes>,
-        limit: Duration,
-    ) -> Result<Changes, FollowError> {
-        let (status, body) = self
-            .pool
-            .call(request, limit)
-            .await
-            .map_err(|source| FollowError::Unreachable { source })?;
-        match status {
-            StatusCode::OK => decode(&body).map_err(|source| FollowError::Malformed { source }),
-            StatusCode::GONE => Err(FollowError::Compacted),
-            status => Err(FollowError::Status { status }),
-        }
+    /// Reports a key that is missing from the list as removed.
+    fn notify_missing(&self, key: String, revision: u64) {
+        let removal = Change {
+            key,
+            value: None,
+            is_removed: true,
+            revision,
+        };
+        self.observer.on_change(&removal, Freshness::Written);
+    }
+
+    fn report_new_era(&self) {
+        emit(
+            EventId::StoreEraChanged,
+            format_args!("{}", self.location()),
+        );
+        self.observer.on_new_era();
+    }
+
+    fn report_discarded(&self, reason: DiscardReason) {
+        emit(
+            EventId::StoreAnswerDiscarded,
+            format_args!("{} reason={reason}", self.location()),
+        );
+        self.observer.on_answer_discarded(reason);
+    }
+
+    /// Returns the prefix and the current position as log keys.
+    fn location(&self) -> String {
+        let era = self.follow.era();
+        let revision = self.follow.highest_revision();
+        format!("prefix={} era={era:?} revision={revision}", self.prefix)
     }
 }
--- a/crates/magnoliasail/src/gateway/metrics.rs
+++ b/crates/magnoliasail/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
     http_body_util::Full,
     hyper::{Response, header::CONTENT_TYPE, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
+    magnoliasail_core::gateway::DiscardReason,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -81,6 +82,8 @@
     pub(super) waiting: Gauge,
     pub(super) running: Gauge,
     pub(super) store_troubles: Counter,
+    pub(super) store_era_changes: Counter,
+    discarded_store_answers: Family<ReasonLabel, Counter>,
 }
 
 impl GatewayMetrics {
@@ -104,6 +107,8 @@
             waiting: Gauge::default(),
             running: Gauge::default(),
             store_troubles: Counter::default(),
+            store_era_changes: Counter::default(),
+            discarded_store_answers: Family::default(),
         };
         for reason in refusals {
             drop(metrics.refusals.get_or_create(&ReasonLabel { reason }));
@@ -112,6 +117,9 @@
             let reason = cause.into();
             drop(metrics.retries.get_or_create(&ReasonLabel { reason }));
         }
+        for reason in DiscardReason::iter() {
+            metrics.count_discarded_store_answers_by(reason, 0);
+        }
         metrics.register();
         Rc::new(metrics)
     }
@@ -136,6 +144,8 @@
             waiting: "Attempts queued at the agent",
             running: "Requests or attempts in progress",
             store_troubles: "Failed reads of the platform's store; at an entry, of the server list only",
+            store_era_changes: "Times the platform's store was seen to be restored from a copy",
+            discarded_store_answers: "Responses of the platform's store not used because of their era, by reason",
         );
         registry.register(
             "stage_seconds",
@@ -153,6 +163,17 @@
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    pub(super) fn count_discarded_store_answer(&self, reason: DiscardReason) {
+        self.count_discarded_store_answers_by(reason, 1);
+    }
+
+    fn count_discarded_store_answers_by(&self, reason: DiscardReason, count: u64) {
+        let reason = reason.into();
+        self.discarded_store_answers
+            .get_or_create(&ReasonLabel { reason })
+            .inc_by(count);
+    }
+
     pub(super) fn observe_stage(&self, stage: Stage, duration_ms: u64) {
         let stage = StageLabel {
             stage: stage.into(),
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -9,7 +9,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Request, StatusCode,
+        Request, Response, StatusCode,
         body::Incoming,
         client::conn::http1::{self, SendRequest},
         header::HeaderMap,
@@ -212,7 +212,7 @@
         }
     }
 
-    /// Sends an idempotent request and returns the status and the complete body of the response.
+    /// Sends an idempotent request and returns the complete response.
     ///
     /// # Errors
     ///
@@ -222,12 +222,15 @@
         self: &Rc<Self>,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), SendError> {
+    ) -> Result<Response<Bytes>, SendError> {
         let exchange = async {
             let response = self.send(request, None, true).await?;
             let status = response.status;
-            let (_, body) = response.collect().await?;
-            Ok((status, body))
+            let (headers, body) = response.collect().await?;
+            let mut response = Response::new(body);
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            Ok(response)
         };
         timeout(limit, exchange)
             .await
--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -3,7 +3,7 @@
 
 use {
     magnoliasail_soak::{
-        Call, CallKind, Caller, Fleet, FleetSettings, Outcome, ServerFaults, StoreMode,
+        Call, CallKind, Caller, EraHeader, Fleet, FleetSettings, Outcome, ServerFaults, StoreMode,
     },
     std::{future::Future, path::PathBuf, time::Duration},
     tokio::{
@@ -359,6 +359,179 @@
     });
 }
 
+/// Makes the store unavailable for a moment, and restores it from a copy of the time of `revision`.
+async fn roll_back_store(fleet: &Fleet, revision: u64) {
+    fleet.store.set_mode(StoreMode::Unavailable);
+    sleep(Duration::from_millis(300)).await;
+    fleet.store.roll_back_to(revision);
+    fleet.store.set_mode(StoreMode::Up);
+}
+
+/// Waits until the entry has noticed a rollback of the store.
+async fn wait_for_new_era(fleet: &Fleet) {
+    // The entry follows all keys, and so the empty prefix.
+    while !fleet.output().contains("store_era_changed: prefix= ") {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn configuration_is_kept_after_a_rollback_of_the_store_and_a_newer_one_applies() {
+    with_fleet(78, |mut fleet| async move {
+        let copied_revision = fleet.store.revision();
+        fleet.publish_configuration(&["/added/"]);
+        sleep(PROPAGATION_TIME).await;
+        roll_back_store(&fleet, copied_revision).await;
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        // This write gets the revision of the one that was lost.
+        fleet.publish_configuration(&["/added/", "/newer/"]);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "newer").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+/// The store has the revision of the watch again, with another write, so that only the era shows
+/// that the watch is out of date.
+#[test]
+fn change_is_not_missed_if_its_revision_was_given_out_before() {
+    with_fleet(79, |mut fleet| async move {
+        let copied_revision = fleet.store.revision();
+        for server in 0..4 {
+            fleet.publish_server(server);
+        }
+        sleep(PROPAGATION_TIME).await;
+        fleet.store.set_mode(StoreMode::Unavailable);
+        sleep(Duration::from_millis(300)).await;
+        fleet.store.roll_back_to(copied_revision);
+        fleet.publish_configuration(&["/added/"]);
+        for server in 0..4 {
+            fleet.publish_server(server);
+        }
+        fleet.store.set_mode(StoreMode::Up);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+/// Makes calls of all kinds, numbered from `first_number`, and checks that each is served, and by a
+/// server that may serve it.
+async fn assert_calls_are_served(fleet: &Fleet, first_number: u32) {
+    let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+    for number in first_number..first_number + 20 {
+        let kind = CallKind::ALL[number as usize % CallKind::ALL.len()];
+        assert_eq!(caller.call(&call(kind, number)).await, Outcome::Served);
+    }
+    assert_no_violations(fleet);
+}
+
+#[test]
+fn draining_server_gets_no_new_requests_after_a_rollback_to_a_copy_that_says_ready() {
+    with_fleet(80, |fleet| async move {
+        let copied_revision = fleet.store.revision();
+        fleet.servers[2].set_draining(true);
+        fleet.publish_server(2);
+        sleep(PROPAGATION_TIME).await;
+        roll_back_store(&fleet, copied_revision).await;
+        sleep(PROPAGATION_TIME).await;
+        assert_calls_are_served(&fleet, 0).await;
+    });
+}
+
+#[test]
+fn removed_server_gets_no_new_requests_after_a_rollback_to_a_copy_that_lists_it() {
+    with_fleet(81, |fleet| async move {
+        let copied_revision = fleet.store.revision();
+        // The server goes on serving, and reports requests that arrive too late.
+        fleet.servers[2].set_draining(true);
+        fleet.remove_server(2);
+        sleep(PROPAGATION_TIME).await;
+        roll_back_store(&fleet, copied_revision).await;
+        sleep(PROPAGATION_TIME).await;
+        assert_calls_are_served(&fleet, 0).await;
+        // Once it is written again, it serves again.
+        fleet.servers[2].set_draining(false);
+        fleet.publish_server(2);
+        fleet.remove_server(3);
+        sleep(PROPAGATION_TIME).await;
+        assert_calls_are_served(&fleet, 100).await;
+    });
+}
+
+#[test]
+fn server_that_the_copy_lacks_serves_until_it_is_written_again() {
+    with_fleet(82, |fleet| async move {
+        fleet.remove_server(2);
+        fleet.remove_server(3);
+        let copied_revision = fleet.store.revision();
+        fleet.publish_server(2);
+        sleep(PROPAGATION_TIME).await;
+        assert_calls_are_served(&fleet, 0).await;
+        roll_back_store(&fleet, copied_revision).await;
+        wait_for_new_era(&fleet).await;
+        assert_calls_are_served(&fleet, 100).await;
+        fleet.publish_server(2);
+        sleep(PROPAGATION_TIME).await;
+        assert_calls_are_served(&fleet, 200).await;
+    });
+}
+
+#[test]
+fn response_of_the_store_without_a_readable_era_is_not_used() {
+    with_fleet(83, |mut fleet| async move {
+        fleet.store.set_era_header(EraHeader::Malformed);
+        fleet.publish_configuration(&["/added/"]);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+        let output = fleet.output();
+        assert!(output.contains("store_answer_discarded"), "{output}");
+        fleet.store.set_era_header(EraHeader::Current);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+#[test]
+fn response_of_an_earlier_era_is_not_used() {
+    with_fleet(84, |mut fleet| async move {
+        let copied_revision = fleet.store.revision();
+        roll_back_store(&fleet, copied_revision).await;
+        fleet.publish_server(2);
+        wait_for_new_era(&fleet).await;
+        fleet.store.set_era_header(EraHeader::Previous);
+        fleet.publish_configuration(&["/added/"]);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(
+            answer.starts_with("HTTP/1.1 404"),
+            "{answer}\n{}",
+            fleet.output()
+        );
+        fleet.store.set_era_header(EraHeader::Current);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+#[test]
+fn store_that_does_not_number_its_eras_is_followed() {
+    with_fleet(85, |mut fleet| async move {
+        fleet.store.set_era_header(EraHeader::Missing);
+        fleet.restart(0).expect("the entry starts");
+        assert_eq!(first_outcome(&fleet, CallKind::Safe).await, Outcome::Served);
+        fleet.publish_configuration(&["/added/"]);
+        sleep(PROPAGATION_TIME).await;
+        let answer = get(&fleet, "added").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
 /// Guards against request smuggling: a request in the body of another must not run, also if the
 /// outer request gives its length in two ways.
 #[test]
