fix(gateway): believe a copy that says a server drains before its removal takes effect

Cause: `Directory::restore` held the row of a server that had been missing from a copy and was within its two seconds of grace, and with the row also held the news that it drains.

What callers saw: requests could go to a draining server for the rest of the two seconds.

Change: draining applies to the known server at once, whether or not its row is held.

Evidence: found by the new history test, in which five servers start, drain, leave and start again while the store is restored, compacted, read late or not at all: no server that is known to have left is used, and once the store is calm exactly the ready ones are. Two of its first failures were its own (two starts of a server at the same millisecond; a row written since the restoration that undoes a removal) and are corrected in the model. The store's model stands in `fake_store` for both history tests.

--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -99,21 +99,22 @@
     ///
     /// A server that drains stays draining. A server that was removed stays out until a newer row is
     /// inserted, or until it has stayed in the list for longer than a dead server can.
-    pub fn restore(&mut self, entry: ServerEntry, now_ms: TimeMs) {
+    pub fn restore(&mut self, mut entry: ServerEntry, now_ms: TimeMs) {
         if self.is_superseded(&entry) {
             return;
         }
         let known = self
             .servers
-            .get(&entry.id)
+            .get_mut(&entry.id)
             .filter(|server| server.entry.started_ms == entry.started_ms);
-        let is_removed = known.is_some_and(|server| server.removed_ms.is_some());
-        let is_draining = known.is_some_and(|server| server.entry.is_draining);
-        let entry = ServerEntry {
-            is_draining: entry.is_draining || is_draining,
-            ..entry
-        };
-        if is_removed || self.departed.contains(&entry) {
+        let mut is_removed = self.departed.contains(&entry);
+        if let Some(server) = known {
+            // A server that is about to be removed may drain as well.
+            server.entry.is_draining |= entry.is_draining;
+            entry.is_draining = server.entry.is_draining;
+            is_removed |= server.removed_ms.is_some();
+        }
+        if is_removed {
             self.departed.hold(entry, now_ms);
         } else {
             self.insert(entry);
--- a/crates/magnoliasail-core/tests/gateway/directory.rs
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -141,6 +141,16 @@
     assert!(usable(&directory, 1_000).is_empty());
 }
 
+#[test]
+fn a_copy_that_says_draining_is_believed_of_a_server_that_is_about_to_be_removed() {
+    let mut directory = Directory::default();
+    directory.insert(entry("a", 1));
+    directory.mark_list_unreliable(1_000);
+    directory.remove("a", 1_000);
+    directory.restore(draining("a", 1), 1_100);
+    assert!(usable(&directory, 1_100).is_empty());
+}
+
 #[test]
 fn a_removed_server_that_a_copy_lists_stays_out_until_it_is_written_or_starts_again() {
     for is_pruned in [false, true] {
--- a/crates/magnoliasail-core/tests/gateway/store_follow.rs
+++ b/crates/magnoliasail-core/tests/gateway/store_follow.rs
@@ -1,10 +1,8 @@
 //! Following the platform's store while it is restored from older copies of itself.
 
 use {
-    arbtest::{
-        arbitrary::{Result, Unstructured},
-        arbtest,
-    },
+    crate::fake_store::{Answer, FakeStore, Write, for_each_seed},
+    arbtest::arbitrary::{Result, Unstructured},
     magnoliasail_core::gateway::{
         AnswerEra, AnswerUse, DiscardReason, Freshness, StoreFollow, StoreRead,
     },
@@ -153,117 +151,6 @@
     assert_eq!(follow.next_read(), StoreRead::Watch { revision: 100 });
 }
 
-const SEEDS: u64 = 300;
-/// Bytes of random input per seed.
-const INPUT_BYTES: u64 = 1_024;
-
-fn for_each_seed<P>(mut property: P)
-where
-    P: FnMut(&mut Unstructured<'_>) -> Result<()>,
-{
-    for seed in 1..=SEEDS {
-        arbtest(&mut property).seed(seed << 32 | INPUT_BYTES).run();
-    }
-}
-
-/// A write in the history of [`FakeStore`].
-#[derive(Clone, Debug)]
-struct Write {
-    key: String,
-    /// Unique number of the write, or `None` for a removal.
-    content: Option<u64>,
-    revision: u64,
-}
-
-/// A store whose history is a list of writes. A rollback drops the newest ones.
-#[derive(Clone, Debug, Default)]
-struct FakeStore {
-    era: u64,
-    writes: Vec<Write>,
-    /// Watches from a revision before this one are refused.
-    compacted_revision: u64,
-    content_count: u64,
-}
-
-/// A response of [`FakeStore`].
-#[derive(Clone, Debug)]
-struct Answer {
-    era: u64,
-    /// The writes, or `None` if the history for a watch is gone.
-    writes: Option<Vec<Write>>,
-    revision: u64,
-    has_more: bool,
-}
-
-impl FakeStore {
-    fn revision(&self) -> u64 {
-        self.writes.last().map_or(1, |write| write.revision)
-    }
-
-    fn write(&mut self, key: u8, is_removal: bool) {
-        self.content_count += 1;
-        self.writes.push(Write {
-            key: format!("key-{key}"),
-            content: (!is_removal).then_some(self.content_count),
-            revision: self.revision() + 1,
-        });
-    }
-
-    /// Returns to the state before the newest `lost` writes.
-    fn roll_back(&mut self, lost: usize) {
-        self.writes.truncate(self.writes.len().saturating_sub(lost));
-        self.compacted_revision = self.compacted_revision.min(self.revision());
-        self.era += 1;
-    }
-
-    fn items(&self) -> BTreeMap<&str, &Write> {
-        let mut items = BTreeMap::new();
-        for write in &self.writes {
-            items.insert(write.key.as_str(), write);
-        }
-        items.retain(|_, write| write.content.is_some());
-        items
-    }
-
-    fn contents(&self) -> BTreeMap<String, u64> {
-        let content = |(key, write): (&str, &Write)| Some((key.to_owned(), write.content?));
-        self.items().into_iter().filter_map(content).collect()
-    }
-
-    fn answer(&self, read: &StoreRead) -> Answer {
-        const PAGE_ITEMS: usize = 2;
-        let (writes, has_more) = match read {
-            StoreRead::List { after } => {
-                let mut writes: Vec<Write> = self
-                    .items()
-                    .into_iter()
-                    .filter(|(key, _)| after.as_deref().is_none_or(|after| *key > after))
-                    .map(|(_, write)| write.clone())
-                    .collect();
-                let has_more = writes.len() > PAGE_ITEMS;
-                writes.truncate(PAGE_ITEMS);
-                (Some(writes), has_more)
-            }
-            StoreRead::Watch { revision } => {
-                let has_history = (self.compacted_revision..=self.revision()).contains(revision);
-                let changes = self
-                    .writes
-                    .iter()
-                    .filter(|write| write.revision > *revision)
-                    .cloned()
-                    .collect();
-                (has_history.then_some(changes), false)
-            }
-        };
-        Answer {
-            era: self.era,
-            writes,
-            revision: self.revision(),
-            has_more,
-        }
-    }
-}
-
 /// A follower with what it believes of the store.
 #[derive(Debug, Default)]
 struct Reader {
