test(soak): let entries notice a lost connection before a server drains

The fault before it had discarded the traffic of a path, here of the second entry's path to the store: its watch timed out only after 3.7 s, so that it learned of the drain too late. The fault that only drains a server has the same exposure; docs/PROMISES.md names it (a store that one VM alone cannot read).

Change: the restoration fault waits for such a time-out before it drains a server, because it is about what was known before the restoration. The check of the server is unchanged.

--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -303,6 +303,8 @@
             "drain server {server}: {is_draining}; restore the store {restorations} times from a \
              copy of {age:?} ago, write again {duration:?} later"
         ));
+        // Until an entry notices that its connection to the store was lost, it reads no changes.
+        sleep(PROPAGATION_TIME).await;
         self.publish_next_configuration();
         self.fleet.servers[server].set_draining(is_draining);
         self.fleet.publish_server(server);
