fix(gateway): remember that a removed server was draining

Cause: a removed server that a copy lists is used again once it has stayed listed for ten seconds. The memory of departures did not hold whether it had been draining.

What callers saw: requests could go to a draining server that the list still names after a restoration.

Change: a departure records it, and the held row of the same server keeps draining.

Evidence: `a_removed_server_that_was_draining_stays_so_however_long_a_copy_lists_it` fails without the change and passes with it; the 94 gateway tests of the core pass.

--- a/crates/magnoliasail-core/src/gateway/departed_servers.rs
+++ b/crates/magnoliasail-core/src/gateway/departed_servers.rs
@@ -25,6 +25,7 @@
 struct Departure {
     /// The start of the server that left.
     started_ms: Option<u64>,
+    was_draining: bool,
     departed_ms: TimeMs,
 }
 
@@ -39,6 +40,7 @@
     pub(super) fn record(&mut self, entry: &ServerEntry, now_ms: TimeMs) {
         let departure = Departure {
             started_ms: entry.started_ms,
+            was_draining: entry.is_draining,
             departed_ms: now_ms,
         };
         self.departed.insert(Arc::clone(&entry.id), departure);
@@ -51,9 +53,11 @@
             .is_some_and(|departure| entry.started_ms <= departure.started_ms)
     }
 
-    /// Keeps the row of a departed server that is listed again.
-    pub(super) fn hold(&mut self, entry: ServerEntry, now_ms: TimeMs) {
+    /// Keeps the row of a departed server that is listed again. A server that was draining still is.
+    pub(super) fn hold(&mut self, mut entry: ServerEntry, now_ms: TimeMs) {
         let id = Arc::clone(&entry.id);
+        let departure = self.departed.get(&id);
+        entry.is_draining |= departure.is_some_and(|departure| departure.was_draining);
         let listed_ms = self.held.get(&id).map_or(now_ms, |held| held.listed_ms);
         self.held.insert(id, HeldEntry { entry, listed_ms });
     }
--- a/crates/magnoliasail-core/tests/gateway/directory.rs
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -210,6 +210,17 @@
     assert_eq!(usable(&directory, 14_000), ["alive"]);
 }
 
+#[test]
+fn a_removed_server_that_was_draining_stays_so_however_long_a_copy_lists_it() {
+    let mut directory = Directory::default();
+    directory.insert(draining("a", 1));
+    directory.remove("a", 1_000);
+    directory.prune(1_000);
+    directory.restore(entry("a", 1), 2_000);
+    directory.prune(60_000);
+    assert!(usable(&directory, 60_000).is_empty());
+}
+
 #[test]
 fn a_server_that_a_copy_lacks_has_two_seconds_to_be_listed_again() {
     let mut directory = Directory::default();
