--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -6,11 +6,14 @@
 //!
 //! What a server has announced itself outlasts its row, because the same start of a server may be
 //! listed again while it is leaving or has asked for a pause.
+//!
+//! The list itself may be restored from an older copy. What such a copy says of a server undoes
+//! neither its removal nor its draining: only a newer row does.
 
 use {
     super::{
         Announcement, Eligibility, Ineligibility, ServerEntry, ServerHealth, ServerLoad,
-        ServerNotice, VersionConstraint,
+        ServerNotice, VersionConstraint, departed_servers::DepartedServers,
     },
     crate::TimeMs,
     std::{collections::BTreeMap, sync::Arc},
@@ -30,6 +33,7 @@
     unlisted: BTreeMap<Arc<str>, UnlistedServer>,
     /// When the list was last unreliable.
     unreliable_ms: Option<TimeMs>,
+    departed: DepartedServers,
 }
 
 /// State of a backend server as seen by one entry.
@@ -89,6 +93,7 @@
     /// Inserts or updates a row of the list. A server that takes over the address of an older one
     /// replaces it.
     pub fn insert(&mut self, entry: ServerEntry, now_ms: TimeMs) {
+        self.departed.clear(&entry.id);
         self.drop_where(now_ms, |id, server| {
             *id != entry.id
                 && server.entry.address == entry.address
@@ -130,6 +135,46 @@
             .map_or_else(Eligibility::default, |server| server.eligibility)
     }
 
+    /// Inserts or updates a row of a list that was restored from a copy, so that the row may be older
+    /// than what is known of the server.
+    ///
+    /// A server that drains stays draining. A server that was removed stays out until a newer row is
+    /// inserted, or until it has stayed in the list for longer than a dead server can.
+    pub fn restore(&mut self, mut entry: ServerEntry, now_ms: TimeMs) {
+        if self.is_superseded(&entry) {
+            return;
+        }
+        let known = self
+            .servers
+            .get_mut(&entry.id)
+            .filter(|server| server.entry.started_ms == entry.started_ms);
+        let mut is_removed = self.departed.contains(&entry);
+        if let Some(server) = known {
+            // A server that is about to be removed may drain as well.
+            server.entry.is_draining |= entry.is_draining;
+            entry.is_draining = server.entry.is_draining;
+            server.eligibility.set_draining(entry.is_draining);
+            is_removed |= server.eligibility.has_removal();
+        }
+        if is_removed {
+            self.departed.hold(entry, now_ms);
+        } else {
+            self.insert(entry, now_ms);
+        }
+    }
+
+    /// Returns whether a later start of the server is known, or another server at its address that
+    /// did not start earlier.
+    fn is_superseded(&self, entry: &ServerEntry) -> bool {
+        self.servers.values().any(|server| {
+            if server.entry.id == entry.id {
+                is_older(entry, &server.entry)
+            } else {
+                server.entry.address == entry.address && !is_older(&server.entry, entry)
+            }
+        })
+    }
+
     /// Records that the list no longer contains a server. The removal is delayed if the list was
     /// unreliable shortly before.
     pub fn remove(&mut self, id: &str, now_ms: TimeMs) {
@@ -139,6 +184,7 @@
             }
             _ => now_ms,
         };
+        self.departed.discard_held(id);
         if let Some(server) = self.servers.get_mut(id) {
             server.eligibility.mark_removed(effective_ms);
         }
@@ -224,11 +270,17 @@
     /// Drops servers whose removal has taken effect and that have no requests of this entry in
     /// flight.
     pub fn prune(&mut self, now_ms: TimeMs) {
-        self.drop_where(now_ms, |_, server| {
-            server.in_flight == 0 && server.eligibility.is_removed(now_ms)
-        });
+        let is_gone =
+            |server: &ServerView| server.in_flight == 0 && server.eligibility.is_removed(now_ms);
+        for server in self.servers.values().filter(|server| is_gone(server)) {
+            self.departed.record(&server.entry, now_ms);
+        }
+        self.drop_where(now_ms, |_, server| is_gone(server));
         self.unlisted
             .retain(|_, server| now_ms < server.dropped_ms + ANNOUNCEMENT_RETENTION_MS);
+        for entry in self.departed.take_proven_live(self.unreliable_ms, now_ms) {
+            self.insert(entry, now_ms);
+        }
     }
 
     /// Drops the servers for which `is_dropped` returns `true`, and keeps what they have announced.
--- a/crates/magnoliasail-core/src/gateway/eligibility.rs
+++ b/crates/magnoliasail-core/src/gateway/eligibility.rs
@@ -87,6 +87,12 @@
             .is_some_and(|removed_ms| removed_ms <= now_ms)
     }
 
+    /// Returns whether a removal of the server from the list is recorded, in effect or not.
+    #[must_use]
+    pub const fn has_removal(&self) -> bool {
+        self.removed_ms.is_some()
+    }
+
     /// Returns whether the server itself has announced anything that still holds.
     #[must_use]
     pub const fn has_announcement(&self, now_ms: TimeMs) -> bool {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod adapter_version;
 mod base_models;
 mod configuration;
+mod departed_servers;
 mod directory;
 mod eligibility;
 mod engine_action;
@@ -24,6 +25,7 @@
 mod engine_scheduler;
 mod engine_watch;
 mod event_stream;
+mod freshness;
 mod holdings;
 mod host_copies;
 mod idle_limit;
@@ -42,6 +44,8 @@
 mod server_entry;
 mod server_health;
 mod server_notice;
+mod store_follow;
+mod store_position;
 mod stream_origins;
 mod unreported;
 mod version_constraint;
@@ -62,6 +66,7 @@
     engine_scheduler::EngineScheduler,
     engine_watch::{EngineWatch, MissingReport},
     event_stream::{EventSplitter, StreamEvent},
+    freshness::Freshness,
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
@@ -75,6 +80,8 @@
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
     server_notice::{Announcement, PauseSource, RequestedPause, ServerNotice},
+    store_follow::{AnswerEra, AnswerUse, DiscardReason, StoreFollow, StoreRead},
+    store_position::StorePosition,
     stream_origins::StreamOrigins,
     unreported::UnreportedWork,
     version_constraint::VersionConstraint,
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the gateway's decisions under load and faults.
 
+mod adapter_versions;
 mod directory;
 mod eligibility;
 mod engine_watch;
 mod expected_wait;
 mod fake_engine;
+mod fake_store;
 mod holdings;
 mod idle_limit;
 mod load_replay;
@@ -13,5 +15,7 @@
 mod retries;
 mod routes;
 mod scheduler;
+mod store_follow;
+mod store_restoration;
 mod stream_origins;
 mod streams;
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -83,6 +83,7 @@
     pub proxies: Vec<Proxy>,
     configuration_version: u64,
     route_timeout: Duration,
+    configuration: Value,
 }
 
 impl Process {
@@ -151,6 +152,7 @@
             proxies: Vec::new(),
             configuration_version: 0,
             route_timeout: DEFAULT_ROUTE_TIMEOUT,
+            configuration: Value::Null,
             settings,
         };
         fleet.start_stand_ins().await?;
@@ -236,6 +238,15 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576, "header_timeout_ms": 3000,
                 "idle_timeout_ms": 15000}});
         self.store.put("op/config", &configuration);
+        self.configuration = configuration;
+    }
+
+    /// Writes the current configuration and the entries of all servers to the store again.
+    pub fn publish_all(&self) {
+        self.store.put("op/config", &self.configuration);
+        for server in 0..self.servers.len() {
+            self.publish_server(server);
+        }
     }
 
     /// Writes a server's entry to the store.
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -123,10 +123,10 @@
         .call(request, REPORT_TIMEOUT)
         .await
         .context(UnreachableSnafu)?;
-    let status = response.status;
-    let notice = headers::server_notice(status, &response.headers);
+    let status = response.status();
+    let notice = headers::server_notice(status, response.headers());
     if status == StatusCode::OK {
-        let report = report::decode(&response.body).context(MalformedSnafu)?;
+        let report = report::decode(response.body()).context(MalformedSnafu)?;
         return Ok(ReceivedReport { report, notice });
     }
     state.apply_notice(started_ms, notice);
@@ -143,9 +143,9 @@
     let request = orders::request(&host, &state.settings.vm_name, &order);
     let outcome = match state.control_pool.call(request, ORDER_TIMEOUT).await {
         Ok(response) => {
-            let notice = headers::server_notice(response.status, &response.headers);
+            let notice = headers::server_notice(response.status(), response.headers());
             state.apply_notice(started_ms, notice);
-            orders::outcome(response.status)
+            orders::outcome(response.status())
         }
         Err(error) => {
             emit(EventId::OrderLost, error);
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -9,7 +9,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Request, StatusCode,
+        Request, Response, StatusCode,
         body::Incoming,
         client::conn::http1::{self, SendRequest},
         header::HeaderMap,
@@ -137,13 +137,6 @@
     pool: Rc<Pool>,
 }
 
-/// A complete response of a server.
-pub(super) struct CompleteResponse {
-    pub(super) status: StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-}
-
 impl Pool {
     /// Creates a pool of at most `max_open` connections, of which none is open yet.
     pub(super) fn new(
@@ -229,16 +222,15 @@
         self: &Rc<Self>,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<CompleteResponse, SendError> {
+    ) -> Result<Response<Bytes>, SendError> {
         let exchange = async {
             let response = self.send(request, None, true).await?;
             let status = response.status;
             let (headers, body) = response.collect().await?;
-            Ok(CompleteResponse {
-                status,
-                headers,
-                body,
-            })
+            let mut response = Response::new(body);
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            Ok(response)
         };
         timeout(limit, exchange)
             .await
