--- a/crates/magnoliasail/tests/platform.rs
+++ b/crates/magnoliasail/tests/platform.rs
@@ -1,44 +1,26 @@
 //! Tests of `platform-entry` and `platform-agent` processes, as callers and backend servers observe
 //! them.
 
+mod common;
+
 use {
+    self::common::{PROPAGATION_TIME, assert_no_violations, run_with_fleet, small_fleet},
     magnoliasail_soak::{
-        Call, CallKind, Caller, EraHeader, Fleet, FleetSettings, Outcome, ServerFaults, StoreMode,
+        Call, CallKind, Caller, EraHeader, Fleet, Outcome, ServerFaults, StoreMode,
     },
-    std::{future::Future, path::PathBuf, time::Duration},
+    std::{future::Future, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        runtime::Builder,
         time::sleep,
     },
 };
 
-/// Time for a change of the server list or of the configuration to apply.
-const PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
-
 /// The window of the retry budget in the fleet's settings.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
 fn with_fleet<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
-    let settings = FleetSettings {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
-        entries: 1,
-        engines: 2,
-        software_versions: 1,
-        plain_servers: 2,
-        network,
-        seed: u64::from(network),
-    };
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(async {
-        let fleet = Fleet::start(settings).await.expect("the fleet starts");
-        test(fleet).await;
-    });
+    run_with_fleet(small_fleet(network), test);
 }
 
 fn call(kind: CallKind, number: u32) -> Call {
@@ -51,11 +33,6 @@
     }
 }
 
-fn assert_no_violations(fleet: &Fleet) {
-    let violations = fleet.ledger.violations();
-    assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
-}
-
 #[test]
 fn aborted_resumable_stream_continues_on_another_engine() {
     with_fleet(60, |fleet| async move {
--- a/crates/magnoliasail/tests/restarts.rs
+++ b/crates/magnoliasail/tests/restarts.rs
@@ -1,25 +1,25 @@
 //! Tests of entries that are terminated, killed and started again while callers use them.
 
+mod common;
+
 use {
+    self::common::{PROPAGATION_TIME, assert_no_violations, run_with_fleet, small_fleet},
     magnoliasail_soak::{
         Call, CallKind, Caller, Fleet, FleetSettings, Outcome, RetryBudget, ServerFaults,
     },
     std::{
         future::Future,
-        path::PathBuf,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
-    tokio::{runtime::Builder, task::JoinHandle, time::sleep},
+    tokio::{task::JoinHandle, time::sleep},
 };
 
 const ENTRIES: u8 = 3;
 const ENGINES: u8 = 2;
-/// Time for a change of the configuration to apply.
-const PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
 /// The retry budget in the settings of the fleet's processes.
 const RETRY_BUDGET: RetryBudget = RetryBudget {
     ratio: 0.2,
@@ -29,23 +29,11 @@
 
 fn with_fleet<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
     let settings = FleetSettings {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
         entries: ENTRIES,
         engines: ENGINES,
-        software_versions: 1,
-        plain_servers: 2,
-        network,
-        seed: u64::from(network),
+        ..small_fleet(network)
     };
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(async {
-        let fleet = Fleet::start(settings).await.expect("the fleet starts");
-        test(fleet).await;
-    });
+    run_with_fleet(settings, test);
 }
 
 fn resumable_stream(id: String) -> Call {
@@ -58,11 +46,6 @@
     }
 }
 
-fn assert_no_violations(fleet: &Fleet) {
-    let violations = fleet.ledger.violations();
-    assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
-}
-
 /// Calls an entry again and again until `is_stopped`.
 fn keep_calling(
     fleet: &Fleet,
--- a/crates/magnoliasail/tests/software_versions.rs
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -1,18 +1,18 @@
 //! Tests that a stream holds events of one software version, within one answer and over the
 //! attempts of its caller.
 
+mod common;
+
 use {
+    self::common::{PROPAGATION_TIME, assert_no_violations, run_with_fleet, small_fleet},
     magnoliasail_soak::{Call, CallKind, Caller, Fleet, FleetSettings, Outcome, ServerFaults},
     std::{
         future::Future,
-        path::PathBuf,
         time::{Duration, Instant},
     },
-    tokio::{runtime::Builder, time::sleep},
+    tokio::time::sleep,
 };
 
-/// Time for a change of the server list to apply.
-const PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
 const STREAM_COUNT: u32 = 24;
 /// Number of adapters, all of which fit into the slots of each engine, so that no stream is refused.
 const ADAPTER_COUNT: u32 = 4;
@@ -40,23 +40,13 @@
 
 fn with_two_versions<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
     let settings = FleetSettings {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_magnoliasail")),
         entries: ENTRIES as u8,
         engines: ENGINES as u8,
         software_versions: 2,
         plain_servers: 1,
-        network,
-        seed: u64::from(network),
+        ..small_fleet(network)
     };
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(async {
-        let fleet = Fleet::start(settings).await.expect("the fleet starts");
-        test(fleet).await;
-    });
+    run_with_fleet(settings, test);
 }
 
 fn resumable_call(number: u32) -> Call {
@@ -75,11 +65,6 @@
     }
 }
 
-fn assert_no_violations(fleet: &Fleet) {
-    let violations = fleet.ledger.violations();
-    assert!(violations.is_empty(), "{violations:#?}\n{}", fleet.output());
-}
-
 /// Waits until an engine has started to run each of the streams.
 async fn wait_until_all_run(fleet: &Fleet) {
     const POLL: Duration = Duration::from_millis(10);
