--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -34,6 +34,7 @@
 const STORE_PORT: u16 = 18_400;
 const DEFAULT_ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 const ENGINE_SERVICE: &str = "engines";
+/// The service of the plain servers, until a test moves them to another one.
 const PLAIN_SERVICE: &str = "desk";
 
 /// Time for a change of the server list or of the configuration to apply.
@@ -90,6 +91,8 @@
     pub proxies: Vec<Proxy>,
     configuration_version: u64,
     route_timeout: Duration,
+    /// The service of the plain servers and of the routes to them.
+    plain_service: String,
     configuration: Value,
 }
 
@@ -159,6 +162,7 @@
             proxies: Vec::new(),
             configuration_version: 0,
             route_timeout: DEFAULT_ROUTE_TIMEOUT,
+            plain_service: PLAIN_SERVICE.to_owned(),
             configuration: Value::Null,
             settings,
         };
@@ -227,6 +231,13 @@
         self.publish_configuration(&[]);
     }
 
+    /// Moves the plain servers, and all routes to them, to another service.
+    pub fn move_plain_servers(&mut self, service: &str) {
+        service.clone_into(&mut self.plain_service);
+        self.publish_configuration(&[]);
+        self.publish_all();
+    }
+
     /// Makes the servers forget what they have told VMs, since a process that was restarted has
     /// forgotten it too, and one that was paused may act late.
     fn forget_statements(&self) {
@@ -239,12 +250,9 @@
     /// each of `added_prefixes`.
     pub fn publish_configuration(&mut self, added_prefixes: &[&str]) {
         self.configuration_version += 1;
-        let mut routes: Vec<Value> = CallKind::ALL
-            .iter()
-            .map(|&kind| route(kind, self.route_timeout))
-            .collect();
+        let mut routes: Vec<Value> = CallKind::ALL.iter().map(|&kind| self.route(kind)).collect();
         for prefix in added_prefixes {
-            let mut added = route(CallKind::Safe, self.route_timeout);
+            let mut added = self.route(CallKind::Safe);
             added["path_prefix"] = json!(prefix);
             routes.push(added);
         }
@@ -252,7 +260,7 @@
             "services": [
             {"name": ENGINE_SERVICE, "health_path": "/healthz", "max_connections": 100, "protocol": "h1",
                 "tls": false, "engine": BackendServer::engine_limits()},
-            {"name": PLAIN_SERVICE, "health_path": "/healthz", "max_connections": 100, "protocol": "h1",
+            {"name": self.plain_service, "health_path": "/healthz", "max_connections": 100, "protocol": "h1",
                 "tls": false}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576, "header_timeout_ms": 3000,
                 "idle_timeout_ms": 15000}});
@@ -274,7 +282,7 @@
         let service = if server < engines {
             ENGINE_SERVICE
         } else {
-            PLAIN_SERVICE
+            &self.plain_service
         };
         let zone = format!("dc-{}", server % 2);
         let (key, value) =
@@ -417,6 +425,25 @@
         Ok(())
     }
 
+    fn route(&self, kind: CallKind) -> Value {
+        let is_stream = matches!(kind, CallKind::Stream | CallKind::ResumableStream);
+        let service = if is_stream {
+            ENGINE_SERVICE
+        } else {
+            &self.plain_service
+        };
+        let name = match kind {
+            CallKind::Safe => "safe",
+            CallKind::Unsafe => "unsafe",
+            CallKind::Stream | CallKind::ResumableStream => "streaming",
+        };
+        let is_idempotent = matches!(kind, CallKind::Safe | CallKind::ResumableStream);
+        json!({"name": kind.path_prefix(), "host": "soak.example", "path_prefix": kind.path_prefix(), "kind": name,
+            "timeout_ms": self.route_timeout.as_millis() as u64, "target_latency_ms": 500, "priority": 1, "service": service,
+            "max_attempts": if is_idempotent { 2 } else { 1 }, "sticky": is_stream,
+            "resumable": kind == CallKind::ResumableStream, "gap_aim_ms": 250})
+    }
+
     fn ip(&self, kind: u8, number: u8) -> IpAddr {
         Ipv4Addr::new(127, self.settings.network, kind, number).into()
     }
@@ -481,22 +508,3 @@
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
-
-fn route(kind: CallKind, timeout: Duration) -> Value {
-    let is_stream = matches!(kind, CallKind::Stream | CallKind::ResumableStream);
-    let service = if is_stream {
-        ENGINE_SERVICE
-    } else {
-        PLAIN_SERVICE
-    };
-    let name = match kind {
-        CallKind::Safe => "safe",
-        CallKind::Unsafe => "unsafe",
-        CallKind::Stream | CallKind::ResumableStream => "streaming",
-    };
-    let is_idempotent = matches!(kind, CallKind::Safe | CallKind::ResumableStream);
-    json!({"name": kind.path_prefix(), "host": "soak.example", "path_prefix": kind.path_prefix(), "kind": name,
-        "timeout_ms": timeout.as_millis() as u64, "target_latency_ms": 500, "priority": 1, "service": service,
-        "max_attempts": if is_idempotent { 2 } else { 1 }, "sticky": is_stream,
-        "resumable": kind == CallKind::ResumableStream, "gap_aim_ms": 250})
-}
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -51,8 +51,6 @@
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(10);
 /// Time after a drain notice during which new work may still arrive.
 const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
-/// Time from the start of a run with a poison until the server crashes.
-const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Time after which a server that a poison has crashed starts again.
 const RESTART_TIME: Duration = Duration::from_millis(700);
 
@@ -260,7 +258,7 @@
         // The task is not among those that the crash aborts.
         tokio::spawn(async move {
             let incarnation = server.with(|state| state.incarnation);
-            sleep(CRASH_DELAY).await;
+            sleep(poison.crash_delay()).await;
             if server.with(|state| state.incarnation) != incarnation {
                 return;
             }
@@ -622,14 +620,9 @@
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
         drop(request.into_body().collect().await);
-        if let Some(poison) = poison {
-            self.crash_and_restart(poison);
-            std::future::pending::<()>().await;
-        }
-        if draw < faults.unanswered_share {
-            std::future::pending::<()>().await;
-        }
-        if draw < faults.unanswered_share + faults.error_share {
+        let is_unanswered = draw < faults.unanswered_share;
+        let is_failed = !is_unanswered && draw < faults.unanswered_share + faults.error_share;
+        if is_failed || poison.as_ref().is_some_and(Poison::has_error_answer) {
             sleep(PLAIN_RUN_TIME).await;
             return Ok(with_response_headers(
                 text_response(StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
@@ -637,6 +630,13 @@
                 &server,
             ));
         }
+        if let Some(poison) = poison {
+            self.crash_and_restart(poison);
+            std::future::pending::<()>().await;
+        }
+        if is_unanswered {
+            std::future::pending::<()>().await;
+        }
         let is_aborted = draw < faults.unanswered_share + faults.error_share + faults.aborted_share;
         if self.kind == ServerKind::Engine {
             return Ok(with_response_headers(
--- a/crates/magnoliasail-soak/src/standin/poison.rs
+++ b/crates/magnoliasail-soak/src/standin/poison.rs
@@ -12,6 +12,8 @@
 /// The usual time after the last crash that is allowed until requests must be refused. Processes
 /// hear of a crash within milliseconds; the rest covers an engine that does not answer.
 const DETECTION_TIME: Duration = Duration::from_millis(1_500);
+/// The usual time from the start of a run with a poison until the server crashes.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Requests with the poison that may reach servers after that time.
 const MAX_LATE_ARRIVALS: u32 = 3;
 /// Crashes that a request may cause.
@@ -34,12 +36,17 @@
     content: Arc<Content>,
     /// Time after the last crash that is allowed until requests with the poison must be refused.
     detection_time: Duration,
+    /// Time from the start of a run with the poison until the server crashes.
+    crash_delay: Duration,
+    /// The server answers one in this many runs with an error instead; 0 for none.
+    error_interval: u32,
     record: Arc<Mutex<Record>>,
 }
 
 #[derive(Debug, Default)]
 struct Record {
     crashes: Vec<Instant>,
+    runs: u32,
     late_arrivals: u32,
 }
 
@@ -60,6 +67,8 @@
         Self {
             content: Arc::new(content),
             detection_time: DETECTION_TIME,
+            crash_delay: CRASH_DELAY,
+            error_interval: 0,
             record: Arc::default(),
         }
     }
@@ -73,6 +82,35 @@
         }
     }
 
+    /// Returns the poison with another time from the start of a run until the server crashes.
+    #[must_use]
+    pub fn with_crash_delay(self, crash_delay: Duration) -> Self {
+        Self {
+            crash_delay,
+            ..self
+        }
+    }
+
+    /// Returns the poison with one in this many runs answered with an error, instead of a crash.
+    #[must_use]
+    pub fn with_error_interval(self, error_interval: u32) -> Self {
+        Self {
+            error_interval,
+            ..self
+        }
+    }
+
+    /// Counts a run; returns whether it is answered with an error.
+    pub(super) fn has_error_answer(&self) -> bool {
+        let mut record = self.record();
+        record.runs += 1;
+        self.error_interval > 0 && record.runs.is_multiple_of(self.error_interval)
+    }
+
+    pub(super) const fn crash_delay(&self) -> Duration {
+        self.crash_delay
+    }
+
     /// Returns the number of crashes.
     #[must_use]
     pub fn crashes(&self) -> usize {
