feat(gateway): log what ends a quarantine or discounts crashes, and callers that leave

Event 441 now names the cause, 442 each completion that discounts crashes with its status, and 516 each caller that leaves before a response, with the number of servers that had the request.

--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -171,6 +171,16 @@
         ended
     }
 
+    /// Returns the number of crashes that count against a request, or against a part of its prompt.
+    #[must_use]
+    pub fn counted_crashes(&self, suspect: &SuspectRequest, now_ms: TimeMs) -> usize {
+        fingerprints(suspect)
+            .filter_map(|fingerprint| self.suspects.get(fingerprint, now_ms))
+            .map(Vec::len)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Applies the notice that something completed at another process; returns the end of its quarantine
     /// if the crashes do not justify it any more.
     pub fn apply_completion(
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -103,6 +103,8 @@
     QuarantineStarted = 440,
     /// Something quarantined is no longer refused.
     QuarantineEnded = 441,
+    /// A request completed, so that earlier crashes do not count against it any more.
+    CrashesDiscounted = 442,
     /// An engine was ordered to load or unload a model or an adapter.
     OrderGiven = 430,
     /// An order to an engine got no response, so its outcome is unknown.
@@ -131,6 +133,8 @@
     RequestWaited = 514,
     /// The search for a server to take over from a stalled one ended.
     TakeoverEnded = 515,
+    /// A caller disconnected before the entry had responded.
+    CallerLeft = 516,
     /// A caller resumes a stream, and the software version that began it was looked up.
     OriginLookup = 520,
 }
@@ -191,6 +195,8 @@
             | Self::EngineState
             | Self::EngineRegained
             | Self::QuarantineEnded
+            | Self::CrashesDiscounted
+            | Self::CallerLeft
             | Self::OrderGiven
             | Self::AttemptRefused
             | Self::AttemptFailed
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -55,6 +55,16 @@
     pub(super) may_have_run: bool,
     /// The server that responded last.
     responding_server: Option<RespondingServer>,
+    /// Whether there is a response or a refusal, so that the caller has not left before it.
+    is_answered: bool,
+}
+
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.log_caller_left();
+        }
+    }
 }
 
 /// A response whose head has arrived.
@@ -110,6 +120,7 @@
             servers_reached: 0,
             attempts_in_flight: 0,
             responding_server: None,
+            is_answered: false,
             may_have_run: false,
         }
     }
@@ -126,6 +137,7 @@
             () = sleep_until(deadline) => Err(self.expired()),
             () = Phase::Stopping.reached(&mut phase) => Err(self.stopped()),
         };
+        self.is_answered = true;
         let refusal = match outcome {
             Ok(ReceivedResponse::Complete(response)) => {
                 self.record_stage(Stage::PlainWhole);
@@ -161,15 +173,16 @@
             if is_success && self.outgoing.kind.is_stream() {
                 return Ok(ReceivedResponse::Started(started));
             }
-            let is_server_error = started.status.is_server_error();
+            let status = started.status;
+            let is_server_error = status.is_server_error();
             let pick = started.in_flight.pick().clone();
             self.responding_server = Some(RespondingServer::new(&started.in_flight));
-            let notice = headers::server_notice(started.status, &started.headers);
+            let notice = headers::server_notice(status, &started.headers);
             let complete = collect_response(&self.state, started).await;
             if complete.is_none() {
                 self.record_broken_off(&pick);
             } else {
-                self.state.record_completion(&self.outgoing.suspect);
+                self.state.record_completion(&self.outgoing, status);
                 if is_server_error && notice.pause.is_none() {
                     self.record_failure(&pick.id);
                 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch_log.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch_log.rs
@@ -29,6 +29,21 @@
         );
     }
 
+    pub(super) fn log_caller_left(&self) {
+        let waited_ms = self.state.clock.now_ms().saturating_sub(self.arrived_ms);
+        emit(
+            EventId::CallerLeft,
+            format_args!(
+                "request={} fingerprint={:016x} in_flight={} sent={} waited_ms={waited_ms} left_ms={}",
+                self.id(),
+                self.outgoing.suspect.request,
+                self.attempts_in_flight,
+                self.servers_reached,
+                self.left_ms()
+            ),
+        );
+    }
+
     /// Logs the response of a server: each server error, and a sample of the others.
     pub(super) fn log_answered(&self, status: StatusCode, server: &RespondingServer) {
         let is_sampled = self.state.count_answered();
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -6,14 +6,19 @@
 //! seen a completion, and tell entries that start later.
 
 use {
-    super::state::{EntryState, PickedServer},
+    super::{
+        attempt::OutgoingRequest,
+        state::{EntryState, PickedServer},
+    },
     crate::events::{EventId, emit},
+    hyper::StatusCode,
     magnoliasail_core::gateway::{
         Quarantine, ReplicaCandidate,
         message::{CompletionNotice, CrashReport, QuarantineChange, SuspectRequest, ToAgentKind},
         pick_replicas, server_start_fingerprint, service_fingerprint,
     },
     std::{net::IpAddr, rc::Rc, time::Duration},
+    strum::Display,
     tokio::{sync::mpsc, time::sleep},
 };
 
@@ -58,14 +63,26 @@
             .left_ms(suspect, self.clock.now_ms())
     }
 
-    /// Records that a request completed.
-    pub(super) fn record_completion(&self, suspect: &SuspectRequest) {
+    /// Records that a request completed with this status.
+    pub(super) fn record_completion(&self, outgoing: &OutgoingRequest, status: StatusCode) {
         let now_ms = self.clock.now_ms();
-        let changes = self
-            .quarantine
-            .borrow_mut()
-            .record_completion(suspect, now_ms);
-        self.announce(&changes);
+        let suspect = &outgoing.suspect;
+        let mut quarantine = self.quarantine.borrow_mut();
+        let crashes = quarantine.counted_crashes(suspect, now_ms);
+        let changes = quarantine.record_completion(suspect, now_ms);
+        drop(quarantine);
+        if crashes > 0 {
+            let id = outgoing.metadata.id.as_deref().unwrap_or("-");
+            emit(
+                EventId::CrashesDiscounted,
+                format_args!(
+                    "request={id} fingerprint={:016x} crashes={crashes} status={}",
+                    suspect.request,
+                    status.as_u16()
+                ),
+            );
+        }
+        self.announce(&changes, ChangeCause::Completed);
     }
 
     /// Records that a plain server broke off a request, which may have crashed it.
@@ -97,7 +114,7 @@
         self.metrics.crashes.inc();
         let now_ms = self.clock.now_ms();
         let changes = self.quarantine.borrow_mut().record_crash(report, now_ms);
-        self.announce(&changes);
+        self.announce(&changes, ChangeCause::Crashed);
     }
 
     fn apply_completion(&self, notice: CompletionNotice) {
@@ -106,21 +123,21 @@
             .quarantine
             .borrow_mut()
             .apply_completion(notice, now_ms);
-        self.announce(change.as_slice());
+        self.announce(change.as_slice(), ChangeCause::CompletedElsewhere);
     }
 
     fn adopt_quarantine(&self, change: QuarantineChange) {
         let now_ms = self.clock.now_ms();
         if self.quarantine.borrow_mut().apply(change, now_ms) {
-            log_quarantine(change, "agent");
+            log_quarantine(change, ChangeCause::Reported);
             self.count_quarantined();
         }
     }
 
     /// Logs the quarantines that this entry has started or ended, and tells all agents.
-    fn announce(&self, changes: &[QuarantineChange]) {
+    fn announce(&self, changes: &[QuarantineChange], cause: ChangeCause) {
         for &change in changes {
-            log_quarantine(change, "entry");
+            log_quarantine(change, cause);
             for link in self.links.borrow().values() {
                 // An agent whose link is down is told when the link is up again.
                 let _ = link.send(ToAgentKind::Quarantine(change));
@@ -157,17 +174,35 @@
     state.send_quarantines(vm);
 }
 
-/// Logs a change of the quarantine and the role of the process from which this entry has it.
-fn log_quarantine(change: QuarantineChange, reported_by: &'static str) {
+/// Why a quarantine starts or ends.
+#[derive(Clone, Copy, Debug, Display)]
+#[strum(serialize_all = "snake_case")]
+enum ChangeCause {
+    /// Something completed here.
+    Completed,
+    /// An agent has seen a completion.
+    CompletedElsewhere,
+    /// A server crashed.
+    Crashed,
+    /// Another process decided it.
+    Reported,
+}
+
+/// Logs a change of the quarantine, and whether this entry or another process decided it.
+fn log_quarantine(change: QuarantineChange, cause: ChangeCause) {
     let event = if change.is_ended {
         EventId::QuarantineEnded
     } else {
         EventId::QuarantineStarted
     };
+    let reported_by = match cause {
+        ChangeCause::Reported => "agent",
+        _ => "entry",
+    };
     emit(
         event,
         format_args!(
-            "fingerprint={:016x} age_ms={} reported_by={reported_by}",
+            "fingerprint={:016x} age_ms={} reported_by={reported_by} cause={cause}",
             change.fingerprint, change.age_ms
         ),
     );
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -102,8 +102,9 @@
         match outcome {
             RelayOutcome::Complete => {
                 caller.end();
-                let suspect = &self.dispatch.outgoing.suspect;
-                self.dispatch.state.record_completion(suspect);
+                let outgoing = &self.dispatch.outgoing;
+                let state = &self.dispatch.state;
+                state.record_completion(outgoing, StatusCode::OK);
                 self.dispatch.record_stage(Stage::StreamWhole);
                 let server = RespondingServer::new(&self.in_flight);
                 self.dispatch.log_answered(StatusCode::OK, &server);
