fix(gateway): count only successful answers as completions of a request that may crash servers

Callers saw whole services go down again and again: a request that had crashed three servers was sent to servers up to ten times more (BUDGET), twenty crashes in all.

Cause: entries and agents recorded a completion for each whole response, whatever its status. A completion discounts the crashes so far, ends the quarantine everywhere and lets crashes within a second of each other count as one for a minute. On the site of the report, plain servers answer every seventh lookup with status 500.

An error says nothing about the content: the server may have failed before it ran what crashes it. Only a status 2xx proves that a request with this content can run.

--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -9,6 +9,7 @@
         events::{EventId, emit},
         gateway::pool::SendError,
     },
+    hyper::StatusCode,
     magnoliasail_core::gateway::{
         EngineAction, EngineRefusal, Quarantine,
         message::{CrashReport, QuarantineChange, Submit, SuspectRequest, ToEntryKind},
@@ -115,8 +116,12 @@
         }
     }
 
-    /// Records that a request completed, and tells all entries if that ends a quarantine.
-    pub(super) fn record_completion(&self, suspect: &SuspectRequest) {
+    /// Records that a request completed with this status, and tells all entries if that ends a quarantine.
+    /// A server may fail a request before it has run what would crash it, so only success counts.
+    pub(super) fn record_completion(&self, suspect: &SuspectRequest, status: StatusCode) {
+        if !status.is_success() {
+            return;
+        }
         let now_ms = self.clock.now_ms();
         let ended = self
             .quarantine
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -226,21 +226,26 @@
         None => AttemptEnd::Refused(EngineRefusal::EngineRefused),
     };
     match end {
-        AttemptEnd::Complete => state.send(link, ToEntryKind::End(attempt)),
+        AttemptEnd::Complete(_) => state.send(link, ToEntryKind::End(attempt)),
         AttemptEnd::Aborted => state.send(link, ToEntryKind::Broken(attempt)),
         AttemptEnd::Refused(reason) => {
             let retry_after_ms = state.pause_left_ms();
             state.refuse(link, attempt, reason, retry_after_ms);
         }
     }
-    state.finish(key, matches!(end, AttemptEnd::Complete));
+    let status = match end {
+        AttemptEnd::Complete(status) => Some(status),
+        AttemptEnd::Aborted | AttemptEnd::Refused(_) => None,
+    };
+    state.finish(key, status);
     state.send_engine_state(link);
 }
 
 /// How an attempt at the engine ended.
+#[derive(Clone, Copy, Debug)]
 enum AttemptEnd {
-    /// The complete response was forwarded.
-    Complete,
+    /// The complete response, with this status, was forwarded.
+    Complete(StatusCode),
     /// The attempt was aborted; the request may have run.
     Aborted,
     /// The request has not run and will not run.
@@ -341,8 +346,9 @@
                     state.record_broken_off(key, &response.lost_end());
                     return AttemptEnd::Aborted;
                 }
+                let status = response.status;
                 response.release();
-                return AttemptEnd::Complete;
+                return AttemptEnd::Complete(status);
             }
             Err(error) => {
                 if matches!(error, SendError::Overlong { .. }) {
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -19,6 +19,7 @@
             steady_clock::SteadyClock,
         },
     },
+    hyper::StatusCode,
     magnoliasail_core::gateway::{
         AdapterVersion, Announcement, Configuration, CrashDetector, EngineAction, EngineRefusal,
         EngineReport, EngineRequest, EngineScheduler, HoldingsTracker, Order, OrderOutcome,
@@ -269,18 +270,18 @@
         });
     }
 
-    /// Removes a request whose attempt at the engine has ended. `is_complete` states whether the
-    /// complete response was forwarded.
-    pub(super) fn finish(self: &Rc<Self>, key: u64, is_complete: bool) {
+    /// Removes a request whose attempt at the engine has ended. `status` is that of the complete
+    /// response that was forwarded, if any.
+    pub(super) fn finish(self: &Rc<Self>, key: u64, status: Option<StatusCode>) {
         let request = self.active_requests.borrow_mut().remove(&key);
-        if is_complete {
+        if let Some(status) = status {
             self.metrics.answered.inc();
             if let Some(suspect) = request.and_then(|request| request.submit.suspect) {
-                self.record_completion(&suspect);
+                self.record_completion(&suspect, status);
             }
         }
         self.update_scheduler(|scheduler, now_ms, actions| {
-            scheduler.finish(key, is_complete, now_ms, actions);
+            scheduler.finish(key, status.is_some(), now_ms, actions);
         });
     }
 
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -63,8 +63,12 @@
             .left_ms(suspect, self.clock.now_ms())
     }
 
-    /// Records that a request completed with this status.
+    /// Records that a request completed with this status. A server may fail a request before it has run
+    /// what would crash it, so only success counts.
     pub(super) fn record_completion(&self, outgoing: &OutgoingRequest, status: StatusCode) {
+        if !status.is_success() {
+            return;
+        }
         let now_ms = self.clock.now_ms();
         let suspect = &outgoing.suspect;
         let mut quarantine = self.quarantine.borrow_mut();
