fix(gateway): suspect requests whose callers left shortly before a server crashed

Callers saw servers crash on a request again and again, if those who sent it left before each crash: nothing was put down to it.

Cause: an entry that drops an attempt, and an agent that cancels a request, forgot it at once, but most servers run on for a while. Evidence: in the failing tests, 516 caller_left precedes each crash by 40 ms, and the crash reports name only requests that ran beside it.

CrashDetector keeps cancelled requests for two seconds, also if the server answers meanwhile. An entry has one for each start of a plain server: what was cancelled there joins the report of the next request that is broken off, is reported when the address refuses connections, or when another process reports that crash. Both tests failed before and pass now. Event 424 names what an entry reports.

--- a/crates/magnoliasail-core/src/gateway/crash_detector.rs
+++ b/crates/magnoliasail-core/src/gateway/crash_detector.rs
@@ -1,61 +1,93 @@
-//! Detects at an agent which requests may have crashed its engine.
+//! Detects which requests may have crashed a server.
 //!
 //! A connection that breaks while a request runs does not show a crash: a sound engine may have reset
-//! it. The request is kept for a moment. If the engine then turns out to be gone or to have started
+//! it. The request is kept for a moment. If the server then turns out to be gone or to have started
 //! anew, it may have crashed on any of the requests that it broke off; if it answers, it has not.
+//!
+//! A request whose caller left is cancelled, but the server may run it for a while nevertheless. It is
+//! kept for a moment too, and an answer of the server does not clear it.
 
-use {super::message::SuspectRequest, crate::TimeMs, std::mem};
+use {
+    super::message::SuspectRequest,
+    crate::TimeMs,
+    std::{collections::VecDeque, mem},
+};
 
-/// Longest time between the break of a connection and the detection that the engine is gone: that of
+/// Longest time between the break of a connection and the detection that the server is gone: that of
 /// two unanswered reports.
 const DETECTION_TIME_MS: u64 = 2_000;
 /// Limit on the requests that are kept; more than the size of any batch.
 const MAX_REQUESTS: usize = 256;
 
-/// Requests that the engine broke off recently.
+/// Requests that a server broke off recently, or that were cancelled while it had them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
-    broken_off: Vec<BrokenOffRequest>,
+    broken_off: Vec<EndedRequest>,
+    /// The cancelled requests; the oldest is dropped for a new one.
+    cancelled: VecDeque<EndedRequest>,
 }
 
 #[derive(Clone, Debug)]
-struct BrokenOffRequest {
+struct EndedRequest {
     suspect: SuspectRequest,
-    broken_off_ms: TimeMs,
+    ended_ms: TimeMs,
 }
 
 impl CrashDetector {
-    /// Records that the engine broke off a request that it was running.
+    /// Records that the server broke off a request that it was running.
     pub fn record_broken_off(&mut self, suspect: SuspectRequest, now_ms: TimeMs) {
         self.drop_old(now_ms);
         if self.broken_off.len() < MAX_REQUESTS {
-            self.broken_off.push(BrokenOffRequest {
+            self.broken_off.push(EndedRequest {
                 suspect,
-                broken_off_ms: now_ms,
+                ended_ms: now_ms,
             });
         }
     }
 
-    /// Records that the engine responded to a report request that was sent at `sent_ms`, so that it has
+    /// Records that a request was cancelled, which the server may still run.
+    pub fn record_cancelled(&mut self, suspect: SuspectRequest, now_ms: TimeMs) {
+        self.drop_old(now_ms);
+        if self.cancelled.len() >= MAX_REQUESTS {
+            self.cancelled.pop_front();
+        }
+        self.cancelled.push_back(EndedRequest {
+            suspect,
+            ended_ms: now_ms,
+        });
+    }
+
+    /// Records that the server responded to a report request that was sent at `sent_ms`, so that it has
     /// not crashed before.
     pub fn record_alive(&mut self, sent_ms: TimeMs) {
-        self.broken_off
-            .retain(|request| request.broken_off_ms > sent_ms);
+        self.broken_off.retain(|request| request.ended_ms > sent_ms);
     }
 
-    /// Records that the engine is gone or has started anew; returns the requests that may be the cause.
+    /// Records that the server is gone or has started anew; returns the requests that may be the cause.
     ///
     /// Requests whose connections break only later are returned by the next call.
     pub fn take_suspects(&mut self, now_ms: TimeMs) -> Vec<SuspectRequest> {
         self.drop_old(now_ms);
         mem::take(&mut self.broken_off)
             .into_iter()
+            .chain(mem::take(&mut self.cancelled))
             .map(|request| request.suspect)
             .collect()
     }
 
+    /// Returns whether no request may be the cause of a crash that is detected now.
+    #[must_use]
+    pub fn is_empty(&self, now_ms: TimeMs) -> bool {
+        let mut requests = self.broken_off.iter().chain(&self.cancelled);
+        !requests.any(|request| is_recent(request, now_ms))
+    }
+
     fn drop_old(&mut self, now_ms: TimeMs) {
-        self.broken_off
-            .retain(|request| now_ms.saturating_sub(request.broken_off_ms) <= DETECTION_TIME_MS);
+        self.broken_off.retain(|request| is_recent(request, now_ms));
+        self.cancelled.retain(|request| is_recent(request, now_ms));
     }
 }
+
+const fn is_recent(request: &EndedRequest, now_ms: TimeMs) -> bool {
+    now_ms.saturating_sub(request.ended_ms) <= DETECTION_TIME_MS
+}
--- a/crates/magnoliasail-core/tests/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine.rs
@@ -168,6 +168,32 @@
     assert!(detector.take_suspects(NOW_MS + STEP_MS).is_empty());
 }
 
+/// A server may run on what its caller has cancelled, so that its answers do not clear it.
+#[test]
+fn cancelled_request_stays_a_suspect_for_a_moment_although_the_server_answers() {
+    let mut detector = CrashDetector::default();
+    detector.record_cancelled(request(POISON), NOW_MS);
+    detector.record_alive(NOW_MS + 100);
+    assert!(!detector.is_empty(NOW_MS + 200));
+    assert_eq!(detector.take_suspects(NOW_MS + 200), [request(POISON)]);
+    assert!(detector.is_empty(NOW_MS + 200));
+    detector.record_cancelled(request(POISON), NOW_MS);
+    assert!(detector.is_empty(NOW_MS + 2_001));
+    assert!(detector.take_suspects(NOW_MS + 2_001).is_empty());
+}
+
+#[test]
+fn the_latest_cancelled_requests_are_kept_within_a_limit() {
+    const LIMIT: usize = 256;
+    let mut detector = CrashDetector::default();
+    for fingerprint in 0..1_000 {
+        detector.record_cancelled(request(fingerprint), NOW_MS);
+    }
+    let suspects = detector.take_suspects(NOW_MS);
+    assert_eq!(suspects.len(), LIMIT);
+    assert_eq!(suspects.last(), Some(&request(999)));
+}
+
 /// The first part of all prompts, and the part that crashes engines.
 const FIRST_PART: u64 = 1;
 const BAD_PART: u64 = 2;
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -99,6 +99,9 @@
     EngineRegained = 422,
     /// An engine crashed while requests ran on it; the line has their fingerprints.
     EngineCrashed = 423,
+    /// A plain server broke off requests or is gone after some were cancelled; the line has their
+    /// fingerprints.
+    PlainServerCrashed = 424,
     /// A request or a part of a prompt crashes servers and is refused from now on.
     QuarantineStarted = 440,
     /// Something quarantined is no longer refused.
@@ -175,6 +178,7 @@
             | Self::ServerUnreadable
             | Self::EngineLost
             | Self::EngineCrashed
+            | Self::PlainServerCrashed
             | Self::QuarantineStarted
             | Self::ResponseTooLong
             | Self::OrderLost => Level::Warn,
--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -7,7 +7,7 @@
     super::state::{AgentState, LinkId},
     crate::{
         events::{EventId, emit},
-        gateway::pool::SendError,
+        gateway::{fingerprint_list::FingerprintList, pool::SendError},
     },
     hyper::StatusCode,
     magnoliasail_core::gateway::{
@@ -15,7 +15,7 @@
         message::{CrashReport, QuarantineChange, Submit, SuspectRequest, ToEntryKind},
         server_start_fingerprint, service_fingerprint,
     },
-    std::{fmt::Write, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Records that a request was cancelled that the engine may still run, and may crash on.
+    pub(super) fn record_cancelled(&self, suspect: Option<SuspectRequest>) {
+        if let Some(suspect) = suspect {
+            let now_ms = self.clock.now_ms();
+            let mut crash_detector = self.crash_detector.borrow_mut();
+            crash_detector.record_cancelled(suspect, now_ms);
+        }
+    }
+
     /// Records that the engine is gone or has started anew. An engine that was about to exit has not
     /// crashed.
     pub(super) fn record_engine_gone(&self) {
@@ -55,7 +64,7 @@
                 "engine={} broken_off={} fingerprints={}",
                 self.engine_address,
                 suspects.len(),
-                fingerprint_list(&suspects)
+                FingerprintList(&suspects)
             ),
         );
         let engine = self.engine_address.to_string();
@@ -147,18 +156,3 @@
     sleep(Duration::from_millis(Quarantine::CONFIRMATION_MS)).await;
     state.send_quarantines(link);
 }
-
-/// Returns the fingerprints of the requests, separated by commas, each followed by those of the parts of
-/// its prompt.
-fn fingerprint_list(suspects: &[SuspectRequest]) -> String {
-    let mut list = String::new();
-    for suspect in suspects {
-        let separator = if list.is_empty() { "" } else { "," };
-        // Writing to a string does not fail.
-        let _ = write!(list, "{separator}{:016x}", suspect.request);
-        for part in &suspect.parts {
-            let _ = write!(list, "+{part:016x}");
-        }
-    }
-    list
-}
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -261,9 +261,12 @@
 
     fn cancel_by_key(self: &Rc<Self>, key: u64) {
         let request = self.active_requests.borrow_mut().remove(&key);
-        if let Some(task) = request.and_then(|request| request.task) {
+        if let Some(request) = request
+            && let Some(task) = request.task
+        {
             // This closes the connection to the engine, which then drops the request.
             task.abort();
+            self.record_cancelled(request.submit.suspect);
         }
         self.update_scheduler(|scheduler, now_ms, actions| {
             scheduler.finish(key, false, now_ms, actions);
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -280,7 +280,12 @@
                 attempt: Attempt::Plain(Some(response)),
             }
         }
-        Err(error) if error.is_unsent() => StartOutcome::Unsent,
+        Err(error) if error.is_unsent() => {
+            if error.is_connection_refused() {
+                state.record_plain_server_gone(pick);
+            }
+            StartOutcome::Unsent
+        }
         Err(_) => StartOutcome::Aborted,
     }
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -477,9 +477,13 @@
             }
             BodyUpdate::Stalled => {}
             BodyUpdate::End => break,
-            BodyUpdate::Aborted => return None,
+            BodyUpdate::Aborted => {
+                in_flight.end();
+                return None;
+            }
         }
     }
+    in_flight.end();
     drop(in_flight);
     let mut response = Response::new(ResponseBody::complete(body.finish()));
     *response.status_mut() = status;
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -10,7 +10,10 @@
         attempt::OutgoingRequest,
         state::{EntryState, PickedServer},
     },
-    crate::events::{EventId, emit},
+    crate::{
+        events::{EventId, emit},
+        gateway::fingerprint_list::FingerprintList,
+    },
     hyper::StatusCode,
     magnoliasail_core::gateway::{
         Quarantine, ReplicaCandidate,
@@ -48,7 +51,7 @@
             LinkNotice::Up(vm) => {
                 tokio::task::spawn_local(tell_agent(Rc::clone(&state), vm));
             }
-            LinkNotice::Crash(report) => state.apply_crash_report(&report),
+            LinkNotice::Crash(report) => state.apply_reported_crash(report),
             LinkNotice::Quarantine(change) => state.adopt_quarantine(change),
             LinkNotice::Completed(notice) => state.apply_completion(notice),
         }
@@ -89,13 +92,79 @@
         self.announce(&changes, ChangeCause::Completed);
     }
 
+    /// Records that a request was cancelled at a server. A plain server may still run it, and crash on it;
+    /// that of an engine is recorded by its agent.
+    pub(super) fn record_cancelled(&self, pick: &PickedServer, outgoing: &OutgoingRequest) {
+        if pick.is_engine {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let mut detectors = self.plain_crash_detectors.borrow_mut();
+        detectors.retain(|_, detector| !detector.is_empty(now_ms));
+        detectors
+            .entry(server_start_fingerprint(&pick.id, pick.started_ms))
+            .or_default()
+            .record_cancelled(outgoing.suspect.clone(), now_ms);
+    }
+
     /// Records that a plain server broke off a request, which may have crashed it.
     pub(super) fn record_plain_crash(&self, pick: &PickedServer, suspect: &SuspectRequest) {
-        let report = CrashReport {
-            server_start: server_start_fingerprint(&pick.id, pick.started_ms),
-            requests: vec![suspect.clone()],
+        let server_start = server_start_fingerprint(&pick.id, pick.started_ms);
+        let mut requests = vec![suspect.clone()];
+        requests.extend(self.take_cancelled(server_start));
+        self.report_plain_crash(CrashReport {
+            server_start,
+            requests,
             service: service_fingerprint(&pick.service),
-        };
+        });
+    }
+
+    /// Records that no process listens at the address of a plain server. If a request was cancelled there a
+    /// moment ago, it may have crashed the server.
+    pub(super) fn record_plain_server_gone(&self, pick: &PickedServer) {
+        let server_start = server_start_fingerprint(&pick.id, pick.started_ms);
+        let requests = self.take_cancelled(server_start);
+        if requests.is_empty() {
+            return;
+        }
+        self.report_plain_crash(CrashReport {
+            server_start,
+            requests,
+            service: service_fingerprint(&pick.service),
+        });
+    }
+
+    /// Takes the requests that were cancelled at this start of a plain server a moment ago.
+    fn take_cancelled(&self, server_start: u64) -> Vec<SuspectRequest> {
+        let now_ms = self.clock.now_ms();
+        let detector = self
+            .plain_crash_detectors
+            .borrow_mut()
+            .remove(&server_start);
+        detector.map_or_else(Vec::new, |mut detector| detector.take_suspects(now_ms))
+    }
+
+    /// Applies the report of a crash from an agent, and adds what this entry has cancelled at the same
+    /// server, of which no other process knows.
+    fn apply_reported_crash(&self, report: CrashReport) {
+        let requests = self.take_cancelled(report.server_start);
+        self.apply_crash_report(&report);
+        if !requests.is_empty() {
+            self.report_plain_crash(CrashReport { requests, ..report });
+        }
+    }
+
+    /// Applies the report of a crash of a plain server, and sends it to other entries through agents.
+    fn report_plain_crash(&self, report: CrashReport) {
+        emit(
+            EventId::PlainServerCrashed,
+            format_args!(
+                "server_start={:016x} suspects={} fingerprints={}",
+                report.server_start,
+                report.requests.len(),
+                FingerprintList(&report.requests)
+            ),
+        );
         self.apply_crash_report(&report);
         let links = self.links.borrow();
         let candidates = links
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -101,6 +101,7 @@
         }
         match outcome {
             RelayOutcome::Complete => {
+                self.in_flight.end();
                 caller.end();
                 let outgoing = &self.dispatch.outgoing;
                 let state = &self.dispatch.state;
@@ -186,6 +187,7 @@
     /// Returns why the stream ends early.
     async fn resume(&mut self) -> Result<(), TakeoverFailure> {
         self.attempt = None;
+        self.in_flight.end();
         self.dispatch.record_broken_off(self.in_flight.pick());
         let started = self
             .dispatch
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -17,8 +17,8 @@
         },
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, Directory, Holding, Placement, PlacementCosts, Quarantine,
-        RetryBudget, RetryWindow, RouteTable, ServerNotice, ServerView, StreamOrigins,
+        Affinity, Candidate, CrashDetector, Directory, Holding, Placement, PlacementCosts,
+        Quarantine, RetryBudget, RetryWindow, RouteTable, ServerNotice, ServerView, StreamOrigins,
         VersionConstraint, VersionHistory, adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
@@ -54,6 +54,8 @@
     pub(super) origins: RefCell<StreamOrigins>,
     pub(super) versions: RefCell<VersionHistory>,
     pub(super) quarantine: RefCell<Quarantine>,
+    /// What may crash plain servers, by the fingerprint of the server's start.
+    pub(super) plain_crash_detectors: RefCell<HashMap<u64, CrashDetector>>,
     /// The bytes of all response bodies that are being read completely.
     pub(super) buffered: Cell<ByteLimit>,
     /// The queue of what links bring that concerns more than one attempt.
@@ -105,6 +107,7 @@
             origins: RefCell::default(),
             versions: RefCell::default(),
             quarantine: RefCell::default(),
+            plain_crash_detectors: RefCell::default(),
             buffered: Cell::new(ByteLimit::new(MAX_BUFFERED_BYTES)),
             link_notices,
             started_ms,
--- a/crates/magnoliasail/src/gateway/entry/takeover.rs
+++ b/crates/magnoliasail/src/gateway/entry/takeover.rs
@@ -78,7 +78,7 @@
         pick: &PickedServer,
         resume_after: Option<u64>,
     ) -> AttemptResult {
-        let in_flight = InFlightGuard::new(&self.state, pick);
+        let in_flight = InFlightGuard::new(&self.state, pick, &self.outgoing);
         let options = AttemptOptions {
             resume_after,
             has_further_server: self.servers_reached + 1 < self.route.max_servers,
@@ -118,6 +118,9 @@
         if outcome.has_reached_server() && !is_counted {
             self.servers_reached += 1;
         }
+        if !matches!(outcome, StartOutcome::Started { .. }) {
+            in_flight.end();
+        }
         AttemptResult::Ended(outcome, in_flight)
     }
 
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod announcement;
 mod byte_limit;
 mod entry;
+mod fingerprint_list;
 mod follower;
 mod header_codec;
 mod metrics;
