fix(gateway): identify a request that crashes servers whichever service its route leads to

After a change of the configuration that moves a route, callers of the new service saw its servers crash on a request that was quarantined already; of a route that is split over two services, each had to crash three times.

Cause: the fingerprints of requests and of parts of prompts contained the service. What crashes a server is the content; the service is now only in the crash report, where it tells which crashes a part can explain.

--- a/crates/magnoliasail-core/src/gateway/fingerprint.rs
+++ b/crates/magnoliasail-core/src/gateway/fingerprint.rs
@@ -2,31 +2,22 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+/// Distinguishes parts of prompts from other pairs of fields.
+const PART_DOMAIN: &[u8] = b"part";
+
 /// Returns the fingerprint of a request's content.
 ///
-/// It is the same each time that a caller sends the request, whatever the id of the attempt. `target`
-/// is the path and query of the URL.
+/// It is the same each time that a caller sends the request, whatever the id of the attempt, and whichever
+/// service its route leads to at the time. `target` is the path and query of the URL.
 #[must_use]
-pub fn request_fingerprint(
-    service: &str,
-    host: &str,
-    method: &str,
-    target: &str,
-    body: &[u8],
-) -> u64 {
-    hash([
-        service.as_bytes(),
-        host.as_bytes(),
-        method.as_bytes(),
-        target.as_bytes(),
-        body,
-    ])
+pub fn request_fingerprint(host: &str, method: &str, target: &str, body: &[u8]) -> u64 {
+    hash([host.as_bytes(), method.as_bytes(), target.as_bytes(), body])
 }
 
 /// Returns the fingerprint of a part of a prompt, which has this id.
 #[must_use]
-pub fn part_fingerprint(service: &str, part: &str) -> u64 {
-    hash([service.as_bytes(), part.as_bytes()])
+pub fn part_fingerprint(part: &str) -> u64 {
+    hash([PART_DOMAIN, part.as_bytes()])
 }
 
 /// Returns the fingerprint of a service.
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -108,12 +108,12 @@
         .min(route.timeout_ms);
     let target = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let suspect = SuspectRequest {
-        request: request_fingerprint(&route.service, host, head.method.as_str(), target, &body),
+        request: request_fingerprint(host, head.method.as_str(), target, &body),
         parts: metadata
             .prompt_prefixes
             .iter()
             .take(MAX_SUSPECT_PARTS)
-            .map(|part| part_fingerprint(&route.service, part))
+            .map(|part| part_fingerprint(part))
             .collect(),
     };
     let outgoing = OutgoingRequest {
