fix(gateway): tell an entry that starts at once which requests crash servers

Callers of plain servers saw up to three more crashes at each start of an entry: 42 in 14 s while three entries were restarted in turn.

Cause: agents withheld a quarantine that was less than two seconds old, because an objection may end it; each restarted entry crashed three servers, started the quarantine anew and so made it young again. And a new entry sent requests to plain servers before any agent had told it anything.

Quarantines of requests are now told at once; those of parts, which callers share, still wait for objections, and agents refuse them meanwhile. A renewed quarantine keeps the time of its first start. An agent says when it has sent what it knew, and a new entry with engines in its list waits for that before it uses plain servers, for 0.6 s at most.

--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -118,8 +118,15 @@
     /// The time since this was decided, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Whether the fingerprint is that of a part of a prompt, rather than of a request.
+    #[prost(bool, tag = "4")]
+    pub is_part: bool,
 }
 
+/// States that the quarantines which the agent knew when the link came up have been sent.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct QuarantinesSent {}
+
 /// The last completion of a request with something that is quarantined.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct CompletionNotice {
@@ -169,7 +176,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToEntry {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToEntryKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "ToEntryKind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub kind: Option<ToEntryKind>,
 }
 
@@ -213,6 +223,9 @@
     /// Answers the start of a quarantine: what is quarantined has completed.
     #[prost(message, tag = "12")]
     Completed(CompletionNotice),
+    /// Ends the quarantines that follow the start of a link.
+    #[prost(message, tag = "13")]
+    QuarantinesSent(QuarantinesSent),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -69,6 +69,9 @@
 struct Change {
     is_ended: bool,
     decided_ms: TimeMs,
+    /// When the quarantine started first, if it has been renewed since.
+    since_ms: TimeMs,
+    is_part: bool,
 }
 
 /// A crash at which a suspect was running.
@@ -217,14 +220,17 @@
     pub fn apply(&mut self, change: QuarantineChange, now_ms: TimeMs) -> bool {
         let fingerprint = change.fingerprint;
         let decided_ms = now_ms.saturating_sub(change.age_ms);
-        let known = self.changes.get(fingerprint, now_ms);
+        let known = self.changes.get(fingerprint, now_ms).copied();
         if known.is_some_and(|known| known.decided_ms > decided_ms) {
             return false;
         }
         let was_quarantined = self.fingerprint_left_ms(fingerprint, now_ms).is_some();
+        let renewed = known.filter(|_| was_quarantined && !change.is_ended);
         let change = Change {
             is_ended: change.is_ended,
             decided_ms,
+            since_ms: renewed.map_or(decided_ms, |known| known.since_ms),
+            is_part: change.is_part,
         };
         self.changes.record(fingerprint, change, now_ms);
         if change.is_ended {
@@ -257,18 +263,23 @@
         self.len(now_ms) == 0
     }
 
-    /// Returns what to tell a process to which a link has come up: all changes except quarantines that
-    /// may end at once because another process has seen a completion. Those are due after
-    /// [`Self::CONFIRMATION_MS`], if they still stand then.
+    /// Returns what to tell a process to which a link has come up: all changes except quarantines of parts
+    /// that may end at once because another process has seen a completion. Those are due after
+    /// [`Self::CONFIRMATION_MS`], if they still stand then; agents refuse them meanwhile. Requests are
+    /// shared by few callers, and plain servers have no agent to refuse them.
     pub fn changes_to_replay(&self, now_ms: TimeMs) -> impl Iterator<Item = QuarantineChange> + '_ {
         self.changes
             .iter(now_ms)
+            .filter(move |(_, change)| {
+                let age_ms = now_ms.saturating_sub(change.since_ms);
+                change.is_ended || !change.is_part || age_ms >= Self::CONFIRMATION_MS
+            })
             .map(move |(fingerprint, change)| QuarantineChange {
                 fingerprint,
                 is_ended: change.is_ended,
                 age_ms: now_ms.saturating_sub(change.decided_ms),
+                is_part: change.is_part,
             })
-            .filter(|change| change.is_ended || change.age_ms >= Self::CONFIRMATION_MS)
     }
 
     fn fingerprint_left_ms(&self, fingerprint: u64, now_ms: TimeMs) -> Option<u64> {
@@ -282,7 +293,7 @@
         let change = QuarantineChange {
             fingerprint,
             is_ended: true,
-            age_ms: 0,
+            ..QuarantineChange::default()
         };
         let is_quarantined = self.fingerprint_left_ms(fingerprint, now_ms).is_some();
         (is_quarantined && self.apply(change, now_ms)).then_some(change)
@@ -308,8 +319,8 @@
         self.suspects.record(fingerprint, crashes, now_ms);
         let change = QuarantineChange {
             fingerprint,
-            is_ended: false,
-            age_ms: 0,
+            is_part: crash.request.is_some(),
+            ..QuarantineChange::default()
         };
         (is_justified && self.apply(change, now_ms)).then_some(change)
     }
--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -12,7 +12,9 @@
     hyper::StatusCode,
     magnoliasail_core::gateway::{
         EngineAction, EngineRefusal, Quarantine,
-        message::{CrashReport, QuarantineChange, Submit, SuspectRequest, ToEntryKind},
+        message::{
+            CrashReport, QuarantineChange, QuarantinesSent, Submit, SuspectRequest, ToEntryKind,
+        },
         server_start_fingerprint, service_fingerprint,
     },
     std::{rc::Rc, time::Duration},
@@ -153,6 +155,7 @@
 /// Tells an entry whose link has come up what is quarantined, and later what was not confirmed yet.
 pub(super) async fn tell_entry(state: Rc<AgentState>, link: LinkId) {
     state.send_quarantines(link);
+    state.send(link, ToEntryKind::QuarantinesSent(QuarantinesSent {}));
     sleep(Duration::from_millis(Quarantine::CONFIRMATION_MS)).await;
     state.send_quarantines(link);
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -13,7 +13,7 @@
         refusal::{RefusalCause, refusal_response},
         relay::StreamRelay,
         response_body::ResponseBody,
-        startup_wait::{WAIT_POLL_INTERVAL, log_wait},
+        startup_wait::{WAIT_POLL_INTERVAL, log_wait, wait_for_quarantines},
         state::{EntryState, PickedServer},
         takeover::AttemptResult,
     },
@@ -161,6 +161,13 @@
     /// attempt is allowed. A stream is returned as soon as it has started.
     async fn obtain_response(&mut self) -> Result<ReceivedResponse, Refusal> {
         self.restrict_to_origin().await?;
+        let is_plain = {
+            let table = self.state.table.borrow();
+            table.engine(&self.route.service).is_none()
+        };
+        if is_plain {
+            wait_for_quarantines(&self.state, self.id()).await;
+        }
         let mut error_response = None;
         loop {
             let started = match (self.start_response(None).await, error_response.take()) {
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -267,6 +267,7 @@
             ToEntryKind::Crash(report) => self.notify(LinkNotice::Crash(report)),
             ToEntryKind::Quarantine(change) => self.notify(LinkNotice::Quarantine(change)),
             ToEntryKind::Completed(notice) => self.notify(LinkNotice::Completed(notice)),
+            ToEntryKind::QuarantinesSent(_) => self.notify(LinkNotice::QuarantinesSent),
             ToEntryKind::Origin(answer) => self.answer_origin_queries(&answer),
             ToEntryKind::Holdings(update) => self.holdings.borrow_mut().apply(&update),
             ToEntryKind::Refused(refused) => {
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -37,6 +37,8 @@
     Crash(CrashReport),
     /// Another process started or ended a quarantine.
     Quarantine(QuarantineChange),
+    /// An agent has sent the quarantines that it knew when the link came up.
+    QuarantinesSent,
     /// An agent has seen the completion of what this entry has quarantined.
     Completed(CompletionNotice),
 }
@@ -53,12 +55,40 @@
             }
             LinkNotice::Crash(report) => state.apply_reported_crash(report),
             LinkNotice::Quarantine(change) => state.adopt_quarantine(change),
+            LinkNotice::QuarantinesSent => state.mark_quarantines_known(),
             LinkNotice::Completed(notice) => state.apply_completion(notice),
         }
     }
 }
 
 impl EntryState {
+    fn mark_quarantines_known(&self) {
+        if !self.has_quarantines.replace(true) {
+            self.changes.notify_waiters();
+        }
+    }
+
+    /// Returns whether an entry that has just started may still be told by an agent what is quarantined.
+    pub(super) fn awaits_quarantines(&self) -> bool {
+        /// Time from the first read of the server list in which links usually come up.
+        const MAX_WAIT_MS: u64 = 600;
+        if self.has_quarantines.get() {
+            return false;
+        }
+        let now_ms = self.clock.now_ms();
+        let listed_since_ms = self.listed_since_ms.get();
+        let is_over = listed_since_ms.is_some_and(|since_ms| now_ms > since_ms + MAX_WAIT_MS);
+        !is_over && self.has_engines()
+    }
+
+    fn has_engines(&self) -> bool {
+        let table = self.table.borrow();
+        let directory = self.directory.borrow();
+        directory
+            .all()
+            .any(|server| table.engine(&server.entry.service).is_some())
+    }
+
     /// Returns the time for which a request is quarantined, in milliseconds, or `None` if it may run.
     pub(super) fn quarantine_left_ms(&self, suspect: &SuspectRequest) -> Option<u64> {
         self.quarantine
--- a/crates/magnoliasail/src/gateway/entry/startup_wait.rs
+++ b/crates/magnoliasail/src/gateway/entry/startup_wait.rs
@@ -31,6 +31,20 @@
     is_initialized
 }
 
+/// Waits until an entry that has just started knows what is quarantined. Engines have agents that refuse
+/// it; plain servers have none.
+pub(super) async fn wait_for_quarantines(state: &EntryState, id: &str) {
+    if !state.awaits_quarantines() {
+        return;
+    }
+    let started_at = Instant::now();
+    while state.awaits_quarantines() {
+        let _ = timeout(WAIT_POLL_INTERVAL, state.changes.notified()).await;
+    }
+    let is_known = state.has_quarantines.get();
+    log_wait(Some(id), "quarantines", started_at, is_known);
+}
+
 /// Logs how long a request waited, for what, and whether that became available.
 pub(super) fn log_wait(
     id: Option<&str>,
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -64,8 +64,10 @@
     started_ms: u64,
     /// Number of answered requests since the process started.
     answered_count: Cell<u64>,
-    /// Whether the server list has been read at least once.
-    pub(super) has_server_list: Cell<bool>,
+    /// Whether an agent has said what is quarantined since the process started.
+    pub(super) has_quarantines: Cell<bool>,
+    /// When the server list was read for the first time.
+    pub(super) listed_since_ms: Cell<Option<u64>>,
     /// Whether the latest read of the store failed.
     pub(super) is_store_lost: Cell<bool>,
     /// Notified of changes for which a request may wait.
@@ -112,7 +114,8 @@
             link_notices,
             started_ms,
             answered_count: Cell::new(0),
-            has_server_list: Cell::new(false),
+            has_quarantines: Cell::new(false),
+            listed_since_ms: Cell::new(None),
             is_store_lost: Cell::new(false),
             changes: Rc::default(),
         })
@@ -125,7 +128,7 @@
 
     /// Returns whether the entry has a configuration and the server list.
     pub(super) fn is_initialized(&self) -> bool {
-        self.table.borrow().version().is_some() && self.has_server_list.get()
+        self.table.borrow().version().is_some() && self.listed_since_ms.get().is_some()
     }
 
     /// Records that the store cannot be read; requests that wait for its content are refused.
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -91,7 +91,8 @@
 
     fn on_caught_up(&self) {
         self.0.is_store_lost.set(false);
-        if !self.0.has_server_list.replace(true) {
+        if self.0.listed_since_ms.get().is_none() {
+            self.0.listed_since_ms.set(Some(self.0.clock.now_ms()));
             self.0.changes.notify_waiters();
         }
     }
--- a/crates/magnoliasail/tests/agent_quarantine.rs
+++ b/crates/magnoliasail/tests/agent_quarantine.rs
@@ -65,6 +65,7 @@
             fingerprint: FINGERPRINT,
             is_ended: false,
             age_ms: 0,
+            ..QuarantineChange::default()
         };
         send(&first_entry, ToAgentKind::Quarantine(change)).await;
         // A message on the other link may overtake the first one.
@@ -117,6 +118,7 @@
             fingerprint: FINGERPRINT,
             is_ended: false,
             age_ms: 10_000,
+            ..QuarantineChange::default()
         };
         send(&outbox, ToAgentKind::Quarantine(change)).await;
         sleep(Duration::from_millis(200)).await;
