--- a/crates/magnoliasail-soak/src/ledger.rs
+++ b/crates/magnoliasail-soak/src/ledger.rs
@@ -153,6 +153,14 @@
             .push(Violation { guarantee, detail });
     }
 
+    /// Returns the number of runs at a server.
+    #[must_use]
+    pub fn runs_at(&self, server: &str) -> usize {
+        let records = self.records();
+        let runs = records.runs.values().flatten();
+        runs.filter(|run| run.server == server).count()
+    }
+
     /// Returns the runs of a request, in the order in which they started.
     #[must_use]
     pub fn runs(&self, request: &str) -> Vec<RunRecord> {
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -8,6 +8,7 @@
     super::{
         endless::{EndlessAnswer, is_control_request, serve_endless},
         poison::Poison,
+        rate_check::RateCheck,
         statements::{Statements, VmKey},
     },
     crate::ledger::Ledger,
@@ -114,6 +115,8 @@
     /// Whether every answer says that the server is leaving.
     is_leaving: bool,
     statements: Statements,
+    /// The rate that every answer to a request names, if any.
+    rate: Option<RateCheck>,
     /// Whether requests come from one VM only, so that they count together over all connections.
     has_single_vm: bool,
     /// Whether the server has stopped accepting connections and new requests.
@@ -141,6 +144,7 @@
         self.draining_since = None;
         self.is_leaving = false;
         self.statements = Statements::default();
+        self.rate = None;
         self.is_closed = false;
         self.holder = None;
     }
@@ -175,6 +179,7 @@
             draining_since: None,
             is_leaving: false,
             statements: Statements::default(),
+            rate: None,
             has_single_vm: kind == ServerKind::Engine,
             is_closed: false,
             silent_until: None,
@@ -340,6 +345,11 @@
         self.with(|state| state.is_leaving = true);
     }
 
+    /// Makes the server name a rate of requests per second in all answers to requests, or none.
+    pub fn set_rate(&self, per_s: Option<f64>) {
+        self.with(|state| state.rate = per_s.map(RateCheck::new));
+    }
+
     /// Sets whether all requests come from one VM. The VMs of a fleet share one source address; unless
     /// there is only one VM, each connection is checked by itself.
     pub fn set_single_vm(&self, has_single_vm: bool) {
@@ -349,7 +359,12 @@
     /// Forgets what the server has told the VMs that send to it, because one of them was restarted or
     /// paused.
     pub fn forget_statements(&self) {
-        self.with(|state| state.statements = Statements::default());
+        self.with(|state| {
+            state.statements = Statements::default();
+            if let Some(rate) = &mut state.rate {
+                rate.restart();
+            }
+        });
     }
 
     /// Returns the key and the value of the server's entry in the store, as reachable at `address`.
@@ -451,14 +466,39 @@
             "/report" => Ok(self.report()),
             "/order" => Ok(self.handle_order(request, vm).await),
             _ => {
+                self.check_rate();
                 let answer = self.clone().run_request(request, vm).await;
-                answer.map(|answer| self.remove_framing(answer))
+                answer.map(|answer| self.name_rate(self.remove_framing(answer)))
             }
         };
         server.wait_while_silent().await;
         answer.map(|answer| self.add_leaving_header(answer, vm))
     }
 
+    /// Records a violation if more requests arrive than the server has named.
+    fn check_rate(&self) {
+        let excess = self.with(|state| state.rate.as_mut()?.record_arrival());
+        if let Some(arrivals) = excess {
+            let id = self.with(|state| state.id.clone());
+            let detail = format!("{id} got {arrivals} requests in one window");
+            self.ledger
+                .record_violation("servers that name a rate get no more", detail);
+        }
+    }
+
+    /// Names the rate in an answer, if there is one.
+    fn name_rate(&self, mut answer: Response<Body>) -> Response<Body> {
+        let per_s = self.with(|state| {
+            let rate = state.rate.as_mut()?;
+            rate.record_naming();
+            Some(rate.per_s())
+        });
+        if let Some(value) = per_s.and_then(|per_s| per_s.to_string().parse().ok()) {
+            answer.headers_mut().insert("server-limit", value);
+        }
+        answer
+    }
+
     /// Makes an answer end with its connection, if the server is set to.
     fn remove_framing(&self, mut answer: Response<Body>) -> Response<Body> {
         if self.with(|state| state.has_unframed_answers) {
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -3,6 +3,7 @@
 mod backend_server;
 mod endless;
 mod poison;
+mod rate_check;
 mod statements;
 mod store;
 
