fix(gateway): keep to the rate of requests that a server names

An agent paces the requests to its engine (RateLimit, Pacer): they start one interval apart, at most what half a second allows at once. A request waits for that only within half of what is left to its objective, by rank, and is refused as not run otherwise, with the time until the next one. Entries learn the wait and the interval with the engine's state and place by them. A plain server takes its rate from all entries together: they ask one agent before each such request, the same for all, by rank among the listed ones; if it cannot be reached, the next one grants a quarter, and without any agent an entry uses a part of an equal share. A rate holds for one start of a server, ends with a response without it to a later request, and survives a lapse of the server's row. What cannot be read changes nothing.

Ruled out: equal shares of the entries alone, which leave most of a low rate unused if demand is unequal, and at 68 entries allow each a request in 20 s; a few chosen entries, which starve the callers of the others.

Events 335 and 336, refusals servers_limited and rate_limited.

--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -12,8 +12,9 @@
 
 use {
     super::{
-        Announcement, Eligibility, Ineligibility, ServerEntry, ServerHealth, ServerLoad,
-        ServerNotice, VersionConstraint, departed_servers::DepartedServers,
+        Announcement, Eligibility, Ineligibility, RateChange, RateSource, RateStatement,
+        RequestRate, ServerEntry, ServerHealth, ServerLoad, ServerNotice, VersionConstraint,
+        departed_servers::DepartedServers,
     },
     crate::TimeMs,
     std::{collections::BTreeMap, sync::Arc},
@@ -79,7 +80,24 @@
         if !version.allows(self.entry.software_version.as_deref()) {
             return Err(Ineligibility::OtherVersion);
         }
-        self.eligibility.check(now_ms)
+        self.eligibility.check_request(now_ms)
+    }
+
+    /// Returns the rate that the server names, if any.
+    #[must_use]
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.eligibility.limit().rate()
+    }
+
+    /// Allows no request within the next `wait_ms` milliseconds, if the server names a rate.
+    pub fn postpone_requests(&mut self, wait_ms: u64, now_ms: TimeMs) {
+        self.eligibility.limit_mut().postpone(wait_ms, now_ms);
+    }
+
+    /// Returns whether the server may get a request of any software version now.
+    #[must_use]
+    pub fn is_available(&self, now_ms: TimeMs) -> bool {
+        self.eligibility.check_request(now_ms).is_ok()
     }
 
     /// Applies the load that the server reports, less the requests of this entry, which are counted
@@ -212,6 +230,25 @@
         server.eligibility.apply(notice, now_ms)
     }
 
+    /// Applies what a server said about its rate in the response to a request that was sent at `sent_ms` to
+    /// the start `started_ms` of it; returns what changes. A later start is not bound by it.
+    pub fn apply_rate(
+        &mut self,
+        id: &str,
+        started_ms: Option<u64>,
+        statement: RateStatement,
+        sent_ms: TimeMs,
+        now_ms: TimeMs,
+    ) -> Option<RateChange> {
+        let server = self.servers.get_mut(id)?;
+        if server.entry.started_ms != started_ms {
+            return None;
+        }
+        server
+            .eligibility
+            .apply_rate(statement, RateSource::Request, sent_ms, now_ms)
+    }
+
     /// Returns a server by its id, for updates.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut ServerView> {
         self.servers.get_mut(id)
@@ -235,26 +272,30 @@
             .filter(move |server| server.check(version, now_ms).is_ok())
     }
 
-    /// Returns the time until the first of a service's paused servers may get such a request again,
-    /// in milliseconds; `None` if a server may get it already, or none is paused.
+    /// Returns the server of a service that may get such a request first, of those that have asked for a
+    /// pause or name a rate, as the reason why it may not get it now; `None` if a server may get it already,
+    /// or there is no such server.
     #[must_use]
-    pub fn pause_left_ms(
+    pub fn soonest_available(
         &self,
         service: &str,
         version: &VersionConstraint,
         now_ms: TimeMs,
-    ) -> Option<u64> {
-        let mut soonest_ms: Option<u64> = None;
+    ) -> Option<Ineligibility> {
+        let mut soonest: Option<(u64, Ineligibility)> = None;
         for server in self.of_service(service) {
-            match server.check(version, now_ms) {
+            let reason = match server.check(version, now_ms) {
                 Ok(()) => return None,
-                Err(Ineligibility::Paused { left_ms }) => {
-                    soonest_ms = Some(soonest_ms.map_or(left_ms, |soonest| soonest.min(left_ms)));
-                }
-                Err(_) => {}
+                Err(reason) => reason,
+            };
+            let Some(left_ms) = reason.left_ms() else {
+                continue;
+            };
+            if soonest.is_none_or(|(soonest_ms, _)| left_ms < soonest_ms) {
+                soonest = Some((left_ms, reason));
             }
         }
-        soonest_ms
+        soonest.map(|(_, reason)| reason)
     }
 
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerView> + 'a {
--- a/crates/magnoliasail-core/src/gateway/eligibility.rs
+++ b/crates/magnoliasail-core/src/gateway/eligibility.rs
@@ -1,7 +1,7 @@
 //! Whether one backend server may get new work now, and the reason if it may not.
 
 use {
-    super::{Announcement, ServerNotice},
+    super::{Announcement, RateChange, RateLimit, RateSource, RateStatement, ServerNotice},
     crate::TimeMs,
     strum::{Display, IntoStaticStr},
 };
@@ -25,6 +25,22 @@
         /// The time left until the end of the pause, in milliseconds.
         left_ms: u64,
     },
+    /// The server names a rate of requests, and a further one would exceed it.
+    Limited {
+        /// The time until it may get the next request, in milliseconds.
+        left_ms: u64,
+    },
+}
+
+impl Ineligibility {
+    /// Returns the time until the server may get new work again, in milliseconds, if it has said so itself.
+    #[must_use]
+    pub const fn left_ms(self) -> Option<u64> {
+        match self {
+            Self::Paused { left_ms } | Self::Limited { left_ms } => Some(left_ms),
+            _ => None,
+        }
+    }
 }
 
 /// What is known about whether one start of a backend server may get new work.
@@ -40,6 +56,7 @@
     /// When the removal from the list takes effect.
     removed_ms: Option<TimeMs>,
     paused_until_ms: TimeMs,
+    limit: RateLimit,
 }
 
 impl Eligibility {
@@ -67,6 +84,41 @@
         }
     }
 
+    /// Checks whether the server may get a request now, under the rate that it names too.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if it may not, as [`Self::check`] does.
+    pub fn check_request(&self, now_ms: TimeMs) -> Result<(), Ineligibility> {
+        self.check(now_ms)?;
+        match self.limit.wait_ms(0, now_ms) {
+            0 => Ok(()),
+            left_ms => Err(Ineligibility::Limited { left_ms }),
+        }
+    }
+
+    /// Returns the rate that the server names, with the requests sent under it.
+    #[must_use]
+    pub const fn limit(&self) -> &RateLimit {
+        &self.limit
+    }
+
+    /// Returns the same, to count requests.
+    pub const fn limit_mut(&mut self) -> &mut RateLimit {
+        &mut self.limit
+    }
+
+    /// Applies what a response says about the server's rate; see [`RateLimit::apply`].
+    pub fn apply_rate(
+        &mut self,
+        statement: RateStatement,
+        source: RateSource,
+        sent_ms: TimeMs,
+        now_ms: TimeMs,
+    ) -> Option<RateChange> {
+        self.limit.apply(statement, source, sent_ms, now_ms)
+    }
+
     /// Returns whether the server gets no new work until it starts anew.
     #[must_use]
     pub const fn is_ending(&self) -> bool {
@@ -95,8 +147,8 @@
 
     /// Returns whether the server itself has announced anything that still holds.
     #[must_use]
-    pub const fn has_announcement(&self, now_ms: TimeMs) -> bool {
-        self.is_leaving || self.pause_left_ms(now_ms) > 0
+    pub fn has_announcement(&self, now_ms: TimeMs) -> bool {
+        self.is_leaving || self.pause_left_ms(now_ms) > 0 || self.limit.rate().is_some()
     }
 
     /// Sets whether the server is draining, as the list or its report says.
--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -113,13 +113,14 @@
         rejected
     }
 
-    /// Starts the waiting requests that `can_serve` allows and for which the batch and the KV cache
-    /// have room: those that can still meet their objective first, then by rank.
+    /// Starts at most `max_started` of the waiting requests that `can_serve` allows and for which the batch
+    /// and the KV cache have room: those that can still meet their objective first, then by rank.
     ///
     /// The first request for which the KV cache has no room also holds back those after it.
     pub(super) fn start<F>(
         &mut self,
         limits: &EngineLimits,
+        max_started: usize,
         now_ms: TimeMs,
         can_serve: F,
     ) -> Vec<EngineRequest>
@@ -133,7 +134,10 @@
         let mut used_kv_tokens: u64 = self.running.values().map(|run| run.request.kv_tokens).sum();
         let mut started = Vec::new();
         let mut index = 0;
-        while index < self.waiting.len() && self.running.len() < limits.batch_slots as usize {
+        while index < self.waiting.len()
+            && started.len() < max_started
+            && self.running.len() < limits.batch_slots as usize
+        {
             let request = &self.waiting[index];
             let fits =
                 self.running.is_empty() || used_kv_tokens + request.kv_tokens <= limits.kv_tokens;
@@ -194,16 +198,18 @@
     /// milliseconds.
     pub(super) fn expected_wait_ms(&self, rank: u32, batch_slots: u32) -> u64 {
         let slots = batch_slots.max(1) as usize;
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|other| other.rank <= rank)
-            .count();
+        let ahead = self.waiting_up_to(rank);
         let free = slots.saturating_sub(self.running.len());
         let runs_to_await = (ahead + 1).saturating_sub(free);
         (runs_to_await as f64 * self.mean_run_ms / slots as f64) as u64
     }
 
+    /// Returns the number of waiting requests that start before one of this rank which arrives now.
+    pub(super) fn waiting_up_to(&self, rank: u32) -> usize {
+        let ranks = self.waiting.iter().map(|request| request.rank);
+        ranks.filter(|&other| other <= rank).count()
+    }
+
     /// Returns the adapters of waiting requests for which `is_missing` returns `true`, with the sum
     /// of the requests' weights. A weight grows with the waiting time and is small for a request
     /// that would miss its objective even if the load, which takes `load_ms`, began at once.
--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -56,4 +56,6 @@
     Paused = 10,
     /// The request crashes engines and is quarantined.
     Quarantined = 11,
+    /// The engine names a rate under which it could get the request only too late.
+    RateLimited = 12,
 }
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -11,8 +11,9 @@
 use {
     super::{
         AdapterSlots, Announcement, Eligibility, EngineAction, EngineLimits, EngineRefusal,
-        EngineReport, EngineRequest, Ineligibility, Order, OrderKind, OrderOutcome,
-        SchedulerSettings, ServerNotice, SlotState, VersionedAdapter, adapter_key,
+        EngineReport, EngineRequest, Ineligibility, Order, OrderKind, OrderOutcome, RateChange,
+        RateSource, RateStatement, RequestRate, SchedulerSettings, ServerNotice, SlotState,
+        VersionedAdapter, adapter_key,
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
@@ -112,6 +113,28 @@
         self.eligibility.pause_left_ms(now_ms)
     }
 
+    /// Returns the rate of requests that the engine names, if any.
+    #[must_use]
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.eligibility.limit().rate()
+    }
+
+    /// Returns the time until the engine may get a request of this rank that arrives now, under the rate that
+    /// it names, in milliseconds.
+    #[must_use]
+    pub fn rate_wait_ms(&self, rank: u32, now_ms: TimeMs) -> u64 {
+        let ahead = self.queue.waiting_up_to(rank) as u64;
+        self.eligibility.limit().wait_ms(ahead, now_ms)
+    }
+
+    /// Returns the time until a waiting request may start under the rate that the engine names, in
+    /// milliseconds; `None` if the rate holds back none.
+    #[must_use]
+    pub fn rate_delay_ms(&self, now_ms: TimeMs) -> Option<u64> {
+        let wait_ms = self.eligibility.limit().wait_ms(0, now_ms);
+        (wait_ms > 0 && self.queue.waiting() > 0).then_some(wait_ms)
+    }
+
     /// Returns the start time of the engine that its last report gave.
     #[must_use]
     pub const fn started_ms(&self) -> Option<u64> {
@@ -314,6 +337,27 @@
         announcement
     }
 
+    /// Applies what the engine said about its rate in the response to a request that was sent at `sent_ms` to
+    /// the start `started_ms` of it; returns what changes. A later start is not bound by it.
+    pub fn apply_rate(
+        &mut self,
+        statement: RateStatement,
+        source: RateSource,
+        started_ms: Option<u64>,
+        sent_ms: TimeMs,
+        now_ms: TimeMs,
+        actions: &mut Vec<EngineAction>,
+    ) -> Option<RateChange> {
+        if self.started_ms != started_ms {
+            return None;
+        }
+        let change = self
+            .eligibility
+            .apply_rate(statement, source, sent_ms, now_ms)?;
+        self.advance(now_ms, actions);
+        Some(change)
+    }
+
     /// Records that the engine cannot be reached. Waiting requests are refused; running ones go on,
     /// since their connections may be sound.
     pub fn mark_unreachable(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
@@ -374,6 +418,10 @@
             };
             return Some((reason, retry_after_ms));
         }
+        let rate_wait_ms = self.rate_wait_ms(request.rank, now_ms);
+        if rate_wait_ms > max_wait_ms(request, now_ms) {
+            return Some((EngineRefusal::RateLimited, rate_wait_ms));
+        }
         if !self.may_serve(&request.model) {
             let ready_in_ms = ready_in_ms.unwrap_or(UNKNOWN_READY_RETRY_MS);
             return Some((EngineRefusal::ModelAbsent, ready_in_ms));
@@ -445,6 +493,7 @@
         const MIN_RUN_MS: u64 = 30;
         let eligibility = self.eligibility.check(now_ms);
         let pause_left_ms = self.eligibility.pause_left_ms(now_ms);
+        let rate_wait_ms = self.eligibility.limit().wait_ms(0, now_ms);
         let adapters = &self.adapters;
         let ready_ms = self.models.ready_ms();
         let rejected = self.queue.reject_where(|request| {
@@ -457,7 +506,10 @@
                 .is_none_or(|adapter| adapters.state(adapter).is_some());
             let since_ms = request.arrived_ms.max(ready_ms);
             let is_slot_overdue = !has_slot && now_ms > since_ms + max_wait_ms;
+            // More urgent requests may have taken the times for which it has waited.
+            let is_rate_overdue = rate_wait_ms > 0 && now_ms > request.objective_ms;
             refusal_reason(eligibility, request, now_ms)
+                .or_else(|| is_rate_overdue.then_some(EngineRefusal::RateLimited))
                 .or_else(|| is_expired.then_some(EngineRefusal::Expired))
                 .or_else(|| is_slot_overdue.then_some(EngineRefusal::NoSlot))
         });
@@ -468,6 +520,7 @@
                 reason,
                 retry_after_ms: match reason {
                     EngineRefusal::Paused => pause_left_ms,
+                    EngineRefusal::RateLimited => rate_wait_ms,
                     _ => 0,
                 },
             });
@@ -476,13 +529,16 @@
 
     fn start(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         let (models, adapters) = (&self.models, &self.adapters);
+        let can_serve = |request: &EngineRequest| match &request.adapter {
+            Some(adapter) => adapters.state(adapter) == Some(SlotState::Resident),
+            None => models.is_loaded(&request.model),
+        };
+        let max_started = self.eligibility.limit().available(now_ms);
         let started = self
             .queue
-            .start(&self.limits, now_ms, |request| match &request.adapter {
-                Some(adapter) => adapters.state(adapter) == Some(SlotState::Resident),
-                None => models.is_loaded(&request.model),
-            });
+            .start(&self.limits, max_started, now_ms, can_serve);
         for request in started {
+            self.eligibility.limit_mut().take(now_ms);
             if let Some(adapter) = &request.adapter {
                 self.adapters.pin(adapter, now_ms);
             }
@@ -634,8 +690,6 @@
     request: &EngineRequest,
     now_ms: TimeMs,
 ) -> Option<EngineRefusal> {
-    /// Divides the time left to the objective; a request may wait for the quotient.
-    const MAX_WAIT_DIVISOR: u64 = 2;
     match eligibility.err()? {
         // An agent's own engine is never `Removed`, and has no other version than itself.
         Ineligibility::Unreachable | Ineligibility::Removed => Some(EngineRefusal::EngineDown),
@@ -643,12 +697,21 @@
         Ineligibility::Draining => Some(EngineRefusal::Draining),
         Ineligibility::Leaving => Some(EngineRefusal::Leaving),
         Ineligibility::Paused { left_ms } => {
-            let max_wait_ms = request.objective_ms.saturating_sub(now_ms) / MAX_WAIT_DIVISOR;
-            (left_ms > max_wait_ms).then_some(EngineRefusal::Paused)
+            (left_ms > max_wait_ms(request, now_ms)).then_some(EngineRefusal::Paused)
+        }
+        Ineligibility::Limited { left_ms } => {
+            (left_ms > max_wait_ms(request, now_ms)).then_some(EngineRefusal::RateLimited)
         }
     }
 }
 
+/// Returns how long a request may wait for what its engine has asked for, in milliseconds.
+const fn max_wait_ms(request: &EngineRequest, now_ms: TimeMs) -> u64 {
+    /// Divides the time left to the objective; a request may wait for the quotient.
+    const MAX_WAIT_DIVISOR: u64 = 2;
+    request.objective_ms.saturating_sub(now_ms) / MAX_WAIT_DIVISOR
+}
+
 /// Returns the adapters that the engine is loading, by full name.
 fn loading_adapters(report: &EngineReport) -> HashMap<Arc<str>, VersionedAdapter> {
     report
--- a/crates/magnoliasail-core/src/gateway/message.rs
+++ b/crates/magnoliasail-core/src/gateway/message.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToAgent {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<ToAgentKind>,
 }
 
@@ -31,6 +31,41 @@
     /// Starts or ends a quarantine.
     #[prost(message, tag = "6")]
     Quarantine(QuarantineChange),
+    /// Asks to send a request to a plain server that names a rate.
+    #[prost(message, tag = "7")]
+    AskSend(AskSend),
+}
+
+/// A question whether a request may be sent to a plain server that names a rate.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct AskSend {
+    /// The number that identifies the question on its link.
+    #[prost(uint64, tag = "1")]
+    pub question: u64,
+    /// Identifies the start of the server, see
+    /// [`server_start_fingerprint`](crate::gateway::server_start_fingerprint).
+    #[prost(fixed64, tag = "2")]
+    pub server_start: u64,
+    /// The interval between two requests at the rate that the server named last, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub interval_us: u64,
+    /// The time for which the request may wait, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub max_wait_ms: u64,
+}
+
+/// The answer to [`AskSend`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct SendAnswer {
+    /// The number of the question.
+    #[prost(uint64, tag = "1")]
+    pub question: u64,
+    /// Whether the request may be sent.
+    #[prost(bool, tag = "2")]
+    pub is_granted: bool,
+    /// The time after which it may be sent, or after which to ask again, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
 }
 
 /// A request to run on the agent's engine.
@@ -178,7 +213,7 @@
     /// The content of the message; absent if the sender uses a kind unknown here.
     #[prost(
         oneof = "ToEntryKind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
     )]
     pub kind: Option<ToEntryKind>,
 }
@@ -226,6 +261,9 @@
     /// Ends the quarantines that follow the start of a link.
     #[prost(message, tag = "13")]
     QuarantinesSent(QuarantinesSent),
+    /// Answers a question whether a request may be sent to a plain server.
+    #[prost(message, tag = "14")]
+    SendAnswer(SendAnswer),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
@@ -314,6 +352,14 @@
     /// draining or leaving.
     #[prost(bool, tag = "15")]
     pub is_ending: bool,
+    /// The time until the engine may get a request of the highest rank that arrives now, under the rate that
+    /// it names, in milliseconds.
+    #[prost(uint32, tag = "16")]
+    pub rate_wait_ms: u32,
+    /// The interval between two requests at the rate that the engine names, in microseconds; 0 if it names
+    /// none.
+    #[prost(uint32, tag = "17")]
+    pub rate_interval_us: u32,
 }
 
 impl EngineState {
@@ -333,7 +379,10 @@
         let queued = (self.load + sent).saturating_sub(self.slots).min(sent);
         let queue_ms = f64::from(queued) * f64::from(self.batch_turnover_us) / 1_000.0;
         let tokens_per_ms = f64::from(self.prompt_tokens_per_s.max(1_000)) / 1_000.0;
-        f64::from(reported_ms) + batch_ms + queue_ms + sent_tokens as f64 / tokens_per_ms
+        let rate_ms = f64::from(self.rate_wait_ms)
+            + f64::from(sent) * f64::from(self.rate_interval_us) / 1_000.0;
+        let run_ms = f64::from(reported_ms) + batch_ms + queue_ms;
+        run_ms.max(rate_ms) + sent_tokens as f64 / tokens_per_ms
     }
 
     /// Returns whether placement would notice the difference to another state of the engine.
@@ -351,6 +400,8 @@
                 state.bulk_wait_ms,
                 state.copy_load_ms,
                 state.fetch_ms,
+                state.rate_wait_ms,
+                state.rate_interval_us / 1_000,
             ]
         };
         let is_time_different = times_ms(self)
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -38,16 +38,20 @@
 mod order;
 mod order_tracker;
 mod origin_replicas;
+mod pacer;
 mod placement;
 mod prompt_rate;
 mod quarantine;
+mod rate_limit;
 mod recent_crashes;
 mod replacements;
 mod request_metadata;
+mod request_rate;
 mod retry_budget;
 mod retry_window;
 mod route_table;
 mod scheduler_settings;
+mod send_grants;
 mod server_entry;
 mod server_health;
 mod server_notice;
@@ -82,13 +86,17 @@
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
     origin_replicas::{ReplicaCandidate, pick_replicas},
+    pacer::Pacer,
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     quarantine::Quarantine,
+    rate_limit::{RateChange, RateLimit, RateSource},
     request_metadata::RequestMetadata,
+    request_rate::{RateStatement, RequestRate},
     retry_budget::RetryBudget,
     retry_window::RetryWindow,
     route_table::{RouteMatch, RouteTable},
     scheduler_settings::SchedulerSettings,
+    send_grants::{SendGrant, SendGrants},
     server_entry::{ServerEntry, ServerLoad},
     server_health::ServerHealth,
     server_notice::{Announcement, PauseSource, RequestedPause, ServerNotice},
--- a/crates/magnoliasail-core/tests/gateway/directory.rs
+++ b/crates/magnoliasail-core/tests/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! Usable servers while the platform's list is reliable, outdated or unavailable.
 
 use magnoliasail_core::gateway::{
-    Announcement, Directory, RequestedPause, ServerEntry, ServerLoad, ServerNotice,
+    Announcement, Directory, Ineligibility, RequestedPause, ServerEntry, ServerLoad, ServerNotice,
     VersionConstraint,
 };
 
@@ -186,12 +186,12 @@
     directory.apply_notice("a", Some(1_000), pause(1.0), 1_500);
     assert!(usable(&directory, 3_999).is_empty());
     assert_eq!(
-        directory.pause_left_ms("s", &VersionConstraint::Any, 3_500),
-        Some(500)
+        directory.soonest_available("s", &VersionConstraint::Any, 3_500),
+        Some(Ineligibility::Paused { left_ms: 500 })
     );
     assert_eq!(usable(&directory, 4_000), ["a"]);
     assert_eq!(
-        directory.pause_left_ms("s", &VersionConstraint::Any, 4_000),
+        directory.soonest_available("s", &VersionConstraint::Any, 4_000),
         None
     );
 }
@@ -204,12 +204,12 @@
         directory.apply_notice(id, Some(1_000), pause(seconds), 0);
     }
     assert_eq!(
-        directory.pause_left_ms("s", &VersionConstraint::Any, 500),
-        Some(1_500)
+        directory.soonest_available("s", &VersionConstraint::Any, 500),
+        Some(Ineligibility::Paused { left_ms: 1_500 })
     );
     directory.insert(entry("c", 3), 0);
     assert_eq!(
-        directory.pause_left_ms("s", &VersionConstraint::Any, 500),
+        directory.soonest_available("s", &VersionConstraint::Any, 500),
         None
     );
 }
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod quarantine;
 mod quarantine_fleet;
+mod request_rates;
 mod retries;
 mod routes;
 mod scheduler;
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -5,7 +5,8 @@
     arbtest::arbtest,
     magnoliasail_core::gateway::{
         AdapterVersion, EngineAction, EngineRefusal, EngineRequest, EngineScheduler, OrderKind,
-        OrderOutcome, RequestedPause, SchedulerSettings, ServerNotice, adapter_key,
+        OrderOutcome, RateSource, RateStatement, RequestRate, RequestedPause, SchedulerSettings,
+        ServerNotice, adapter_key,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -802,3 +803,62 @@
         Ok(())
     });
 }
+
+impl Harness {
+    fn hear_rate(&mut self, statement: RateStatement) {
+        let started_ms = self.scheduler.started_ms();
+        let sent_ms = self.now_ms;
+        let source = RateSource::Request;
+        self.step(|scheduler, now_ms, actions| {
+            scheduler.apply_rate(statement, source, started_ms, sent_ms, now_ms, actions);
+        });
+    }
+}
+
+/// Four requests a second, so that one of two that arrive together waits and the third would be too late.
+#[test]
+fn requests_wait_for_the_rate_of_their_engine_only_within_their_objective() {
+    let mut harness = Harness::new();
+    let running = harness.submit("a", 1);
+    harness.complete_loads();
+    let rate = RequestRate::from_per_s(4.0).expect("a rate");
+    harness.hear_rate(RateStatement::Named(rate));
+    let start_ms = harness.now_ms;
+    let waiting = harness.submit("a", 1);
+    let refused = harness.submit("a", 1);
+    assert_eq!(
+        harness.refused,
+        [(refused, EngineRefusal::RateLimited, 500)]
+    );
+    assert_eq!(harness.scheduler.rate_delay_ms(start_ms), Some(250));
+    harness.advance_to(start_ms + 249);
+    assert_eq!(harness.started, [running]);
+    harness.advance_to(start_ms + 250);
+    assert_eq!(harness.started, [running, waiting]);
+    harness.hear_rate(RateStatement::Unnamed);
+    let free = harness.submit("a", 1);
+    assert_eq!(harness.started, [running, waiting, free]);
+}
+
+/// An urgent request takes the next time; the one that has waited for it is refused in good time.
+#[test]
+fn a_request_that_urgent_ones_overtake_is_refused_at_its_objective() {
+    let mut harness = Harness::new();
+    harness.submit("a", 1);
+    harness.complete_loads();
+    let rate = RequestRate::from_per_s(4.0).expect("a rate");
+    harness.hear_rate(RateStatement::Named(rate));
+    let start_ms = harness.now_ms;
+    let overtaken = harness.submit("a", 2);
+    for step in 1..=2 {
+        harness.advance_to(start_ms + step * 240);
+        harness.submit("a", 0);
+        harness.advance_to(start_ms + step * 250);
+    }
+    harness.advance_to(start_ms + 501);
+    let refusal = harness.refused.iter().find(|(key, ..)| *key == overtaken);
+    assert_eq!(
+        refusal.map(|refusal| refusal.1),
+        Some(EngineRefusal::RateLimited)
+    );
+}
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -89,6 +89,10 @@
     ServerLeaving = 333,
     /// A backend server refused a request and asked for a pause.
     ServerPaused = 334,
+    /// A backend server named the rate of requests that it takes, or another one than before.
+    ServerRateNamed = 335,
+    /// A backend server names no rate of requests any more.
+    ServerRateLifted = 336,
     /// The operator announced a version of an adapter.
     VersionAnnounced = 340,
     /// An engine started or stopped accepting requests.
@@ -195,6 +199,8 @@
             | Self::ServerRemoved
             | Self::ServerLeaving
             | Self::ServerPaused
+            | Self::ServerRateNamed
+            | Self::ServerRateLifted
             | Self::VersionAnnounced
             | Self::EngineState
             | Self::EngineRegained
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -14,7 +14,8 @@
     bytes::Bytes,
     hyper::{Method, Request, StatusCode, Uri},
     magnoliasail_core::gateway::{
-        EngineRefusal, EngineReport, EngineWatch, MissingReport, Order, OrderOutcome, ServerNotice,
+        EngineRefusal, EngineReport, EngineWatch, MissingReport, Order, OrderOutcome, RateSource,
+        RateStatement, ServerNotice,
         message::{Head, Part, ToEntryKind},
     },
     magnoliasail_platform::{
@@ -77,7 +78,11 @@
         let result = request_report(&state).await;
         record_mark(&state, requested_ms, &result);
         match result {
-            Ok(ReceivedReport { report, notice }) => {
+            Ok(ReceivedReport {
+                report,
+                notice,
+                rate,
+            }) => {
                 if watch.record_report() {
                     emit(EventId::EngineRegained, "the engine sends reports again");
                 }
@@ -88,6 +93,7 @@
                 }
                 state.apply_report(&report, ticket);
                 state.apply_notice(report.started_ms, notice);
+                state.apply_rate(report.started_ms, rate, RateSource::Report, requested_ms);
             }
             Err(error) => {
                 is_paused = matches!(error, ReportError::Paused);
@@ -148,6 +154,7 @@
 struct ReceivedReport {
     report: EngineReport,
     notice: ServerNotice,
+    rate: RateStatement,
 }
 
 /// Requests a report. Reports show whether the engine is alive and has started anew, so they are
@@ -164,7 +171,12 @@
     let notice = headers::server_notice(status, response.headers());
     if status == StatusCode::OK {
         let report = report::decode(response.body()).context(MalformedSnafu)?;
-        return Ok(ReceivedReport { report, notice });
+        let rate = headers::rate_statement(response.headers());
+        return Ok(ReceivedReport {
+            report,
+            notice,
+            rate,
+        });
     }
     state.apply_notice(started_ms, notice);
     if notice.pause.is_some() {
@@ -211,6 +223,8 @@
                 Ok(response) => {
                     let notice = headers::server_notice(response.status, &response.headers);
                     state.apply_notice(engine_started_ms, notice);
+                    let rate = headers::rate_statement(&response.headers);
+                    state.apply_rate(engine_started_ms, rate, RateSource::Request, started_ms);
                     let part_limit = stall_limits.map(|stall_limits| stall_limits.between_parts);
                     let run = EngineRun {
                         key,
--- a/crates/magnoliasail/src/gateway/agent/entry_link.rs
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -50,6 +50,7 @@
             Some(ToAgentKind::FindOrigin(key)) => receiving_state.answer_origin(id, key),
             Some(ToAgentKind::Crash(report)) => receiving_state.pass_on_crash(report),
             Some(ToAgentKind::Quarantine(change)) => receiving_state.apply_quarantine(id, change),
+            Some(ToAgentKind::AskSend(question)) => receiving_state.answer_send(id, question),
             None => {}
         })
         .await;
--- a/crates/magnoliasail/src/gateway/agent/outgoing.rs
+++ b/crates/magnoliasail/src/gateway/agent/outgoing.rs
@@ -128,6 +128,10 @@
             prompt_tokens_per_s: (scheduler.prompt_tokens_per_ms() * 1_000.0) as u32,
             batch_turnover_us: (scheduler.batch_turnover_ms() * 1_000.0) as u32,
             is_ending: self.is_draining.get() || scheduler.is_ending(),
+            rate_wait_ms: clamped(scheduler.rate_wait_ms(u32::MAX, now_ms)),
+            rate_interval_us: scheduler
+                .rate()
+                .map_or(0, |rate| clamped(rate.interval_us())),
         }
     }
 }
--- a/crates/magnoliasail/src/gateway/announcement.rs
+++ b/crates/magnoliasail/src/gateway/announcement.rs
@@ -3,7 +3,9 @@
 use {
     super::metrics::{GatewayMetrics, NoticeKind},
     crate::events::{EventId, emit},
-    magnoliasail_core::gateway::{Announcement, ServerNotice},
+    magnoliasail_core::gateway::{
+        Announcement, RateChange, RateSource, RateStatement, ServerNotice,
+    },
     std::fmt::Display,
 };
 
@@ -32,3 +34,33 @@
         None => {}
     }
 }
+
+/// Logs and counts a change of the rate that `server` names, and counts what cannot be read.
+pub(super) fn record_rate(
+    metrics: &GatewayMetrics,
+    server: impl Display,
+    statement: RateStatement,
+    source: RateSource,
+    change: Option<RateChange>,
+) {
+    if statement == RateStatement::Unreadable {
+        metrics.count_notice(NoticeKind::RateUnreadable);
+    }
+    match change {
+        Some(RateChange::Named(rate)) => {
+            metrics.count_notice(NoticeKind::Rate);
+            emit(
+                EventId::ServerRateNamed,
+                format_args!(
+                    "server={server} interval_us={} source={source}",
+                    rate.interval_us()
+                ),
+            );
+        }
+        Some(RateChange::Lifted) => emit(
+            EventId::ServerRateLifted,
+            format_args!("server={server} source={source}"),
+        ),
+        None => {}
+    }
+}
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -204,11 +204,11 @@
             ..
         }) => StartOutcome::RefusedByServer,
         Some(AttemptUpdate::Refused {
-            reason: reason @ EngineRefusal::Paused,
+            reason: reason @ (EngineRefusal::Paused | EngineRefusal::RateLimited),
             retry_after_ms,
         }) => StartOutcome::RefusedByAgent {
             reason,
-            // All callers of the engine would return at the same time, the end of its pause.
+            // All callers of the engine would return at the same time.
             retry_after_ms: retry_after_ms + retry_jitter_ms(),
         },
         Some(AttemptUpdate::Refused {
@@ -248,6 +248,7 @@
     headers::set_attempt_headers(request.headers_mut(), &attempt_headers);
     let may_repeat = outgoing.kind.is_idempotent();
     let pool = state.pool(&pick.service, pick.address);
+    let sent_ms = state.clock.now_ms();
     let sent = pool.send(request, outgoing.metadata.id.as_deref(), may_repeat);
     let limit = stall_limit(state, pick, outgoing, options);
     let on_stall = |limit: Duration| {
@@ -271,6 +272,7 @@
             drop(directory);
             let notice = headers::server_notice(response.status, &response.headers);
             state.apply_notice(pick, notice);
+            state.apply_rate(pick, headers::rate_statement(&response.headers), sent_ms);
             if headers::proves_not_run(response.status, &response.headers) {
                 return StartOutcome::RefusedByServer;
             }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -14,7 +14,7 @@
         relay::StreamRelay,
         response_body::ResponseBody,
         startup_wait::{WAIT_POLL_INTERVAL, log_wait, wait_for_quarantines},
-        state::{EntryState, PickedServer},
+        state::{EntryState, PickedServer, retry_jitter_ms},
         takeover::AttemptResult,
     },
     crate::gateway::{
@@ -245,6 +245,12 @@
                 return Err(self.refusal(cause, retry_after_ms));
             };
             placements += 1;
+            if let Err(wait_ms) = self.state.permit_send(&pick, &self.outgoing).await {
+                self.log_failed_attempt(&pick, "rate_limited");
+                cause = RefusalCause::ServersLimited;
+                retry_after_ms = retry_after_ms.min(wait_ms + retry_jitter_ms());
+                continue;
+            }
             self.tried.push(Arc::clone(&pick.id));
             let sent_ms = self.state.clock.now_ms();
             self.attempts_in_flight += 1;
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -9,8 +9,8 @@
     magnoliasail_core::gateway::{
         EngineRefusal, Holding, Holdings, UnreportedWork,
         message::{
-            EngineState, Head, OriginAnswer, StreamOrigin, Submit, ToAgent, ToAgentKind, ToEntry,
-            ToEntryKind,
+            AskSend, EngineState, Head, OriginAnswer, SendAnswer, StreamOrigin, Submit, ToAgent,
+            ToAgentKind, ToEntry, ToEntryKind,
         },
     },
     magnoliasail_wire::{Link, LinkSettings, Outbox},
@@ -23,7 +23,7 @@
         time::Duration,
     },
     tokio::{
-        sync::{Notify, mpsc},
+        sync::{Notify, mpsc, oneshot},
         task::AbortHandle,
         time::{Instant, sleep},
     },
@@ -71,6 +71,9 @@
     next_attempt: Cell<u64>,
     /// Queries for the origins of streams that the agent has not answered, by stream key.
     origin_queries: RefCell<HashMap<u64, Vec<mpsc::Sender<StreamOrigin>>>>,
+    /// Questions whether a request may be sent that the agent has not answered, by their numbers.
+    send_questions: RefCell<HashMap<u64, oneshot::Sender<SendAnswer>>>,
+    next_question: Cell<u64>,
     notices: mpsc::Sender<LinkNotice>,
     task: RefCell<Option<AbortHandle>>,
 }
@@ -94,6 +97,8 @@
             attempts: RefCell::default(),
             next_attempt: Cell::new(1),
             origin_queries: RefCell::default(),
+            send_questions: RefCell::default(),
+            next_question: Cell::new(1),
             notices,
             task: RefCell::default(),
         });
@@ -232,6 +237,34 @@
         queries.entry(key).or_default().push(answers);
     }
 
+    /// Asks the agent whether a request may be sent to a plain server; returns the receiver of its answer, or
+    /// `None` if the link is down.
+    pub(super) fn ask_send(&self, question: AskSend) -> Option<oneshot::Receiver<SendAnswer>> {
+        let number = self.next_question.get();
+        self.next_question.set(number + 1);
+        let question = AskSend {
+            question: number,
+            ..question
+        };
+        if !self.send(ToAgentKind::AskSend(question)) {
+            return None;
+        }
+        let (sender, receiver) = oneshot::channel();
+        let mut questions = self.send_questions.borrow_mut();
+        // Agents of an older release do not answer.
+        questions.retain(|_, sender| !sender.is_closed());
+        questions.insert(number, sender);
+        Some(receiver)
+    }
+
+    fn answer_send_question(&self, answer: SendAnswer) {
+        let sender = self.send_questions.borrow_mut().remove(&answer.question);
+        if let Some(sender) = sender {
+            // Nobody waits for an answer that comes too late.
+            let _ = sender.send(answer);
+        }
+    }
+
     fn answer_origin_queries(&self, answer: &OriginAnswer) {
         let senders = self.origin_queries.borrow_mut().remove(&answer.key);
         let Some(origin) = &answer.origin else { return };
@@ -268,6 +301,7 @@
             ToEntryKind::Quarantine(change) => self.notify(LinkNotice::Quarantine(change)),
             ToEntryKind::Completed(notice) => self.notify(LinkNotice::Completed(notice)),
             ToEntryKind::QuarantinesSent(_) => self.notify(LinkNotice::QuarantinesSent),
+            ToEntryKind::SendAnswer(answer) => self.answer_send_question(answer),
             ToEntryKind::Origin(answer) => self.answer_origin_queries(&answer),
             ToEntryKind::Holdings(update) => self.holdings.borrow_mut().apply(&update),
             ToEntryKind::Refused(refused) => {
@@ -326,6 +360,7 @@
             // This closes the queues of all attempts, which aborts the attempts.
             link.attempts.borrow_mut().clear();
             link.origin_queries.borrow_mut().clear();
+            link.send_questions.borrow_mut().clear();
             let cause = end
                 .err()
                 .map_or_else(|| "closed".to_owned(), |error| error.to_string());
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod request;
 mod response_body;
+mod send_permit;
 mod startup_wait;
 mod state;
 mod store_observer;
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -32,6 +32,8 @@
     VersionUnknown,
     /// All servers of the service that could serve the request have asked for a pause.
     ServersPaused,
+    /// All servers of the service that could serve the request name rates that allow no further one now.
+    ServersLimited,
     /// The agents refused the request, mostly since their engines are too busy.
     Overloaded,
     /// The servers refused the request, which has not run.
@@ -55,6 +57,7 @@
     pub(super) const fn of_agent(reason: EngineRefusal) -> Self {
         match reason {
             EngineRefusal::Paused => Self::ServersPaused,
+            EngineRefusal::RateLimited => Self::ServersLimited,
             EngineRefusal::Quarantined => Self::Quarantined,
             _ => Self::Overloaded,
         }
@@ -70,6 +73,7 @@
             | Self::VersionGone
             | Self::VersionUnknown
             | Self::ServersPaused
+            | Self::ServersLimited
             | Self::Overloaded
             | Self::ServersRefused
             | Self::Quarantined
@@ -102,6 +106,7 @@
                 "the version that began the stream is unknown; start a new stream"
             }
             Self::ServersPaused => "the servers take no requests for a moment; retry later",
+            Self::ServersLimited => "the servers take no more requests at this rate; retry later",
             Self::Overloaded => "the servers are busy; retry later",
             Self::ServersRefused => "the servers refused the request; retry later",
             Self::Quarantined => {
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/send_permit.rs
@@ -0,0 +1,146 @@
+//! Permission to send a request to a plain server that names a rate.
+//!
+//! The server takes its rate from all entries together. Entries ask the same agent before each such
+//! request: the one with the highest rank for this start of the server among all that the list names. If
+//! its link is down, the next one grants a part of the rate, since other entries may still reach the
+//! first; without any agent, an entry uses a small share of its own.
+
+use {
+    super::{
+        attempt::OutgoingRequest,
+        state::{EntryState, PickedServer},
+    },
+    magnoliasail_core::{
+        gateway::{
+            RequestRate, SendGrant,
+            message::{AskSend, SendAnswer},
+            server_start_fingerprint,
+        },
+        score,
+    },
+    std::{cmp::Reverse, net::IpAddr, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// Time for an agent to answer, well above the time between two data centres.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Divides the time left to the objective; a request may wait for the quotient if no server can take it at
+/// once.
+const MAX_WAIT_DIVISOR: u64 = 4;
+/// Divides the rate if another agent than the first, or none, can be asked. Both parts together must stay
+/// well under one and a half times the rate.
+const SUBSTITUTE_DIVISOR: u64 = 4;
+
+impl EntryState {
+    /// Waits until a request may be sent to a server, if that is soon; otherwise returns the time after which
+    /// to ask again, in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time if the request must not be sent now.
+    pub(super) async fn permit_send(
+        &self,
+        pick: &PickedServer,
+        outgoing: &OutgoingRequest,
+    ) -> Result<(), u64> {
+        if pick.is_engine {
+            return Ok(());
+        }
+        let server = self.directory.borrow().get(&pick.id).cloned();
+        let Some(rate) = server.and_then(|server| server.rate()) else {
+            return Ok(());
+        };
+        let grant = self
+            .ask_send(pick, rate, self.max_wait_ms(pick, outgoing))
+            .await;
+        if grant.is_granted {
+            sleep(Duration::from_millis(grant.wait_ms)).await;
+            return Ok(());
+        }
+        self.postpone_requests(pick, grant.wait_ms);
+        Err(grant.wait_ms)
+    }
+
+    /// Returns how long a request may wait for a server: not at all if another one can take it at once.
+    fn max_wait_ms(&self, pick: &PickedServer, outgoing: &OutgoingRequest) -> u64 {
+        let now_ms = self.clock.now_ms();
+        let directory = self.directory.borrow();
+        let mut servers = directory.all();
+        let has_other = servers.any(|server| {
+            server.entry.service == pick.service
+                && server.entry.id != pick.id
+                && server.rate().is_none()
+                && server.is_available(now_ms)
+        });
+        if has_other {
+            return 0;
+        }
+        outgoing.objective_ms.saturating_sub(now_ms) / MAX_WAIT_DIVISOR
+    }
+
+    async fn ask_send(
+        &self,
+        pick: &PickedServer,
+        rate: RequestRate,
+        max_wait_ms: u64,
+    ) -> SendGrant {
+        let server_start = server_start_fingerprint(&pick.id, pick.started_ms);
+        let key = server_start.to_string();
+        let answer = {
+            let links = self.links.borrow();
+            let mut vms: Vec<&IpAddr> = links.keys().collect();
+            vms.sort_by_cached_key(|vm| Reverse(score(&key, &vm.to_string())));
+            let up = vms.iter().position(|vm| links[*vm].is_up());
+            up.and_then(|index| {
+                let divisor = if index == 0 { 1 } else { SUBSTITUTE_DIVISOR };
+                links[vms[index]].ask_send(AskSend {
+                    question: 0,
+                    server_start,
+                    interval_us: rate.divided_by(divisor).interval_us(),
+                    max_wait_ms,
+                })
+            })
+        };
+        if let Some(answer) = answer
+            && let Ok(Ok(answer)) = timeout(ANSWER_TIMEOUT, answer).await
+        {
+            return grant_of(answer);
+        }
+        self.grant_without_agent(pick, rate)
+    }
+
+    /// Grants a request if the server was not postponed, and postpones it by the interval of this entry's own
+    /// share.
+    fn grant_without_agent(&self, pick: &PickedServer, rate: RequestRate) -> SendGrant {
+        const US_PER_MS: u64 = 1_000;
+        let share = rate.divided_by(SUBSTITUTE_DIVISOR * u64::from(self.entry_count()));
+        let wait_ms = share.interval_us().div_ceil(US_PER_MS);
+        let now_ms = self.clock.now_ms();
+        let directory = self.directory.borrow();
+        let is_granted = directory
+            .get(&pick.id)
+            .is_some_and(|server| server.is_available(now_ms));
+        drop(directory);
+        if is_granted {
+            self.postpone_requests(pick, wait_ms);
+        }
+        SendGrant {
+            is_granted,
+            wait_ms: if is_granted { 0 } else { wait_ms },
+        }
+    }
+
+    fn postpone_requests(&self, pick: &PickedServer, wait_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        if let Some(server) = self.directory.borrow_mut().get_mut(&pick.id) {
+            server.postpone_requests(wait_ms, now_ms);
+        }
+    }
+}
+
+const fn grant_of(answer: SendAnswer) -> SendGrant {
+    SendGrant {
+        is_granted: answer.is_granted,
+        wait_ms: answer.wait_ms,
+    }
+}
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -8,7 +8,7 @@
     crate::{
         events::{EventId, emit},
         gateway::{
-            announcement::record_notice,
+            announcement::{record_notice, record_rate},
             byte_limit::{ByteLimit, TooLong},
             metrics::{GatewayMetrics, RetryCause},
             phase::Phase,
@@ -17,9 +17,10 @@
         },
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, CrashDetector, Directory, Holding, Placement, PlacementCosts,
-        Quarantine, RetryBudget, RetryWindow, RouteTable, ServerNotice, ServerView, StreamOrigins,
-        VersionConstraint, VersionHistory, adapter_key, plain_wait_ms,
+        Affinity, Candidate, CrashDetector, Directory, Holding, Ineligibility, Placement,
+        PlacementCosts, Quarantine, RateSource, RateStatement, RetryBudget, RetryWindow,
+        RouteTable, ServerNotice, ServerView, StreamOrigins, VersionConstraint, VersionHistory,
+        adapter_key, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -319,6 +320,22 @@
         record_notice(&self.metrics, &pick.id, notice, announcement);
     }
 
+    /// Applies what a plain server said about its rate in the response to a request that was sent at
+    /// `sent_ms`.
+    pub(super) fn apply_rate(&self, pick: &PickedServer, statement: RateStatement, sent_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let mut directory = self.directory.borrow_mut();
+        let change = directory.apply_rate(&pick.id, pick.started_ms, statement, sent_ms, now_ms);
+        drop(directory);
+        record_rate(
+            &self.metrics,
+            &pick.id,
+            statement,
+            RateSource::Request,
+            change,
+        );
+    }
+
     /// Returns the cause for which there is no server for a request.
     pub(super) fn no_server_cause(
         &self,
@@ -327,7 +344,8 @@
     ) -> RefusalCause {
         let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
-        match directory.pause_left_ms(service, version, now_ms) {
+        match directory.soonest_available(service, version, now_ms) {
+            Some(Ineligibility::Limited { .. }) => RefusalCause::ServersLimited,
             Some(_) => RefusalCause::ServersPaused,
             None if *version == VersionConstraint::Any => RefusalCause::NoServer,
             None if directory.usable(service, version, now_ms).next().is_some() => {
@@ -354,9 +372,10 @@
                 0 => DEFAULT_MS,
                 ready_in_ms => ready_in_ms,
             });
-        let soonest_ms = engines_ready_in_ms
-            .min()
-            .or_else(|| directory.pause_left_ms(service, version, now_ms));
+        let soonest_ms = engines_ready_in_ms.min().or_else(|| {
+            let reason = directory.soonest_available(service, version, now_ms);
+            reason.and_then(Ineligibility::left_ms)
+        });
         soonest_ms.unwrap_or(DEFAULT_MS) + retry_jitter_ms()
     }
 
@@ -412,7 +431,7 @@
 
     /// Returns the number of entries that share a retry budget: the highest count that an agent has
     /// reported.
-    fn entry_count(&self) -> u32 {
+    pub(super) fn entry_count(&self) -> u32 {
         let links = self.links.borrow();
         let reported_counts = links
             .values()
--- a/crates/magnoliasail/src/gateway/metrics.rs
+++ b/crates/magnoliasail/src/gateway/metrics.rs
@@ -63,6 +63,10 @@
     PauseLimited,
     /// The server asked for a pause without a positive number of seconds.
     PauseUnreadable,
+    /// The server named a rate of requests, or another one than before.
+    Rate,
+    /// The server named something that is no rate.
+    RateUnreadable,
 }
 
 impl From<PauseSource> for NoticeKind {
@@ -176,7 +180,7 @@
         register!(
             refusals: "Requests or attempts refused, by reason",
             retries: "Attempts followed by another, and retries denied by the budget, by reason",
-            server_notices: "Servers that said they leave, and refusals that asked for a pause, by reason",
+            server_notices: "Servers that said they leave or named a rate, and refusals that asked for a pause, by reason",
             requests: "Requests or attempts received",
             answered: "Requests or attempts answered by a server",
             streams_broken: "Streams that ended early",
