--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        announcements::Announcements,
         caller::{Call, CallKind, Caller, Outcome},
         fleet::{Fleet, FleetSettings},
         ledger::{Ledger, Violation},
@@ -35,10 +36,6 @@
 const CALL_DEADLINE: Duration = Duration::from_millis(2_500);
 /// Time for the fleet to recover after the last fault, before the callers stop.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
-/// Changes the seed for announcements, so that the schedules of known seeds stay the same.
-const ANNOUNCEMENT_SEED_MASK: u64 = 0xa11;
-/// Share of the faults of the schedule after which a server makes an announcement.
-const ANNOUNCEMENT_SHARE: f64 = 0.4;
 /// Time for a change in the store to apply, also if a read of it times out.
 const PROPAGATION_TIME: Duration = Duration::from_millis(4_500);
 /// Time for which the store is away before it is restored from a copy.
@@ -108,10 +105,8 @@
 pub struct Soak {
     settings: SoakSettings,
     random: Pcg64Mcg,
-    announcement_random: Pcg64Mcg,
-    /// The server that says that it is leaving.
-    leaving_server: Option<usize>,
-    fleet: Fleet,
+    pub(crate) announcements: Announcements,
+    pub(crate) fleet: Fleet,
     schedule: Vec<String>,
     /// Path prefixes of the routes that were added to the configuration.
     added_prefixes: Vec<String>,
@@ -134,13 +129,12 @@
     pub async fn start(settings: SoakSettings) -> io::Result<Self> {
         let seed = settings.fleet.seed;
         let random = Pcg64Mcg::seed_from_u64(seed);
-        let announcement_random = Pcg64Mcg::seed_from_u64(seed ^ ANNOUNCEMENT_SEED_MASK);
+        let announcements = Announcements::new(seed);
         let fleet = Fleet::start(settings.fleet.clone()).await?;
         Ok(Self {
             settings,
             random,
-            announcement_random,
-            leaving_server: None,
+            announcements,
             fleet,
             schedule: Vec::new(),
             added_prefixes: Vec::new(),
@@ -158,9 +152,7 @@
         let is_poison_stopped = Arc::new(AtomicBool::new(!self.settings.has_poison));
         let poison_callers = start_poison_callers(&self.fleet, &is_poison_stopped);
         for _ in 0..self.settings.faults {
-            if self.announcement_random.random_bool(ANNOUNCEMENT_SHARE) {
-                self.announce().await?;
-            }
+            self.announce().await?;
             self.inject_fault().await?;
             let pause_ms = self.random.random_range(50..600);
             sleep(Duration::from_millis(pause_ms)).await;
@@ -327,43 +319,6 @@
         Ok(())
     }
 
-    /// Makes a server say that it is leaving, which it does until the next announcement, or makes it
-    /// ask for pauses until its faults are replaced.
-    async fn announce(&mut self) -> io::Result<()> {
-        self.restart_leaving_server().await?;
-        let server_count = self.fleet.servers.len();
-        let server = self.announcement_random.random_range(0..server_count);
-        if self.announcement_random.random() {
-            self.record_fault(format!("server {server} says that it is leaving"));
-            self.fleet.servers[server].set_leaving();
-            self.leaving_server = Some(server);
-            return Ok(());
-        }
-        let faults = ServerFaults {
-            paused_share: self.announcement_random.random_range(0.05..0.5),
-            retry_after_ms: self.announcement_random.random_range(200..3_000),
-            ..ServerFaults::default()
-        };
-        self.record_fault(format!("server {server}: {faults:?}"));
-        self.fleet.servers[server].set_faults(faults);
-        Ok(())
-    }
-
-    /// Restarts the server that says that it is leaving, under the same id.
-    async fn restart_leaving_server(&mut self) -> io::Result<()> {
-        /// Time for the listener of the server to close.
-        const RESTART_TIME: Duration = Duration::from_millis(200);
-        let Some(server) = self.leaving_server.take() else {
-            return Ok(());
-        };
-        self.record_fault(format!("restart server {server}, which is leaving"));
-        self.fleet.servers[server].crash_keeping_id();
-        sleep(RESTART_TIME).await;
-        self.fleet.servers[server].start().await?;
-        self.fleet.publish_server(server);
-        Ok(())
-    }
-
     /// Drains a server or publishes a configuration, restores the store from a copy of an earlier
     /// time, once or twice, and writes again what was lost.
     async fn restore_store_from_copy(&mut self, server: usize, duration: Duration) {
@@ -407,13 +362,13 @@
         self.fleet.publish_configuration(&prefixes);
     }
 
-    fn record_fault(&mut self, fault: String) {
+    pub(crate) fn record_fault(&mut self, fault: String) {
         self.schedule.push(fault);
     }
 
     /// Ends every fault that is still active.
     async fn clear_faults(&mut self) -> io::Result<()> {
-        self.restart_leaving_server().await?;
+        self.end_announcements().await?;
         self.fleet.store.set_mode(StoreMode::Up);
         for proxy in &self.fleet.proxies {
             proxy.set_mode(ProxyMode::Open);
