--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod expiring_map;
 mod fingerprint;
 mod freshness;
+mod grant_agent;
 mod holdings;
 mod host_copies;
 mod idle_limit;
@@ -82,6 +83,7 @@
         part_fingerprint, request_fingerprint, server_start_fingerprint, service_fingerprint,
     },
     freshness::Freshness,
+    grant_agent::{GrantAgent, GrantCandidate, pick_grant_agent, rate_without_agent},
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
--- a/crates/magnoliasail-core/tests/gateway/request_rates.rs
+++ b/crates/magnoliasail-core/tests/gateway/request_rates.rs
@@ -3,8 +3,9 @@
 use {
     arbtest::{arbitrary::Unstructured, arbtest},
     magnoliasail_core::gateway::{
-        Directory, Ineligibility, RateChange, RateLimit, RateSource, RateStatement, RequestRate,
-        SendGrants, ServerEntry, VersionConstraint,
+        Directory, GrantCandidate, Ineligibility, RateChange, RateLimit, RateSource, RateStatement,
+        RequestRate, SendGrants, ServerEntry, VersionConstraint, pick_grant_agent,
+        rate_without_agent,
     },
     std::collections::BTreeMap,
 };
@@ -157,6 +158,39 @@
     }
 }
 
+/// Returns agents of which the first `up_from` in rank cannot be reached.
+fn agents(up_from: usize) -> Vec<GrantCandidate> {
+    let mut agents: Vec<GrantCandidate> = (1..=5)
+        .map(|number| GrantCandidate {
+            vm: [10, 0, 0, number].into(),
+            is_up: true,
+        })
+        .collect();
+    for _ in 0..up_from {
+        let first = pick_grant_agent(SERVER_START, rate(1.0), agents.clone());
+        let first = first.expect("an agent is up").vm;
+        let agent = agents.iter_mut().find(|agent| agent.vm == first);
+        agent.expect("it is a candidate").is_up = false;
+    }
+    agents
+}
+
+#[test]
+fn all_entries_ask_the_same_agent_and_one_that_cannot_gets_less_from_another() {
+    let pick = |agents| pick_grant_agent(SERVER_START, rate(8.0), agents);
+    let first = pick(agents(0)).expect("an agent is up");
+    let mut reversed = agents(0);
+    reversed.reverse();
+    assert_eq!(pick(reversed), Some(first));
+    assert_eq!(first.rate, rate(8.0));
+    let next = pick(agents(1)).expect("an agent is up");
+    assert_ne!(next.vm, first.vm);
+    assert!(next.rate.interval_us() >= 3 * first.rate.interval_us());
+    assert_eq!(pick(agents(5)), None);
+    let own = rate_without_agent(rate(8.0), 6);
+    assert!(own.interval_us() >= 6 * next.rate.interval_us());
+}
+
 /// Entries of which some reach the first agent and the others only the next one, which grants a quarter.
 #[derive(Default)]
 struct Fleet {
@@ -168,10 +202,12 @@
 
 impl Fleet {
     fn ask(&mut self, is_cut_off: bool, per_s: f64, max_wait_ms: u64, now_ms: u64) {
-        let (agent, rate) = if is_cut_off {
-            (&mut self.next_agent, rate(per_s).divided_by(4))
+        let picked = pick_grant_agent(SERVER_START, rate(per_s), agents(is_cut_off.into()));
+        let rate = picked.expect("an agent is up").rate;
+        let agent = if is_cut_off {
+            &mut self.next_agent
         } else {
-            (&mut self.first_agent, rate(per_s))
+            &mut self.first_agent
         };
         let grant = agent.ask(SERVER_START, rate, max_wait_ms, now_ms);
         if grant.is_granted {
--- a/crates/magnoliasail/src/gateway/entry/send_permit.rs
+++ b/crates/magnoliasail/src/gateway/entry/send_permit.rs
@@ -1,25 +1,23 @@
 //! Permission to send a request to a plain server that names a rate.
 //!
 //! The server takes its rate from all entries together. Entries ask the same agent before each such
-//! request: the one with the highest rank for this start of the server among all that the list names. If
-//! its link is down, the next one grants a part of the rate, since other entries may still reach the
-//! first; without any agent, an entry uses a small share of its own.
+//! request ([`pick_grant_agent`]); while an entry can ask none, it uses a small share of its own.
 
 use {
     super::{
         attempt::OutgoingRequest,
         state::{EntryState, PickedServer},
     },
-    magnoliasail_core::{
-        gateway::{
-            RequestRate, SendGrant,
-            message::{AskSend, SendAnswer},
-            server_start_fingerprint,
-        },
-        score,
+    magnoliasail_core::gateway::{
+        GrantCandidate, RequestRate, SendGrant,
+        message::{AskSend, SendAnswer},
+        pick_grant_agent, rate_without_agent, server_start_fingerprint,
+    },
+    std::time::Duration,
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
     },
-    std::{cmp::Reverse, net::IpAddr, time::Duration},
-    tokio::time::{sleep, timeout},
 };
 
 /// Time for an agent to answer, well above the time between two data centres.
@@ -27,9 +25,6 @@
 /// Divides the time left to the objective; a request may wait for the quotient if no server can take it at
 /// once.
 const MAX_WAIT_DIVISOR: u64 = 4;
-/// Divides the rate if another agent than the first, or none, can be asked. Both parts together must stay
-/// well under one and a half times the rate.
-const SUBSTITUTE_DIVISOR: u64 = 4;
 
 impl EntryState {
     /// Waits until a request may be sent to a server, if that is soon; otherwise returns the time after which
@@ -85,48 +80,57 @@
         max_wait_ms: u64,
     ) -> SendGrant {
         let server_start = server_start_fingerprint(&pick.id, pick.started_ms);
-        let key = server_start.to_string();
-        let answer = {
-            let links = self.links.borrow();
-            let mut vms: Vec<&IpAddr> = links.keys().collect();
-            vms.sort_by_cached_key(|vm| Reverse(score(&key, &vm.to_string())));
-            let up = vms.iter().position(|vm| links[*vm].is_up());
-            up.and_then(|index| {
-                let divisor = if index == 0 { 1 } else { SUBSTITUTE_DIVISOR };
-                links[vms[index]].ask_send(AskSend {
-                    question: 0,
-                    server_start,
-                    interval_us: rate.divided_by(divisor).interval_us(),
-                    max_wait_ms,
-                })
-            })
-        };
+        let answer = self.question_agent(server_start, rate, max_wait_ms);
         if let Some(answer) = answer
             && let Ok(Ok(answer)) = timeout(ANSWER_TIMEOUT, answer).await
         {
-            return grant_of(answer);
+            return SendGrant {
+                is_granted: answer.is_granted,
+                wait_ms: answer.wait_ms,
+            };
         }
         self.grant_without_agent(pick, rate)
     }
 
+    /// Asks the agent that grants requests to this start of a server; returns `None` if none can be asked.
+    fn question_agent(
+        &self,
+        server_start: u64,
+        rate: RequestRate,
+        max_wait_ms: u64,
+    ) -> Option<oneshot::Receiver<SendAnswer>> {
+        let links = self.links.borrow();
+        let candidates = links.iter().map(|(&vm, link)| GrantCandidate {
+            vm,
+            is_up: link.is_up(),
+        });
+        let agent = pick_grant_agent(server_start, rate, candidates.collect())?;
+        links.get(&agent.vm)?.ask_send(AskSend {
+            question: 0,
+            server_start,
+            interval_us: agent.rate.interval_us(),
+            max_wait_ms,
+        })
+    }
+
     /// Grants a request if the server was not postponed, and postpones it by the interval of this entry's own
     /// share.
     fn grant_without_agent(&self, pick: &PickedServer, rate: RequestRate) -> SendGrant {
         const US_PER_MS: u64 = 1_000;
-        let share = rate.divided_by(SUBSTITUTE_DIVISOR * u64::from(self.entry_count()));
-        let wait_ms = share.interval_us().div_ceil(US_PER_MS);
+        let share = rate_without_agent(rate, self.entry_count());
+        let interval_ms = share.interval_us().div_ceil(US_PER_MS);
         let now_ms = self.clock.now_ms();
-        let directory = self.directory.borrow();
-        let is_granted = directory
+        let is_granted = self
+            .directory
+            .borrow()
             .get(&pick.id)
             .is_some_and(|server| server.is_available(now_ms));
-        drop(directory);
         if is_granted {
-            self.postpone_requests(pick, wait_ms);
+            self.postpone_requests(pick, interval_ms);
         }
         SendGrant {
             is_granted,
-            wait_ms: if is_granted { 0 } else { wait_ms },
+            wait_ms: if is_granted { 0 } else { interval_ms },
         }
     }
 
@@ -137,10 +141,3 @@
         }
     }
 }
-
-const fn grant_of(answer: SendAnswer) -> SendGrant {
-    SendGrant {
-        is_granted: answer.is_granted,
-        wait_ms: answer.wait_ms,
-    }
-}
