fix(gateway): refuse as not run what waits for an engine when its agent's grace period ends

Callers got 502, may have run, for requests that had waited in the queue of an agent until its process ended: their entries see only that the link is gone. The new test failed before (502 for each of them).

--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -11,7 +11,7 @@
     },
     hyper::StatusCode,
     magnoliasail_core::gateway::{
-        EngineAction, EngineRefusal, Quarantine,
+        EngineRefusal, Quarantine,
         message::{
             CrashReport, QuarantineChange, QuarantinesSent, Submit, SuspectRequest, ToEntryKind,
         },
@@ -108,23 +108,9 @@
         }
         let count = self.quarantine.borrow().len(now_ms);
         self.metrics.quarantined.set(count as i64);
-        let refused: Vec<(u64, u64)> = self
-            .active_requests
-            .borrow()
-            .iter()
-            .filter(|(_, request)| request.task.is_none())
-            .filter_map(|(&key, request)| Some((key, self.quarantine_left_ms(&request.submit)?)))
-            .collect();
-        for (key, retry_after_ms) in refused {
-            self.execute_action(EngineAction::Refuse {
-                key,
-                reason: EngineRefusal::Quarantined,
-                retry_after_ms,
-            });
-            self.update_scheduler(|scheduler, now_ms, actions| {
-                scheduler.finish(key, false, now_ms, actions);
-            });
-        }
+        self.refuse_waiting_where(EngineRefusal::Quarantined, |request| {
+            self.quarantine_left_ms(&request.submit)
+        });
     }
 
     /// Records that a request completed with this status, and tells all entries if that ends a quarantine.
--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -52,6 +52,9 @@
     Phase::Draining.reached(&mut phase).await;
     state.drain();
     while state.load() > 0 {
+        if *phase.borrow() == Phase::Stopping {
+            state.refuse_waiting();
+        }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     // Gives the links time to send the last responses.
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -283,6 +283,36 @@
         });
     }
 
+    /// Refuses what still waits for the engine, because the process exits.
+    pub(super) fn refuse_waiting(self: &Rc<Self>) {
+        self.refuse_waiting_where(EngineRefusal::Draining, |_| Some(0));
+    }
+
+    /// Refuses the waiting requests for which `retry_after_ms` returns a time.
+    pub(super) fn refuse_waiting_where(
+        self: &Rc<Self>,
+        reason: EngineRefusal,
+        retry_after_ms: impl Fn(&ActiveRequest) -> Option<u64>,
+    ) {
+        let refused: Vec<(u64, u64)> = self
+            .active_requests
+            .borrow()
+            .iter()
+            .filter(|(_, request)| request.task.is_none())
+            .filter_map(|(&key, request)| Some((key, retry_after_ms(request)?)))
+            .collect();
+        for (key, retry_after_ms) in refused {
+            self.execute_action(EngineAction::Refuse {
+                key,
+                reason,
+                retry_after_ms,
+            });
+            self.update_scheduler(|scheduler, now_ms, actions| {
+                scheduler.finish(key, false, now_ms, actions);
+            });
+        }
+    }
+
     /// Removes a request whose attempt at the engine has ended. `status` is that of the complete
     /// response that was forwarded, if any.
     pub(super) fn finish(self: &Rc<Self>, key: u64, status: Option<StatusCode>) {
--- a/crates/magnoliasail/tests/restarts.rs
+++ b/crates/magnoliasail/tests/restarts.rs
@@ -105,6 +105,59 @@
     });
 }
 
+/// What waits in the queue of an agent when its grace period ends has not run, and its callers must not be
+/// left in doubt.
+#[test]
+fn terminated_agent_refuses_as_not_run_what_still_waits_at_the_end_of_its_grace_period() {
+    /// More than the batch of the engine holds.
+    const CALLS: u32 = 20;
+    const DEADLINE: Duration = Duration::from_secs(20);
+    /// The agent of the only engine, after the only entry.
+    const AGENT: usize = 1;
+    let settings = FleetSettings {
+        engines: 1,
+        ..small_fleet(78)
+    };
+    run_with_fleet(settings, |mut fleet| async move {
+        fleet.publish_route_timeout(DEADLINE);
+        sleep(PROPAGATION_TIME).await;
+        // With five events at least, each stream outlasts the grace period.
+        fleet.servers[0].set_faults(ServerFaults {
+            event_delay_ms: 1_700,
+            ..ServerFaults::default()
+        });
+        let mut tasks = Vec::new();
+        for number in 0..CALLS {
+            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+            let call = Call {
+                id: format!("waiting-{number}"),
+                kind: CallKind::Stream,
+                adapter: "base/a0".to_owned(),
+                deadline: DEADLINE,
+                ..Call::default()
+            };
+            tasks.push(tokio::spawn(
+                async move { (caller.call(&call).await, call.id) },
+            ));
+        }
+        sleep(Duration::from_millis(500)).await;
+        // What has ended by now was refused at once.
+        tasks.retain(|task| !task.is_finished());
+        fleet.signal(AGENT, "TERM");
+        let mut unrun_count = 0;
+        for task in tasks {
+            let (outcome, id) = task.await.expect("the caller does not panic");
+            if !fleet.ledger.runs(&id).is_empty() {
+                continue;
+            }
+            unrun_count += 1;
+            assert_eq!(outcome, Outcome::NotRun, "{id}\n{}", fleet.output());
+        }
+        assert!(unrun_count > 0, "no request waited\n{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
+
 /// Requests that wait in the queue of an agent when the grace period of their entry ends have been
 /// read and have not run, so that their callers are owed an answer.
 #[test]
