fix(gateway): log streams that the end of an entry's grace period cuts

Nothing in the logs said why a stream ended that outlasted the grace period. The new test failed before.

--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -40,6 +40,15 @@
     last_event_id: Option<u64>,
     /// Whether an event of this answer was forwarded to the caller.
     has_forwarded: bool,
+    has_ended: bool,
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.log_abort(AbortCause::Stopped);
+        }
+    }
 }
 
 /// How the relay of a stream ended.
@@ -57,6 +66,8 @@
     Expired,
     /// The server failed, and the stream was not resumed.
     BrokenOff(TakeoverFailure),
+    /// The process exits.
+    Stopped,
 }
 
 impl StreamRelay {
@@ -78,6 +89,7 @@
             splitter: EventSplitter::default(),
             last_event_id,
             has_forwarded: false,
+            has_ended: false,
         };
         tokio::task::spawn_local(relay.run(caller));
         response
@@ -95,6 +107,7 @@
             () = sleep_until(deadline) => RelayOutcome::Aborted(AbortCause::Expired),
             outcome = self.relay(&caller) => outcome,
         };
+        self.has_ended = true;
         let is_early_end = !matches!(outcome, RelayOutcome::Complete);
         if is_early_end && self.has_forwarded {
             self.dispatch.replicate_aborted_origin(&self.in_flight);
@@ -255,6 +268,7 @@
     fn log_abort(&self, cause: AbortCause) {
         let (cause, resumption) = match cause {
             AbortCause::Expired => ("expired", "-".to_owned()),
+            AbortCause::Stopped => ("stopped", "-".to_owned()),
             AbortCause::BrokenOff(failure) => ("broken_off", failure.to_string()),
         };
         emit(
--- a/crates/magnoliasail/src/gateway/process.rs
+++ b/crates/magnoliasail/src/gateway/process.rs
@@ -85,6 +85,8 @@
     if result.is_ok() {
         emit(EventId::DrainFinished, format_args!("role={role}"));
     }
+    // What ends with the process may leave a last line.
+    drop(local);
     log::logger().flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/magnoliasail/tests/restarts.rs
+++ b/crates/magnoliasail/tests/restarts.rs
@@ -214,6 +214,54 @@
     });
 }
 
+/// An engineer on call must find why a stream ended early.
+#[test]
+fn streams_cut_at_the_end_of_the_grace_period_of_their_entry_leave_a_line() {
+    const CALLS: u32 = 4;
+    const DEADLINE: Duration = Duration::from_secs(20);
+    with_fleet(77, |mut fleet| async move {
+        fleet.publish_route_timeout(DEADLINE);
+        sleep(PROPAGATION_TIME).await;
+        for engine in &fleet.servers[..usize::from(ENGINES)] {
+            // With five events at least, each stream outlasts the grace period.
+            engine.set_faults(ServerFaults {
+                event_delay_ms: 1_900,
+                ..ServerFaults::default()
+            });
+        }
+        let calls = (0..CALLS).map(|number| {
+            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+            let call = Call {
+                id: format!("cut-{number}"),
+                kind: CallKind::Stream,
+                deadline: DEADLINE,
+                ..Call::default()
+            };
+            tokio::spawn(async move { (caller.call(&call).await, call.id) })
+        });
+        let tasks: Vec<_> = calls.collect();
+        sleep(Duration::from_millis(500)).await;
+        fleet.signal(0, "TERM");
+        let mut cut = Vec::new();
+        for task in tasks {
+            let (outcome, id) = task.await.expect("the caller does not panic");
+            if outcome == Outcome::ConnectionFailed {
+                cut.push(id);
+            }
+        }
+        assert!(!cut.is_empty(), "no stream was cut\n{}", fleet.output());
+        sleep(Duration::from_secs(1)).await;
+        let output = fleet.output();
+        for id in cut {
+            let has_line = output.lines().any(|line| {
+                line.contains(&format!("stream_broken_off: request={id} "))
+                    && line.contains("cause=stopped")
+            });
+            assert!(has_line, "{id}\n{output}");
+        }
+    });
+}
+
 #[test]
 fn last_log_line_of_a_terminated_process_is_written() {
     const EXIT_POLL: Duration = Duration::from_millis(20);
