--- a/crates/magnoliasail/tests/named_rates.rs
+++ b/crates/magnoliasail/tests/named_rates.rs
@@ -99,13 +99,15 @@
     with_fleet(110, |fleet| async move {
         fleet.servers[0].set_rate(Some(RATE_PER_S));
         let outcomes = load(&fleet, CallKind::ResumableStream).await;
-        println!(
-            "REF {} of {}",
-            fleet.output().matches("outcome=rate_limited").count(),
-            outcomes.calls
-        );
         assert_no_violations(&fleet);
         assert_is_used(&fleet, 0);
+        // Entries know the rate, so that few requests go to the engine's agent in vain.
+        let output = fleet.output();
+        let in_vain = output.matches("outcome=rate_limited").count();
+        assert!(
+            in_vain <= outcomes.calls as usize / 10,
+            "{in_vain}\n{output}"
+        );
         assert!(
             outcomes.served_share() > 0.9,
             "{outcomes:?}\n{}",
