--- a/crates/magnoliasail/src/gateway/entry/send_permit.rs
+++ b/crates/magnoliasail/src/gateway/entry/send_permit.rs
@@ -41,8 +41,7 @@
         if pick.is_engine {
             return Ok(());
         }
-        let server = self.directory.borrow().get(&pick.id).cloned();
-        let Some(rate) = server.and_then(|server| server.rate()) else {
+        let Some(rate) = self.named_rate(pick) else {
             return Ok(());
         };
         let grant = self
@@ -56,6 +55,10 @@
         Err(grant.wait_ms)
     }
 
+    fn named_rate(&self, pick: &PickedServer) -> Option<RequestRate> {
+        self.directory.borrow().get(&pick.id)?.rate()
+    }
+
     /// Returns how long a request may wait for a server: not at all if another one can take it at once.
     fn max_wait_ms(&self, pick: &PickedServer, outgoing: &OutgoingRequest) -> u64 {
         let now_ms = self.clock.now_ms();
