--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -12,7 +12,7 @@
     crate::{
         events::{EventId, emit},
         gateway::{
-            announcement::{record_notice, record_rate},
+            announcement::record_notice,
             header_codec,
             metrics::{GatewayMetrics, Stage},
             pool::{Pool, SharedIdleLimit},
@@ -23,12 +23,8 @@
     magnoliasail_core::gateway::{
         AdapterVersion, Announcement, Configuration, CrashDetector, EngineAction, EngineRefusal,
         EngineReport, EngineRequest, EngineScheduler, HoldingsTracker, Order, OrderOutcome,
-        Quarantine, RateSource, RateStatement, RequestMetadata, RequestRate, SchedulerSettings,
-        SendGrants, ServerNotice, StreamOrigins,
-        message::{
-            AskSend, EngineState, OriginAnswer, SendAnswer, StreamOrigin, Submit, ToEntry,
-            ToEntryKind,
-        },
+        Quarantine, RequestMetadata, SchedulerSettings, SendGrants, ServerNotice, StreamOrigins,
+        message::{EngineState, OriginAnswer, StreamOrigin, Submit, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::{headers, settings::NodeSettings},
     magnoliasail_wire::Outbox,
@@ -87,9 +83,9 @@
     pub(super) scheduler: RefCell<EngineScheduler>,
     pub(super) crash_detector: RefCell<CrashDetector>,
     /// When plain servers that name a rate may get their next requests.
-    send_grants: RefCell<SendGrants>,
+    pub(super) send_grants: RefCell<SendGrants>,
     /// Whether a task waits for the time at which the engine's rate allows the next request.
-    has_rate_wakeup: Cell<bool>,
+    pub(super) has_rate_wakeup: Cell<bool>,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) last_report: watch::Sender<ReportMark>,
     /// Notified when the next report should be requested at once.
@@ -384,52 +380,6 @@
         }
     }
 
-    /// Applies what the engine said about its rate in the response to a request that was sent at `sent_ms` to
-    /// the start `started_ms` of it.
-    pub(super) fn apply_rate(
-        self: &Rc<Self>,
-        started_ms: Option<u64>,
-        statement: RateStatement,
-        source: RateSource,
-        sent_ms: u64,
-    ) {
-        let is_usual = statement == RateStatement::Unnamed;
-        if is_usual && self.scheduler.borrow().rate().is_none() {
-            return;
-        }
-        let mut change = None;
-        self.update_scheduler(|scheduler, now_ms, actions| {
-            change = scheduler.apply_rate(statement, source, started_ms, sent_ms, now_ms, actions);
-        });
-        record_rate(
-            &self.metrics,
-            self.engine_address,
-            statement,
-            source,
-            change,
-        );
-        if change.is_some() {
-            self.broadcast_engine_state();
-        }
-    }
-
-    /// Answers an entry that asks to send a request to a plain server.
-    pub(super) fn answer_send(&self, link: LinkId, question: AskSend) {
-        let now_ms = self.clock.now_ms();
-        let grant = self.send_grants.borrow_mut().ask(
-            question.server_start,
-            RequestRate::from_interval_us(question.interval_us),
-            question.max_wait_ms,
-            now_ms,
-        );
-        let answer = SendAnswer {
-            question: question.question,
-            is_granted: grant.is_granted,
-            wait_ms: grant.wait_ms,
-        };
-        self.send(link, ToEntryKind::SendAnswer(answer));
-    }
-
     /// Refuses queued requests because the engine sends no reports.
     ///
     /// Running requests go on: an engine that is about to exit accepts no connections but completes
@@ -494,17 +444,6 @@
         }
     }
 
-    /// Starts the task that starts waiting requests when the engine's rate allows the next one, unless it
-    /// runs already.
-    fn schedule_rate_wakeup(self: &Rc<Self>, now_ms: u64) {
-        let delay_ms = self.scheduler.borrow().rate_delay_ms(now_ms);
-        if let Some(delay_ms) = delay_ms
-            && !self.has_rate_wakeup.replace(true)
-        {
-            tokio::task::spawn_local(start_at_rate(Rc::clone(self), delay_ms));
-        }
-    }
-
     pub(super) fn execute_action(self: &Rc<Self>, action: EngineAction) {
         match action {
             EngineAction::Start { key } => {
@@ -587,13 +526,6 @@
     }
 }
 
-/// Starts queued requests when the engine's rate allows the next one.
-async fn start_at_rate(state: Rc<AgentState>, delay_ms: u64) {
-    sleep(Duration::from_millis(delay_ms)).await;
-    state.has_rate_wakeup.set(false);
-    state.update_scheduler(|scheduler, now_ms, actions| scheduler.advance(now_ms, actions));
-}
-
 /// Starts queued requests and orders at the end of the pause that the engine asked for.
 async fn resume_after_pause(state: Rc<AgentState>) {
     loop {
