--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{
+        answers::text_response,
         endless::{EndlessAnswer, is_control_request, serve_endless},
         poison::Poison,
         rate_check::RateCheck,
@@ -13,21 +14,19 @@
     },
     crate::ledger::Ledger,
     bytes::Bytes,
-    http_body_util::{BodyExt, combinators::BoxBody},
+    http_body_util::combinators::BoxBody,
     hyper::{
-        HeaderMap, Request, Response, StatusCode, Version,
+        Request, Response, StatusCode, Version,
         body::Incoming,
         header::{CONNECTION, HeaderValue},
         server::conn::http1,
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    magnoliasail_wire::stream_body,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
-        convert::Infallible,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -41,17 +40,8 @@
 };
 
 /// The base model of the stand-ins.
-const MODEL: &str = "base";
-const ADAPTER_SLOTS: usize = 4;
-const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(30);
-const MODEL_LOAD_TIME: Duration = Duration::from_millis(200);
-const EVENT_GAP: Duration = Duration::from_millis(8);
-/// Capacity of the queue between a stream's events and its connection.
-const EVENT_QUEUE_CAPACITY: usize = 4;
-/// Time in which a plain server runs a request.
-const PLAIN_RUN_TIME: Duration = Duration::from_millis(10);
-/// Time after a drain notice during which new work may still arrive.
-const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
+pub(super) const MODEL: &str = "base";
+pub(super) const ADAPTER_SLOTS: usize = 4;
 /// Time after which a server that a poison has crashed starts again.
 const RESTART_TIME: Duration = Duration::from_millis(700);
 
@@ -100,38 +90,38 @@
 }
 
 #[derive(Debug)]
-struct State {
-    id: String,
-    software_version: String,
+pub(super) struct State {
+    pub(super) id: String,
+    pub(super) software_version: String,
     /// Number of starts, reported as the server's start time.
-    incarnation: u64,
-    has_model: bool,
+    pub(super) incarnation: u64,
+    pub(super) has_model: bool,
     /// Number of orders accepted by this incarnation.
-    sequence: u64,
+    pub(super) sequence: u64,
     /// When each adapter's load completes.
-    adapters: BTreeMap<String, Instant>,
-    faults: ServerFaults,
-    draining_since: Option<Instant>,
+    pub(super) adapters: BTreeMap<String, Instant>,
+    pub(super) faults: ServerFaults,
+    pub(super) draining_since: Option<Instant>,
     /// Whether every answer says that the server is leaving.
-    is_leaving: bool,
-    statements: Statements,
+    pub(super) is_leaving: bool,
+    pub(super) statements: Statements,
     /// The rate that every answer to a request names, if any.
-    rate: Option<RateCheck>,
+    pub(super) rate: Option<RateCheck>,
     /// Whether requests come from one VM only, so that they count together over all connections.
-    has_single_vm: bool,
+    pub(super) has_single_vm: bool,
     /// Whether the server has stopped accepting connections and new requests.
-    is_closed: bool,
+    pub(super) is_closed: bool,
     /// Until when the server sends nothing.
-    silent_until: Option<Instant>,
+    pub(super) silent_until: Option<Instant>,
     /// The agent that sent the first order to this incarnation, as named in the order.
-    holder: Option<String>,
-    random: SmallRng,
-    poisons: Vec<Poison>,
-    endless_answer: Option<EndlessAnswer>,
+    pub(super) holder: Option<String>,
+    pub(super) random: SmallRng,
+    pub(super) poisons: Vec<Poison>,
+    pub(super) endless_answer: Option<EndlessAnswer>,
     /// Number of streams whose connection was closed before their end.
-    abandoned_streams: u32,
+    pub(super) abandoned_streams: u32,
     /// Whether answers to requests have neither a length nor chunks, and end with their connection.
-    has_unframed_answers: bool,
+    pub(super) has_unframed_answers: bool,
 }
 
 impl State {
@@ -153,15 +143,15 @@
 /// A stand-in for a backend server. Clones share the same state.
 #[derive(Clone, Debug)]
 pub struct BackendServer {
-    kind: ServerKind,
-    address: SocketAddr,
-    ledger: Ledger,
-    state: Arc<Mutex<State>>,
-    tasks: Arc<Mutex<Vec<AbortHandle>>>,
-    acceptor: Arc<Mutex<Option<AbortHandle>>>,
+    pub(super) kind: ServerKind,
+    pub(super) address: SocketAddr,
+    pub(super) ledger: Ledger,
+    pub(super) state: Arc<Mutex<State>>,
+    pub(super) tasks: Arc<Mutex<Vec<AbortHandle>>>,
+    pub(super) acceptor: Arc<Mutex<Option<AbortHandle>>>,
 }
 
-type Body = BoxBody<Bytes, io::Error>;
+pub(super) type Body = BoxBody<Bytes, io::Error>;
 
 impl BackendServer {
     /// Creates a server that does not listen yet. `seed` determines its id and which
@@ -258,7 +248,7 @@
     }
 
     /// Crashes the server after a moment, and starts it again under the same id.
-    fn crash_and_restart(&self, poison: Poison) {
+    pub(super) fn crash_and_restart(&self, poison: Poison) {
         let server = self.clone();
         // The task is not among those that the crash aborts.
         tokio::spawn(async move {
@@ -309,7 +299,7 @@
     }
 
     /// Waits until the server is not silent.
-    async fn wait_while_silent(&self) {
+    pub(super) async fn wait_while_silent(&self) {
         while let Some(end) = self.with(|state| state.silent_until) {
             if end <= Instant::now() {
                 break;
@@ -397,11 +387,11 @@
             "adapters": 100, "adapter_mb": 1.0}]})
     }
 
-    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+    pub(super) fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
         act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn track_task(&self, task: AbortHandle) {
+    pub(super) fn track_task(&self, task: AbortHandle) {
         let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
         tasks.retain(|task| !task.is_finished());
         tasks.push(task);
@@ -522,7 +512,7 @@
     }
 
     /// Returns a refusal that asks for a pause, for the configured share of requests and orders.
-    fn pause_refusal(&self, vm: VmKey) -> Option<Response<Body>> {
+    pub(super) fn pause_refusal(&self, vm: VmKey) -> Option<Response<Body>> {
         let (retry_after, is_proven) = self.with(|state| {
             let is_refused = state.random.random::<f64>() < state.faults.paused_share;
             let pause = Duration::from_millis(state.faults.retry_after_ms);
@@ -543,272 +533,11 @@
     }
 
     /// Records a violation if the server has told the VM not to send this request or order.
-    fn check_statements(&self, vm: VmKey, name: &str) {
+    pub(super) fn check_statements(&self, vm: VmKey, name: &str) {
         let violation = self.with(|state| state.statements.violation(vm));
         if let Some(violation) = violation {
             let detail = format!("{name} reached {}", self.with(|state| state.id.clone()));
             self.ledger.record_violation(violation, detail);
         }
     }
-
-    fn report(&self) -> Response<Body> {
-        let report = self.with(|state| {
-            let now = Instant::now();
-            let resident: Vec<String> = state
-                .adapters
-                .iter()
-                .filter(|(_, ready)| **ready <= now)
-                .map(|(name, _)| format!("{name}@1"))
-                .collect();
-            let loading: Vec<String> = state
-                .adapters
-                .iter()
-                .filter(|(_, ready)| **ready > now)
-                .map(|(name, _)| format!("{MODEL}/{name}@1"))
-                .collect();
-            let models = if state.has_model {
-                json!([{"name": MODEL, "version": 1, "adapters": resident}])
-            } else {
-                json!([])
-            };
-            let status = if state.draining_since.is_some() {
-                "draining"
-            } else {
-                "ready"
-            };
-            json!({"models": models, "coming": loading, "busy": false, "sequence": state.sequence,
-                "waiting": 0, "running": 0, "kv_used": 0, "state": status,
-                "born": state.incarnation})
-        });
-        text_response(StatusCode::OK, report.to_string())
-    }
-
-    async fn handle_order(&self, request: Request<Incoming>, vm: VmKey) -> Response<Body> {
-        self.check_statements(vm, "an order");
-        if let Some(refusal) = self.pause_refusal(vm) {
-            return refusal;
-        }
-        let Ok(body) = request.into_body().collect().await else {
-            return text_response(StatusCode::BAD_REQUEST, String::new());
-        };
-        let order: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
-        let holder = order["holder"].as_str().unwrap_or_default().to_owned();
-        let status = self.with(|state| {
-            let first_holder = state.holder.get_or_insert_with(|| holder.clone());
-            if *first_holder != holder {
-                let detail = format!(
-                    "{} received orders from {first_holder} and from {holder}",
-                    state.id
-                );
-                self.ledger.record_violation("one holder", detail);
-            }
-            if order["precondition"].as_u64() != Some(state.sequence) {
-                return StatusCode::CONFLICT;
-            }
-            state.sequence += 1;
-            let Some(adapter) = order["adapter"].as_str() else {
-                state.has_model = true;
-                return StatusCode::ACCEPTED;
-            };
-            if order["operation"] == "unload" {
-                state.adapters.remove(adapter);
-                return StatusCode::OK;
-            }
-            state
-                .adapters
-                .insert(adapter.to_owned(), Instant::now() + ADAPTER_LOAD_TIME);
-            if state.adapters.len() > ADAPTER_SLOTS {
-                let detail = format!(
-                    "{} was ordered to hold {} adapters",
-                    state.id,
-                    state.adapters.len()
-                );
-                self.ledger.record_violation("adapter slots", detail);
-            }
-            StatusCode::ACCEPTED
-        });
-        if order["adapter"].is_null() {
-            sleep(MODEL_LOAD_TIME).await;
-        }
-        text_response(status, "{}".to_owned())
-    }
-
-    async fn run_request(
-        self,
-        request: Request<Incoming>,
-        vm: VmKey,
-    ) -> Result<Response<Body>, io::Error> {
-        let headers = request.headers().clone();
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let id = text("request-id").unwrap_or_default().to_owned();
-        let service = <&str>::from(self.kind);
-        self.ledger.record_arrival(&id, service);
-        let poisons = self.with(|state| state.poisons.clone());
-        let poison = poisons.into_iter().find(|poison| poison.is_in(&request));
-        if let Some(poison) = &poison {
-            poison.record_arrival(&id, &self.ledger);
-        }
-        if let Some(refusal) = self.refusal(&headers, vm) {
-            return Ok(refusal);
-        }
-        self.check_drain(&id);
-        let server = self.with(|state| state.id.clone());
-        self.ledger.record_run(&id, &server);
-        let (faults, draw) = self.with(|state| (state.faults, state.random.random::<f64>()));
-        let stream_id = text("resumes").unwrap_or(&id).to_owned();
-        let resume_after = text("last-event-id")
-            .and_then(|id| id.parse().ok())
-            .unwrap_or(0);
-        drop(request.into_body().collect().await);
-        let is_unanswered = draw < faults.unanswered_share;
-        let is_failed = !is_unanswered && draw < faults.unanswered_share + faults.error_share;
-        if is_failed || poison.as_ref().is_some_and(Poison::has_error_answer) {
-            sleep(PLAIN_RUN_TIME).await;
-            return Ok(with_response_headers(
-                text_response(StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
-                &id,
-                &server,
-            ));
-        }
-        if let Some(poison) = poison {
-            self.crash_and_restart(poison);
-            std::future::pending::<()>().await;
-        }
-        if is_unanswered {
-            std::future::pending::<()>().await;
-        }
-        let is_aborted = draw < faults.unanswered_share + faults.error_share + faults.aborted_share;
-        if self.kind == ServerKind::Engine {
-            return Ok(with_response_headers(
-                self.stream(&stream_id, resume_after, is_aborted),
-                &id,
-                &server,
-            ));
-        }
-        sleep(PLAIN_RUN_TIME + Duration::from_millis(faults.delay_ms)).await;
-        if is_aborted {
-            return Err(io::ErrorKind::ConnectionReset.into());
-        }
-        Ok(with_response_headers(
-            text_response(StatusCode::OK, format!("answer of {id}")),
-            &id,
-            &server,
-        ))
-    }
-
-    /// Returns a refusal if the server cannot run the request. A refused request has not run.
-    fn refusal(&self, headers: &HeaderMap, vm: VmKey) -> Option<Response<Body>> {
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let (id, is_refused) = self.with(|state| {
-            let draw = state.random.random::<f64>();
-            (state.id.clone(), draw < state.faults.refused_share)
-        });
-        if text("expect-instance").is_some_and(|expected| expected != id) {
-            return Some(text_response(
-                StatusCode::MISDIRECTED_REQUEST,
-                String::new(),
-            ));
-        }
-        self.check_statements(vm, text("request-id").unwrap_or_default());
-        if let Some(refusal) = self.pause_refusal(vm) {
-            return Some(refusal);
-        }
-        if is_refused {
-            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
-            response.headers_mut().insert("not-run", 1.into());
-            return Some(response);
-        }
-        if self.kind == ServerKind::Plain {
-            return None;
-        }
-        let adapter = text("model")
-            .and_then(|model| model.split_once('/'))
-            .map(|(_, adapter)| adapter);
-        let is_resident = self.with(|state| {
-            adapter.is_none_or(|adapter| {
-                state
-                    .adapters
-                    .get(adapter)
-                    .is_some_and(|ready| *ready <= Instant::now())
-            })
-        });
-        (!is_resident).then(|| text_response(StatusCode::MISDIRECTED_REQUEST, String::new()))
-    }
-
-    fn check_drain(&self, id: &str) {
-        let since = self.with(|state| state.draining_since);
-        if since.is_some_and(|since| since.elapsed() > DRAIN_GRACE) {
-            let detail = format!(
-                "{id} arrived {:?} after its server started to drain",
-                since.map(|at| at.elapsed())
-            );
-            self.ledger
-                .record_violation("draining servers get no new work", detail);
-        }
-    }
-
-    /// Returns the events of the stream that the attempt `id` began.
-    fn stream(&self, id: &str, resume_after: u64, is_aborted: bool) -> Response<Body> {
-        let (event_delay_ms, version) =
-            self.with(|state| (state.faults.event_delay_ms, state.software_version.clone()));
-        let event_gap = EVENT_GAP + Duration::from_millis(event_delay_ms);
-        let (events, body) = stream_body(EVENT_QUEUE_CAPACITY);
-        let id = id.to_owned();
-        let last = event_count(&id);
-        let server = self.clone();
-        let task = tokio::spawn(async move {
-            for number in resume_after + 1..=last {
-                sleep(event_gap).await;
-                server.wait_while_silent().await;
-                let event = stream_event(&id, number, &version);
-                if is_aborted && number * 2 > last {
-                    let half = event.as_bytes()[..event.len() / 2].to_vec();
-                    let _ = events.write(half.into()).await;
-                    return;
-                }
-                if events.write(event.into()).await.is_err() {
-                    server.with(|state| state.abandoned_streams += 1);
-                    return;
-                }
-            }
-            events.end();
-        });
-        self.track_task(task.abort_handle());
-        Response::new(BoxBody::new(body.map_err(io::Error::other)))
-    }
-}
-
-/// Returns an event of the stream that the attempt `id` began, as a server of this software version
-/// writes it.
-pub(crate) fn stream_event(id: &str, number: u64, software_version: &str) -> String {
-    format!("id: {number}\ndata: {id} {number} {software_version}\n\n")
-}
-
-/// Returns the number of events in the stream that answers a request, from 5 to 19. It depends on
-/// the request id alone, so that callers can check the answer.
-pub(crate) fn event_count(id: &str) -> u64 {
-    let byte_sum: u64 = id.bytes().map(u64::from).sum();
-    5 + byte_sum % 15
-}
-
-fn text_response(status: StatusCode, text: String) -> Response<Body> {
-    let body =
-        http_body_util::Full::new(Bytes::from(text)).map_err(|never: Infallible| match never {});
-    let mut response = Response::new(BoxBody::new(body));
-    *response.status_mut() = status;
-    response
-}
-
-fn with_response_headers(mut response: Response<Body>, id: &str, server: &str) -> Response<Body> {
-    let headers = response.headers_mut();
-    if let (Ok(id), Ok(server)) = (id.parse(), server.parse()) {
-        headers.insert("request-id", id);
-        headers.insert("response-stamp", server);
-    }
-    response
-}
-
-/// Returns the full name of an adapter, such as `base/a0`.
-pub(crate) fn adapter_name(index: u32) -> String {
-    format!("{MODEL}/a{index}")
 }
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -1,9 +1,12 @@
 //! Stand-ins for the platform's store and for backend servers, which speak the platform's protocol.
 
+mod answers;
 mod backend_server;
+mod control;
 mod endless;
 mod poison;
 mod rate_check;
+mod runs;
 mod statements;
 mod store;
 
@@ -14,4 +17,4 @@
     store::{EraHeader, Store, StoreMode},
 };
 
-pub(crate) use self::backend_server::{adapter_name, event_count, stream_event};
+pub(crate) use self::answers::{adapter_name, event_count, stream_event};
--- /dev/null
+++ b/crates/magnoliasail-soak/src/standin/runs.rs
@@ -0,0 +1,173 @@
+//! Runs of requests at a stand-in for a backend server.
+
+use {
+    super::{
+        answers::{event_count, stream_event, text_response, with_response_headers},
+        backend_server::{BackendServer, Body, ServerKind},
+        poison::Poison,
+        statements::VmKey,
+    },
+    http_body_util::{BodyExt, combinators::BoxBody},
+    hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming},
+    magnoliasail_wire::stream_body,
+    rand::Rng,
+    std::{
+        io,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+const EVENT_GAP: Duration = Duration::from_millis(8);
+/// Capacity of the queue between a stream's events and its connection.
+const EVENT_QUEUE_CAPACITY: usize = 4;
+/// Time in which a plain server runs a request.
+const PLAIN_RUN_TIME: Duration = Duration::from_millis(10);
+/// Time after a drain notice during which new work may still arrive.
+const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
+
+impl BackendServer {
+    pub(super) async fn run_request(
+        self,
+        request: Request<Incoming>,
+        vm: VmKey,
+    ) -> Result<Response<Body>, io::Error> {
+        let headers = request.headers().clone();
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let id = text("request-id").unwrap_or_default().to_owned();
+        let service = <&str>::from(self.kind);
+        self.ledger.record_arrival(&id, service);
+        let poisons = self.with(|state| state.poisons.clone());
+        let poison = poisons.into_iter().find(|poison| poison.is_in(&request));
+        if let Some(poison) = &poison {
+            poison.record_arrival(&id, &self.ledger);
+        }
+        if let Some(refusal) = self.refusal(&headers, vm) {
+            return Ok(refusal);
+        }
+        self.check_drain(&id);
+        let server = self.with(|state| state.id.clone());
+        self.ledger.record_run(&id, &server);
+        let (faults, draw) = self.with(|state| (state.faults, state.random.random::<f64>()));
+        let stream_id = text("resumes").unwrap_or(&id).to_owned();
+        let resume_after = text("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
+        drop(request.into_body().collect().await);
+        let is_unanswered = draw < faults.unanswered_share;
+        let is_failed = !is_unanswered && draw < faults.unanswered_share + faults.error_share;
+        if is_failed || poison.as_ref().is_some_and(Poison::has_error_answer) {
+            sleep(PLAIN_RUN_TIME).await;
+            return Ok(with_response_headers(
+                text_response(StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
+                &id,
+                &server,
+            ));
+        }
+        if let Some(poison) = poison {
+            self.crash_and_restart(poison);
+            std::future::pending::<()>().await;
+        }
+        if is_unanswered {
+            std::future::pending::<()>().await;
+        }
+        let is_aborted = draw < faults.unanswered_share + faults.error_share + faults.aborted_share;
+        if self.kind == ServerKind::Engine {
+            return Ok(with_response_headers(
+                self.stream(&stream_id, resume_after, is_aborted),
+                &id,
+                &server,
+            ));
+        }
+        sleep(PLAIN_RUN_TIME + Duration::from_millis(faults.delay_ms)).await;
+        if is_aborted {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(with_response_headers(
+            text_response(StatusCode::OK, format!("answer of {id}")),
+            &id,
+            &server,
+        ))
+    }
+
+    /// Returns a refusal if the server cannot run the request. A refused request has not run.
+    fn refusal(&self, headers: &HeaderMap, vm: VmKey) -> Option<Response<Body>> {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let (id, is_refused) = self.with(|state| {
+            let draw = state.random.random::<f64>();
+            (state.id.clone(), draw < state.faults.refused_share)
+        });
+        if text("expect-instance").is_some_and(|expected| expected != id) {
+            return Some(text_response(
+                StatusCode::MISDIRECTED_REQUEST,
+                String::new(),
+            ));
+        }
+        self.check_statements(vm, text("request-id").unwrap_or_default());
+        if let Some(refusal) = self.pause_refusal(vm) {
+            return Some(refusal);
+        }
+        if is_refused {
+            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
+            response.headers_mut().insert("not-run", 1.into());
+            return Some(response);
+        }
+        if self.kind == ServerKind::Plain {
+            return None;
+        }
+        let adapter = text("model")
+            .and_then(|model| model.split_once('/'))
+            .map(|(_, adapter)| adapter);
+        let is_resident = self.with(|state| {
+            adapter.is_none_or(|adapter| {
+                state
+                    .adapters
+                    .get(adapter)
+                    .is_some_and(|ready| *ready <= Instant::now())
+            })
+        });
+        (!is_resident).then(|| text_response(StatusCode::MISDIRECTED_REQUEST, String::new()))
+    }
+
+    fn check_drain(&self, id: &str) {
+        let since = self.with(|state| state.draining_since);
+        if since.is_some_and(|since| since.elapsed() > DRAIN_GRACE) {
+            let detail = format!(
+                "{id} arrived {:?} after its server started to drain",
+                since.map(|at| at.elapsed())
+            );
+            self.ledger
+                .record_violation("draining servers get no new work", detail);
+        }
+    }
+
+    /// Returns the events of the stream that the attempt `id` began.
+    fn stream(&self, id: &str, resume_after: u64, is_aborted: bool) -> Response<Body> {
+        let (event_delay_ms, version) =
+            self.with(|state| (state.faults.event_delay_ms, state.software_version.clone()));
+        let event_gap = EVENT_GAP + Duration::from_millis(event_delay_ms);
+        let (events, body) = stream_body(EVENT_QUEUE_CAPACITY);
+        let id = id.to_owned();
+        let last = event_count(&id);
+        let server = self.clone();
+        let task = tokio::spawn(async move {
+            for number in resume_after + 1..=last {
+                sleep(event_gap).await;
+                server.wait_while_silent().await;
+                let event = stream_event(&id, number, &version);
+                if is_aborted && number * 2 > last {
+                    let half = event.as_bytes()[..event.len() / 2].to_vec();
+                    let _ = events.write(half.into()).await;
+                    return;
+                }
+                if events.write(event.into()).await.is_err() {
+                    server.with(|state| state.abandoned_streams += 1);
+                    return;
+                }
+            }
+            events.end();
+        });
+        self.track_task(task.abort_handle());
+        Response::new(BoxBody::new(body.map_err(io::Error::other)))
+    }
+}
