--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -33,7 +33,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpSocket},
         task::AbortHandle,
         time::{sleep, sleep_until},
     },
@@ -196,10 +196,7 @@
     ///
     /// Returns an error if the server's address cannot be bound.
     pub async fn start(&self) -> io::Result<()> {
-        let socket = tokio::net::TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(self.address)?;
-        let listener = socket.listen(256)?;
+        let listener = self.listen().await?;
         let server = self.clone();
         let acceptor = tokio::spawn(async move { server.accept(listener).await });
         self.track_task(acceptor.abort_handle());
@@ -208,6 +205,25 @@
         Ok(())
     }
 
+    /// Listens at the server's address, with retries until the aborted tasks of its last start have freed it.
+    async fn listen(&self) -> io::Result<TcpListener> {
+        const RETRY_DELAY: Duration = Duration::from_millis(5);
+        const MAX_TRIES: u32 = 1_000;
+        let try_listen = || {
+            let socket = TcpSocket::new_v4()?;
+            socket.set_reuseaddr(true)?;
+            socket.bind(self.address)?;
+            socket.listen(256)
+        };
+        for _ in 0..MAX_TRIES {
+            match try_listen() {
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse => sleep(RETRY_DELAY).await,
+                result => return result,
+            }
+        }
+        try_listen()
+    }
+
     /// Aborts the server and all requests in flight. The next start is a new incarnation with another
     /// id, without models or adapters.
     pub fn crash(&self) {
--- a/crates/magnoliasail/tests/agent_quarantine.rs
+++ b/crates/magnoliasail/tests/agent_quarantine.rs
@@ -3,18 +3,18 @@
 mod common;
 
 use {
-    self::common::{assert_no_violations, run_with_fleet, small_fleet},
+    self::common::{
+        assert_no_violations,
+        links::{open_link, send},
+        run_with_fleet, small_fleet,
+    },
     magnoliasail_core::gateway::{
         EngineRefusal,
-        message::{
-            QuarantineChange, Submit, SuspectRequest, ToAgent, ToAgentKind, ToEntry, ToEntryKind,
-        },
+        message::{QuarantineChange, Submit, SuspectRequest, ToAgentKind, ToEntryKind},
     },
     magnoliasail_soak::{Fleet, PROPAGATION_TIME},
-    magnoliasail_wire::{Link, LinkSettings, Outbox},
     std::time::Duration,
     tokio::{
-        net::TcpStream,
         sync::mpsc,
         time::{sleep, timeout},
     },
@@ -22,25 +22,6 @@
 
 const FINGERPRINT: u64 = 7;
 
-/// Opens a link to the agent of the first engine, as an entry does.
-async fn open_link(fleet: &Fleet) -> (Outbox<ToAgent>, mpsc::UnboundedReceiver<ToEntryKind>) {
-    let stream = TcpStream::connect(fleet.agent_address(0)).await;
-    let stream = stream.expect("the agent accepts links");
-    let (link, outbox) = Link::new(stream, LinkSettings::default());
-    let (sender, received) = mpsc::unbounded_channel();
-    tokio::spawn(link.run(async move |message: ToEntry| {
-        if let Some(kind) = message.kind {
-            let _ = sender.send(kind);
-        }
-    }));
-    (outbox, received)
-}
-
-async fn send(outbox: &Outbox<ToAgent>, kind: ToAgentKind) {
-    let message = ToAgent { kind: Some(kind) };
-    outbox.send(message).await.expect("the link is up");
-}
-
 /// Returns the reason for which the agent refuses the next attempt.
 async fn next_refusal(received: &mut mpsc::UnboundedReceiver<ToEntryKind>) -> Option<u32> {
     let refusal = async {
@@ -59,8 +40,8 @@
 #[test]
 fn agent_refuses_what_another_entry_has_quarantined() {
     run_with_fleet(small_fleet(89), |fleet| async move {
-        let (first_entry, _first_received) = open_link(&fleet).await;
-        let (second_entry, mut received) = open_link(&fleet).await;
+        let (first_entry, _first_received) = open_link(&fleet, 0).await;
+        let (second_entry, mut received) = open_link(&fleet, 0).await;
         let change = QuarantineChange {
             fingerprint: FINGERPRINT,
             is_ended: false,
@@ -90,7 +71,7 @@
 
 /// Returns whether the agent says, on a new link, that the fingerprint is quarantined.
 async fn is_known_to_agent(fleet: &Fleet) -> bool {
-    let (_outbox, mut received) = open_link(fleet).await;
+    let (_outbox, mut received) = open_link(fleet, 0).await;
     let known = async {
         loop {
             match received.recv().await {
@@ -113,7 +94,7 @@
     const ENTRY: usize = 0;
     const AGENT: usize = 1;
     run_with_fleet(small_fleet(88), |mut fleet| async move {
-        let (outbox, _received) = open_link(&fleet).await;
+        let (outbox, _received) = open_link(&fleet, 0).await;
         let change = QuarantineChange {
             fingerprint: FINGERPRINT,
             is_ended: false,
--- a/crates/magnoliasail/tests/common/mod.rs
+++ b/crates/magnoliasail/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the tests with fleets of real processes share.
 
+pub(crate) mod links;
+
 use {
     magnoliasail_soak::{Fleet, FleetSettings},
     std::{future::Future, path::PathBuf},
--- a/crates/magnoliasail/tests/software_versions.rs
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -4,10 +4,18 @@
 mod common;
 
 use {
-    self::common::{assert_no_violations, run_with_fleet, small_fleet},
+    self::common::{
+        assert_no_violations,
+        links::{open_link, send},
+        run_with_fleet, small_fleet,
+    },
+    magnoliasail_core::gateway::{
+        RequestMetadata,
+        message::{StreamOrigin, ToAgentKind},
+    },
     magnoliasail_soak::{
         Call, CallKind, Caller, Fleet, FleetSettings, Outcome, PROPAGATION_TIME, RETRY_WINDOW,
-        ServerFaults,
+        Resumption, ServerFaults,
     },
     std::{
         future::Future,
@@ -288,7 +296,7 @@
 fn stream_of_an_unknown_software_version_is_refused_without_a_run() {
     with_two_versions(84, |fleet| async move {
         let call = Call {
-            resumption: Some(magnoliasail_soak::Resumption {
+            resumption: Some(Resumption {
                 first_call: "unknown".to_owned(),
                 last_event_id: 1,
             }),
@@ -299,3 +307,55 @@
         assert_logged(&fleet, "cause=version_unknown").await;
     });
 }
+
+/// An agent may have recorded an attempt whose first event was lost with the link to the entry, which then began
+/// the stream at another version. Seed 7111 of the soak failed because of it.
+#[test]
+fn stream_that_two_agents_know_is_resumed_at_the_version_that_was_recorded_last() {
+    const AGENTS: [u8; 2] = [0, 1];
+    const LATEST_VERSION: &str = "v1";
+    with_two_versions(115, |fleet| async move {
+        let (first, _first_received) = open_link(&fleet, AGENTS[0]).await;
+        let (second, _second_received) = open_link(&fleet, AGENTS[1]).await;
+        for number in 0..STREAM_COUNT {
+            let first_call = format!("begun-{number}");
+            let metadata = RequestMetadata {
+                id: Some(first_call.as_str().into()),
+                ..RequestMetadata::default()
+            };
+            let origin = |version: &str| {
+                ToAgentKind::RememberOrigin(StreamOrigin {
+                    key: metadata.stream_key().expect("the request has an id"),
+                    software_version: Some(version.to_owned()),
+                })
+            };
+            // Either agent may answer first.
+            let (older, newer) = if number % 2 == 0 {
+                (&first, &second)
+            } else {
+                (&second, &first)
+            };
+            send(older, origin("v2")).await;
+            sleep(Duration::from_millis(30)).await;
+            send(newer, origin(LATEST_VERSION)).await;
+            sleep(Duration::from_millis(30)).await;
+            let call = Call {
+                id: format!("begun-{number}-resumed"),
+                resumption: Some(Resumption {
+                    first_call,
+                    last_event_id: 1,
+                }),
+                ..resumable_call(number)
+            };
+            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+            caller.call(&call).await;
+        }
+        let output = fleet.output();
+        let lookups = output
+            .lines()
+            .filter(|line| line.contains("origin_lookup: request=begun-"));
+        let latest = format!("software_version={LATEST_VERSION} ");
+        let other: Vec<&str> = lookups.filter(|line| !line.contains(&latest)).collect();
+        assert!(other.is_empty(), "{other:#?}");
+    });
+}
