refactor(gateway): call what exists for limited servers and crash reports, and keep start-up work off later requests

Found in reading the whole change; behaviour stays. Directory::usable and ServerView::check replace a scan and a check of their own for limited servers; Eligibility no longer repeats RateLimit::apply; the pacer and its rate are paired in one place; both reports of a plain server's crash are built in one; the service of a request is looked up for the wait at start-up only while that wait may be needed.

--- a/crates/magnoliasail-core/src/gateway/directory.rs
+++ b/crates/magnoliasail-core/src/gateway/directory.rs
@@ -94,12 +94,6 @@
         self.eligibility.limit_mut().postpone(wait_ms, now_ms);
     }
 
-    /// Returns whether the server may get a request of any software version now.
-    #[must_use]
-    pub fn is_available(&self, now_ms: TimeMs) -> bool {
-        self.eligibility.check_request(now_ms).is_ok()
-    }
-
     /// Applies the load that the server reports, less the requests of this entry, which are counted
     /// separately.
     pub fn apply_load(&mut self, load: ServerLoad) {
@@ -244,9 +238,8 @@
         if server.entry.started_ms != started_ms {
             return None;
         }
-        server
-            .eligibility
-            .apply_rate(statement, RateSource::Request, sent_ms, now_ms)
+        let limit = server.eligibility.limit_mut();
+        limit.apply(statement, RateSource::Request, sent_ms, now_ms)
     }
 
     /// Returns a server by its id, for updates.
--- a/crates/magnoliasail-core/src/gateway/eligibility.rs
+++ b/crates/magnoliasail-core/src/gateway/eligibility.rs
@@ -1,7 +1,7 @@
 //! Whether one backend server may get new work now, and the reason if it may not.
 
 use {
-    super::{Announcement, RateChange, RateLimit, RateSource, RateStatement, ServerNotice},
+    super::{Announcement, RateLimit, ServerNotice},
     crate::TimeMs,
     strum::{Display, IntoStaticStr},
 };
@@ -103,22 +103,11 @@
         &self.limit
     }
 
-    /// Returns the same, to count requests.
+    /// Returns the same, to apply what the server says about its rate and to count requests.
     pub const fn limit_mut(&mut self) -> &mut RateLimit {
         &mut self.limit
     }
 
-    /// Applies what a response says about the server's rate; see [`RateLimit::apply`].
-    pub fn apply_rate(
-        &mut self,
-        statement: RateStatement,
-        source: RateSource,
-        sent_ms: TimeMs,
-        now_ms: TimeMs,
-    ) -> Option<RateChange> {
-        self.limit.apply(statement, source, sent_ms, now_ms)
-    }
-
     /// Returns whether the server gets no new work until it starts anew.
     #[must_use]
     pub const fn is_ending(&self) -> bool {
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -351,9 +351,8 @@
         if self.started_ms != started_ms {
             return None;
         }
-        let change = self
-            .eligibility
-            .apply_rate(statement, source, sent_ms, now_ms)?;
+        let limit = self.eligibility.limit_mut();
+        let change = limit.apply(statement, source, sent_ms, now_ms)?;
         self.advance(now_ms, actions);
         Some(change)
     }
--- a/crates/magnoliasail-core/src/gateway/rate_limit.rs
+++ b/crates/magnoliasail-core/src/gateway/rate_limit.rs
@@ -97,26 +97,22 @@
     /// Returns the time until the server may get a request after `ahead` others, in milliseconds.
     #[must_use]
     pub fn wait_ms(&self, ahead: u64, now_ms: TimeMs) -> u64 {
-        match (self.pacer, self.rate()) {
-            (Some(pacer), Some(rate)) => pacer.wait_ms(rate, ahead, now_ms),
-            _ => 0,
-        }
+        self.pacing()
+            .map_or(0, |(pacer, rate)| pacer.wait_ms(rate, ahead, now_ms))
     }
 
     /// Returns how many requests the server may get now.
     #[must_use]
     pub fn available(&self, now_ms: TimeMs) -> usize {
-        match (self.pacer, self.rate()) {
-            (Some(pacer), Some(rate)) => pacer.available(rate, now_ms),
-            _ => usize::MAX,
-        }
+        self.pacing()
+            .map_or(usize::MAX, |(pacer, rate)| pacer.available(rate, now_ms))
     }
 
     /// Counts a request that is sent now.
     pub fn take(&mut self, now_ms: TimeMs) {
-        let rate = self.rate();
-        if let (Some(pacer), Some(rate)) = (&mut self.pacer, rate) {
+        if let Some((mut pacer, rate)) = self.pacing() {
             pacer.take(rate, now_ms);
+            self.pacer = Some(pacer);
         }
     }
 
@@ -126,4 +122,8 @@
             pacer.postpone(wait_ms, now_ms);
         }
     }
+
+    fn pacing(&self) -> Option<(Pacer, RequestRate)> {
+        self.pacer.zip(self.rate())
+    }
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -161,13 +161,7 @@
     /// attempt is allowed. A stream is returned as soon as it has started.
     async fn obtain_response(&mut self) -> Result<ReceivedResponse, Refusal> {
         self.restrict_to_origin().await?;
-        let is_plain = {
-            let table = self.state.table.borrow();
-            table.engine(&self.route.service).is_none()
-        };
-        if is_plain {
-            wait_for_quarantines(&self.state, self.id()).await;
-        }
+        wait_for_quarantines(&self.state, &self.route.service, self.id()).await;
         let mut error_response = None;
         loop {
             let started = match (self.start_response(None).await, error_response.take()) {
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -139,29 +139,28 @@
 
     /// Records that a plain server broke off a request, which may have crashed it.
     pub(super) fn record_plain_crash(&self, pick: &PickedServer, suspect: &SuspectRequest) {
-        let server_start = server_start_fingerprint(&pick.id, pick.started_ms);
-        let mut requests = vec![suspect.clone()];
-        requests.extend(self.take_cancelled(server_start));
-        self.report_plain_crash(CrashReport {
-            server_start,
-            requests,
-            service: service_fingerprint(&pick.service),
-        });
+        self.report_suspects(pick, Some(suspect.clone()));
     }
 
     /// Records that no process listens at the address of a plain server. If a request was cancelled there a
     /// moment ago, it may have crashed the server.
     pub(super) fn record_plain_server_gone(&self, pick: &PickedServer) {
+        self.report_suspects(pick, None);
+    }
+
+    /// Reports a crash of a plain server at the request that it broke off, if any, and at those that were
+    /// cancelled there a moment ago.
+    fn report_suspects(&self, pick: &PickedServer, broken_off: Option<SuspectRequest>) {
         let server_start = server_start_fingerprint(&pick.id, pick.started_ms);
-        let requests = self.take_cancelled(server_start);
-        if requests.is_empty() {
-            return;
+        let cancelled = self.take_cancelled(server_start);
+        let requests: Vec<_> = broken_off.into_iter().chain(cancelled).collect();
+        if !requests.is_empty() {
+            self.report_plain_crash(CrashReport {
+                server_start,
+                requests,
+                service: service_fingerprint(&pick.service),
+            });
         }
-        self.report_plain_crash(CrashReport {
-            server_start,
-            requests,
-            service: service_fingerprint(&pick.service),
-        });
     }
 
     /// Takes the requests that were cancelled at this start of a plain server a moment ago.
--- a/crates/magnoliasail/src/gateway/entry/send_permit.rs
+++ b/crates/magnoliasail/src/gateway/entry/send_permit.rs
@@ -9,7 +9,7 @@
         state::{EntryState, PickedServer},
     },
     magnoliasail_core::gateway::{
-        GrantCandidate, RequestRate, SendGrant,
+        GrantCandidate, RequestRate, SendGrant, VersionConstraint,
         message::{AskSend, SendAnswer},
         pick_grant_agent, rate_without_agent, server_start_fingerprint,
     },
@@ -63,13 +63,8 @@
     fn max_wait_ms(&self, pick: &PickedServer, outgoing: &OutgoingRequest) -> u64 {
         let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
-        let mut servers = directory.all();
-        let has_other = servers.any(|server| {
-            server.entry.service == pick.service
-                && server.entry.id != pick.id
-                && server.rate().is_none()
-                && server.is_available(now_ms)
-        });
+        let mut servers = directory.usable(&pick.service, &VersionConstraint::Any, now_ms);
+        let has_other = servers.any(|server| server.entry.id != pick.id && server.rate().is_none());
         if has_other {
             return 0;
         }
@@ -127,7 +122,7 @@
             .directory
             .borrow()
             .get(&pick.id)
-            .is_some_and(|server| server.is_available(now_ms));
+            .is_some_and(|server| server.check(&VersionConstraint::Any, now_ms).is_ok());
         if is_granted {
             self.postpone_requests(pick, interval_ms);
         }
--- a/crates/magnoliasail/src/gateway/entry/startup_wait.rs
+++ b/crates/magnoliasail/src/gateway/entry/startup_wait.rs
@@ -31,10 +31,10 @@
     is_initialized
 }
 
-/// Waits until an entry that has just started knows what is quarantined. Engines have agents that refuse
-/// it; plain servers have none.
-pub(super) async fn wait_for_quarantines(state: &EntryState, id: &str) {
-    if !state.awaits_quarantines() {
+/// Waits until an entry that has just started knows what is quarantined, if the service has plain servers.
+/// Engines have agents that refuse it.
+pub(super) async fn wait_for_quarantines(state: &EntryState, service: &str, id: &str) {
+    if !state.awaits_quarantines() || state.table.borrow().engine(service).is_some() {
         return;
     }
     let started_at = Instant::now();
