fix(gateway): a resumed stream is joined to no other software version after all entries are killed

Cause: an entry that has just started saw only the servers listed now. If those of the older version had left, it took the remaining version for the only one and joined streams to it; and of several agents that knew a stream the first answer counted, which may be an attempt whose event never reached the caller.

Change: agents remember which versions entries have listed and tell entries that start, so that 'the only version' is assumed only as far back as it is known. All agents are heard; a record of a forwarded event counts more than one of an event that an engine made, and events of two versions prove nothing.

--- a/crates/magnoliasail-core/src/gateway/message/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/message/mod.rs
@@ -1,11 +1,15 @@
 //! The messages on a link between an entry and the agent of a model engine.
 
 mod configuration;
+mod origin;
 mod quota;
+mod versions;
 
 pub use self::{
     configuration::{AskConfiguration, ConfigurationCopy},
+    origin::{OriginAnswer, StreamOrigin},
     quota::{AskQuota, QuotaAnswer},
+    versions::{ListedVersion, ServiceVersions},
 };
 
 use prost::{Message, Oneof, bytes::Bytes};
@@ -14,7 +18,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToAgent {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<ToAgentKind>,
 }
 
@@ -31,7 +35,7 @@
     /// Cancels the attempt with this number.
     #[prost(uint64, tag = "2")]
     Cancel(u64),
-    /// Asks the agent to remember the origin of a stream.
+    /// Asks the agent to remember the origin of a stream whose first event the entry forwards.
     #[prost(message, tag = "3")]
     RememberOrigin(StreamOrigin),
     /// Asks for the origin of the stream with this key.
@@ -52,6 +56,9 @@
     /// Asks for a newer configuration, because the store cannot be read.
     #[prost(message, tag = "9")]
     AskConfiguration(AskConfiguration),
+    /// Tells which software versions a service has had recently.
+    #[prost(message, tag = "10")]
+    Versions(ServiceVersions),
 }
 
 /// A question whether a request may be sent to a plain server that names a rate.
@@ -200,29 +207,6 @@
     pub age_ms: u64,
 }
 
-/// Which software version began a stream. A caller that resumes the stream needs the same version.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct StreamOrigin {
-    /// The key of the stream, see
-    /// [`RequestMetadata::stream_key`](crate::gateway::RequestMetadata::stream_key).
-    #[prost(fixed64, tag = "1")]
-    pub key: u64,
-    /// The software version of the server; absent if it does not publish one.
-    #[prost(string, optional, tag = "2")]
-    pub software_version: Option<String>,
-}
-
-/// The answer to a query for the origin of a stream.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct OriginAnswer {
-    /// The key of the stream.
-    #[prost(fixed64, tag = "1")]
-    pub key: u64,
-    /// The origin; absent if the agent does not know it.
-    #[prost(message, optional, tag = "2")]
-    pub origin: Option<StreamOrigin>,
-}
-
 /// An HTTP header.
 #[derive(Clone, PartialEq, Message)]
 pub struct Header {
@@ -240,7 +224,7 @@
     /// The content of the message; absent if the sender uses a kind unknown here.
     #[prost(
         oneof = "ToEntryKind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub kind: Option<ToEntryKind>,
 }
@@ -297,6 +281,9 @@
     /// Brings a newer configuration than the entry has.
     #[prost(message, tag = "16")]
     Configuration(ConfigurationCopy),
+    /// Tells which software versions a service has had recently.
+    #[prost(message, tag = "17")]
+    Versions(ServiceVersions),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod load_times;
 mod order;
 mod order_tracker;
+mod origin_evidence;
 mod origin_replicas;
 mod pacer;
 mod placement;
@@ -104,6 +105,7 @@
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
+    origin_evidence::{OriginEvidence, OriginRecord, OriginVerdict},
     origin_replicas::{ReplicaCandidate, pick_replicas},
     pacer::Pacer,
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
--- a/crates/magnoliasail-core/tests/gateway/stream_origins.rs
+++ b/crates/magnoliasail-core/tests/gateway/stream_origins.rs
@@ -2,7 +2,9 @@
 
 use {
     magnoliasail_core::gateway::{
-        RequestMetadata, StreamOrigins, VersionConstraint, VersionHistory, message::StreamOrigin,
+        OriginEvidence, OriginRecord, OriginVerdict, RequestMetadata, StreamOrigins,
+        VersionConstraint, VersionHistory,
+        message::{ListedVersion, OriginAnswer, ServiceVersions, StreamOrigin},
     },
     std::sync::Arc,
 };
@@ -16,8 +18,36 @@
     }
 }
 
-fn known_version(origins: &StreamOrigins, key: u64, now_ms: u64) -> Option<&str> {
-    origins.get(key, now_ms)?.software_version.as_deref()
+fn known_version(origins: &StreamOrigins, key: u64, now_ms: u64) -> Option<String> {
+    let version = origins.get(key, now_ms)?.software_version?;
+    Some(version.as_ref().to_owned())
+}
+
+fn record(version: &str, is_forwarded: bool, age_ms: u64) -> OriginRecord {
+    OriginRecord {
+        software_version: Some(version.into()),
+        is_forwarded,
+        age_ms,
+    }
+}
+
+fn verdict(records: &[OriginRecord]) -> OriginVerdict {
+    let mut evidence = OriginEvidence::default();
+    for record in records {
+        evidence.add(record.clone());
+    }
+    evidence.verdict()
+}
+
+fn known(version: &str) -> OriginVerdict {
+    OriginVerdict::Known(only(version))
+}
+
+fn listed(version: &str, age_ms: u64) -> ListedVersion {
+    ListedVersion {
+        software_version: Some(version.to_owned()),
+        age_ms,
+    }
 }
 
 fn only(version: &str) -> VersionConstraint {
@@ -27,9 +57,12 @@
 #[test]
 fn origin_is_kept_for_its_retention_time() {
     let mut origins = StreamOrigins::default();
-    origins.record(origin(1, "v1"), NOW_MS);
+    origins.record(&origin(1, "v1"), NOW_MS);
     let end_ms = NOW_MS + StreamOrigins::RETENTION_MS;
-    assert_eq!(known_version(&origins, 1, end_ms - 1), Some("v1"));
+    assert_eq!(
+        known_version(&origins, 1, end_ms - 1),
+        Some("v1".to_owned())
+    );
     assert_eq!(known_version(&origins, 1, end_ms), None);
     assert_eq!(known_version(&origins, 2, NOW_MS), None);
 }
@@ -37,21 +70,21 @@
 #[test]
 fn origin_that_is_recorded_again_is_replaced_and_kept_longer() {
     let mut origins = StreamOrigins::default();
-    origins.record(origin(1, "v1"), NOW_MS);
-    origins.record(origin(1, "v2"), NOW_MS + 1_000);
-    origins.record(origin(2, "v1"), NOW_MS + StreamOrigins::RETENTION_MS);
+    origins.record(&origin(1, "v1"), NOW_MS);
+    origins.record(&origin(1, "v2"), NOW_MS + 1_000);
+    origins.record(&origin(2, "v1"), NOW_MS + StreamOrigins::RETENTION_MS);
     let later_ms = NOW_MS + StreamOrigins::RETENTION_MS + 500;
-    assert_eq!(known_version(&origins, 1, later_ms), Some("v2"));
+    assert_eq!(known_version(&origins, 1, later_ms), Some("v2".to_owned()));
 }
 
 #[test]
 fn oldest_origin_is_dropped_when_the_capacity_is_reached() {
     let mut origins = StreamOrigins::default();
     for key in 0..=StreamOrigins::CAPACITY as u64 {
-        origins.record(origin(key, "v1"), NOW_MS);
+        origins.record(&origin(key, "v1"), NOW_MS);
     }
     assert_eq!(known_version(&origins, 0, NOW_MS), None);
-    assert_eq!(known_version(&origins, 1, NOW_MS), Some("v1"));
+    assert_eq!(known_version(&origins, 1, NOW_MS), Some("v1".to_owned()));
 }
 
 #[test]
@@ -104,3 +137,127 @@
     assert!(history.covers_resumable_streams("s", end_ms));
     assert!(!history.covers_resumable_streams("other", end_ms));
 }
+
+#[test]
+fn forwarded_event_counts_more_than_one_that_was_only_made_whatever_comes_first() {
+    let mut origins = StreamOrigins::default();
+    origins.record(&origin(1, "v1"), NOW_MS);
+    origins.record_begun(&origin(1, "v2"), NOW_MS + 10);
+    assert_eq!(
+        known_version(&origins, 1, NOW_MS + 10),
+        Some("v1".to_owned())
+    );
+    origins.record_begun(&origin(2, "v2"), NOW_MS);
+    origins.record(&origin(2, "v1"), NOW_MS + 10);
+    assert_eq!(
+        known_version(&origins, 2, NOW_MS + 10),
+        Some("v1".to_owned())
+    );
+
+    let (made, forwarded) = (record("v2", false, 5), record("v1", true, 900));
+    assert_eq!(verdict(&[made.clone(), forwarded.clone()]), known("v1"));
+    assert_eq!(verdict(&[forwarded, made]), known("v1"));
+}
+
+#[test]
+fn latest_of_several_forwarded_events_counts_in_any_order() {
+    let (older, newer) = (record("v1", true, 40), record("v2", true, 10));
+    assert_eq!(verdict(&[older.clone(), newer.clone()]), known("v2"));
+    assert_eq!(verdict(&[newer, older]), known("v2"));
+}
+
+/// Either engine's event may have reached the caller, so that no version is safe.
+#[test]
+fn engines_of_two_versions_that_made_an_event_prove_nothing() {
+    let (first, second) = (record("v1", false, 40), record("v2", false, 10));
+    assert_eq!(
+        verdict(&[first.clone(), second]),
+        OriginVerdict::Conflicting
+    );
+    assert_eq!(verdict(&[first.clone(), first]), known("v1"));
+    assert_eq!(verdict(&[]), OriginVerdict::Unknown);
+}
+
+#[test]
+fn answer_carries_the_record_of_an_agent() {
+    let known = record("v1", true, 30);
+    assert_eq!(
+        OriginAnswer::new(1, Some(known.clone())).record(),
+        Some(known)
+    );
+    assert_eq!(OriginAnswer::new(1, None).record(), None);
+}
+
+/// A process that starts after the servers of the old version have left sees only the new version.
+#[test]
+fn restarted_process_learns_from_another_one_which_versions_left() {
+    let service: Arc<str> = "s".into();
+    let (old, new): (Arc<str>, Arc<str>) = ("v1".into(), "v2".into());
+    let mut agent = VersionHistory::new(true);
+    agent.record(&service, Some(&old), NOW_MS);
+    agent.record(&service, Some(&new), NOW_MS + 1_000);
+
+    let restart_ms = NOW_MS + 5_000;
+    let mut entry = VersionHistory::new(false);
+    entry.record(&service, Some(&new), restart_ms);
+    assert_eq!(entry.only_version("s", restart_ms), Some(only("v2")));
+    assert!(!entry.covers_resumable_streams("s", restart_ms));
+    for versions in agent.snapshot(restart_ms) {
+        entry.add(&versions, restart_ms);
+    }
+    assert!(entry.covers_resumable_streams("s", restart_ms));
+    assert_eq!(entry.only_version("s", restart_ms), None);
+    let end_ms = NOW_MS + StreamOrigins::RETENTION_MS;
+    assert_eq!(entry.only_version("s", end_ms), Some(only("v2")));
+}
+
+#[test]
+fn all_versions_are_known_from_the_first_start_on() {
+    let service: Arc<str> = "s".into();
+    let mut history = VersionHistory::new(true);
+    history.record(&service, None, NOW_MS);
+    assert!(history.covers_resumable_streams("s", NOW_MS));
+    assert!(!history.covers_resumable_streams("other", NOW_MS));
+}
+
+#[test]
+fn time_for_which_versions_are_known_is_passed_on_and_grows() {
+    let half_ms = StreamOrigins::RETENTION_MS / 2;
+    let told = ServiceVersions {
+        service: "s".to_owned(),
+        versions: vec![listed("v1", 0)],
+        known_for_ms: half_ms,
+    };
+    let mut history = VersionHistory::new(false);
+    history.add(&told, NOW_MS);
+    assert!(!history.covers_resumable_streams("s", NOW_MS + half_ms - 1));
+    assert!(history.covers_resumable_streams("s", NOW_MS + half_ms));
+    let shorter = ServiceVersions {
+        known_for_ms: 0,
+        ..told
+    };
+    history.add(&shorter, NOW_MS + half_ms);
+    assert!(history.covers_resumable_streams("s", NOW_MS + half_ms));
+}
+
+/// A process that sends many versions cannot fill the memory, nor make one of them count as the only one.
+#[test]
+fn versions_that_do_not_fit_leave_the_history_unknown() {
+    const COUNT: u64 = 10_000;
+    let told = ServiceVersions {
+        service: "s".to_owned(),
+        versions: (0..COUNT)
+            .map(|number| listed(&number.to_string(), 0))
+            .collect(),
+        known_for_ms: u64::MAX,
+    };
+    let mut history = VersionHistory::new(true);
+    history.add(&told, NOW_MS);
+    assert!(!history.covers_resumable_streams("s", NOW_MS));
+    let kept = history
+        .snapshot(NOW_MS)
+        .iter()
+        .map(|known| known.versions.len())
+        .sum::<usize>();
+    assert!(kept < COUNT as usize / 100, "{kept} versions are kept");
+}
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -117,6 +117,12 @@
         Ok(())
     }
 
+    /// Changes the settings to those of a process that does not start with the whole system.
+    fn end_bootstrap(&self) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings_path)?;
+        fs::write(&self.settings_path, text.replace("bootstrap = true\n", ""))
+    }
+
     fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             let _ = Command::new("kill")
@@ -227,6 +233,7 @@
     pub fn restart(&mut self, process: usize) -> io::Result<()> {
         self.processes[process].kill();
         self.forget_statements();
+        self.processes[process].end_bootstrap()?;
         self.processes[process].start()
     }
 
@@ -386,7 +393,7 @@
         self.proxies
             .push(Proxy::start(store, self.store_address()).await?);
         let text = format!(
-            "node_name = \"{role}-{index}\"\nip = \"{ip}\"\nzone = \"dc-{}\"\n\
+            "bootstrap = true\nnode_name = \"{role}-{index}\"\nip = \"{ip}\"\nzone = \"dc-{}\"\n\
              internal_ports = [{INTERNAL_PORT}, {METRICS_PORT}]\n{role_settings}\
              [listen]\n{listen_settings}\
              [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -356,7 +356,7 @@
         match with_stall_reports(run.part_limit, response.next_part(), on_stall).await {
             Ok(Some(bytes)) => {
                 if let Some(origin) = origin.take() {
-                    state.remember_origin(origin);
+                    state.remember_begun(&origin);
                 }
                 state.send_part(link, Part { attempt, bytes }).await;
             }
--- a/crates/magnoliasail/src/gateway/agent/entry_link.rs
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -46,7 +46,7 @@
         .run(async move |message: ToAgent| match message.kind {
             Some(ToAgentKind::Submit(submit)) => receiving_state.submit(id, submit),
             Some(ToAgentKind::Cancel(attempt)) => receiving_state.cancel(id, attempt),
-            Some(ToAgentKind::RememberOrigin(origin)) => receiving_state.remember_origin(origin),
+            Some(ToAgentKind::RememberOrigin(origin)) => receiving_state.remember_origin(&origin),
             Some(ToAgentKind::FindOrigin(key)) => receiving_state.answer_origin(id, key),
             Some(ToAgentKind::Crash(report)) => receiving_state.pass_on_crash(report),
             Some(ToAgentKind::Quarantine(change)) => receiving_state.apply_quarantine(id, change),
@@ -55,6 +55,7 @@
             Some(ToAgentKind::AskConfiguration(question)) => {
                 receiving_state.answer_configuration(id, question);
             }
+            Some(ToAgentKind::Versions(versions)) => receiving_state.add_versions(&versions),
             None => {}
         })
         .await;
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -24,8 +24,10 @@
         AdapterVersion, Announcement, Configuration, CrashDetector, EngineAction, EngineRefusal,
         EngineReport, EngineScheduler, HoldingsTracker, Order, OrderOutcome, Quarantine,
         QuotaGrants, SchedulerSettings, SendGrants, ServerLoad, ServerNotice, StreamOrigins,
+        VersionHistory,
         message::{
-            ConfigurationCopy, EngineState, OriginAnswer, StreamOrigin, ToEntry, ToEntryKind,
+            ConfigurationCopy, EngineState, OriginAnswer, ServiceVersions, StreamOrigin, ToEntry,
+            ToEntryKind,
         },
     },
     magnoliasail_platform::settings::NodeSettings,
@@ -86,6 +88,8 @@
     pub(super) holdings: RefCell<HoldingsTracker>,
     /// The origins of streams that this engine began, and of others that entries sent.
     origins: RefCell<StreamOrigins>,
+    /// The software versions of services, as entries have listed them.
+    versions: RefCell<VersionHistory>,
     pub(super) next_key: Cell<u64>,
     next_link: Cell<LinkId>,
     /// Moving average of the time from sending a request to its response head, in milliseconds.
@@ -114,6 +118,7 @@
             ..SchedulerSettings::default()
         };
         let idle_limit = SharedIdleLimit::default();
+        let versions = VersionHistory::new(settings.is_first_start);
         Rc::new(Self {
             settings,
             clock: SteadyClock::new(),
@@ -134,6 +139,7 @@
             links: RefCell::default(),
             holdings: RefCell::default(),
             origins: RefCell::default(),
+            versions: RefCell::new(versions),
             next_key: Cell::new(1),
             next_link: Cell::new(1),
             mean_head_time_ms: Cell::new(INITIAL_HEAD_TIME_MS),
@@ -155,14 +161,18 @@
         self.broadcast_engine_state();
     }
 
-    /// Adds a link to an entry and returns its id. Sends the holdings on it, and the engine's state
-    /// to all entries, because the number of entries has changed.
+    /// Adds a link to an entry and returns its id. Sends the holdings and the software versions of services
+    /// on it, and the engine's state to all entries, because the number of entries has changed.
     pub(super) fn add_link(&self, outbox: Outbox<ToEntry>) -> LinkId {
         let link = self.next_link.get();
         self.next_link.set(link + 1);
         self.links.borrow_mut().insert(link, outbox);
         let holdings = self.holdings.borrow().snapshot();
         self.send(link, ToEntryKind::Holdings(holdings));
+        let known = self.versions.borrow().snapshot(self.clock.now_ms());
+        for versions in known {
+            self.send(link, ToEntryKind::Versions(versions));
+        }
         self.broadcast_engine_state();
         link
     }
@@ -195,17 +205,29 @@
         }
     }
 
-    /// Remembers which software version began a stream.
-    pub(super) fn remember_origin(&self, origin: StreamOrigin) {
+    /// Remembers which software version began a stream whose first event an entry forwards.
+    pub(super) fn remember_origin(&self, origin: &StreamOrigin) {
         let now_ms = self.clock.now_ms();
         self.origins.borrow_mut().record(origin, now_ms);
     }
 
+    /// Remembers that the engine has made the first event of a stream.
+    pub(super) fn remember_begun(&self, origin: &StreamOrigin) {
+        let now_ms = self.clock.now_ms();
+        self.origins.borrow_mut().record_begun(origin, now_ms);
+    }
+
+    /// Remembers which software versions an entry has listed for a service.
+    pub(super) fn add_versions(&self, versions: &ServiceVersions) {
+        let now_ms = self.clock.now_ms();
+        self.versions.borrow_mut().add(versions, now_ms);
+    }
+
     /// Answers an entry's query for the origin of a stream.
     pub(super) fn answer_origin(&self, link: LinkId, key: u64) {
         let now_ms = self.clock.now_ms();
-        let origin = self.origins.borrow().get(key, now_ms).cloned();
-        self.send(link, ToEntryKind::Origin(OriginAnswer { key, origin }));
+        let record = self.origins.borrow().get(key, now_ms);
+        self.send(link, ToEntryKind::Origin(OriginAnswer::new(key, record)));
     }
 
     fn cancel_by_key(self: &Rc<Self>, key: u64) {
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -10,7 +10,7 @@
         },
     },
     magnoliasail_core::gateway::{
-        EngineRefusal, Holding, Holdings, QuotaGrant, QuotaQuestion, UnreportedWork,
+        EngineRefusal, Holding, Holdings, OriginRecord, QuotaGrant, QuotaQuestion, UnreportedWork,
         message::{
             AskQuota, AskSend, EngineState, Head, OriginAnswer, Part, SendAnswer, StreamOrigin,
             Submit, ToAgent, ToAgentKind, ToEntry, ToEntryKind,
@@ -91,7 +91,7 @@
     buffered: Rc<BufferBudget>,
     next_attempt: Cell<u64>,
     /// Queries for the origins of streams that the agent has not answered, by stream key.
-    origin_queries: RefCell<HashMap<u64, Vec<mpsc::Sender<StreamOrigin>>>>,
+    origin_queries: RefCell<HashMap<u64, Vec<mpsc::Sender<OriginRecord>>>>,
     /// Questions whether a request may be sent that the agent has not answered.
     send_questions: Questions<SendAnswer>,
     /// Questions for units of quotas that the agent has not answered.
@@ -263,7 +263,7 @@
 
     /// Asks the agent for the origin of a stream. The answer goes to `answers`, which is dropped
     /// without one if the agent does not know the origin or cannot be asked.
-    pub(super) fn find_origin(&self, key: u64, answers: mpsc::Sender<StreamOrigin>) {
+    pub(super) fn find_origin(&self, key: u64, answers: mpsc::Sender<OriginRecord>) {
         if !self.send(ToAgentKind::FindOrigin(key)) {
             return;
         }
@@ -299,10 +299,12 @@
 
     fn answer_origin_queries(&self, answer: &OriginAnswer) {
         let senders = self.origin_queries.borrow_mut().remove(&answer.key);
-        let Some(origin) = &answer.origin else { return };
+        let Some(record) = answer.record() else {
+            return;
+        };
         for sender in senders.unwrap_or_default() {
-            // A full queue has an answer already, and a closed one needs none.
-            let _ = sender.try_send(origin.clone());
+            // A full queue has the records of more agents than keep one stream.
+            let _ = sender.try_send(record.clone());
         }
     }
 
@@ -341,6 +343,7 @@
                     .answer(answer.question, answer.content());
             }
             ToEntryKind::Configuration(copy) => self.notify(LinkNotice::Configuration(copy)),
+            ToEntryKind::Versions(versions) => self.notify(LinkNotice::Versions(versions)),
             ToEntryKind::Origin(answer) => self.answer_origin_queries(&answer),
             ToEntryKind::Holdings(update) => self.holdings.borrow_mut().apply(&update),
             ToEntryKind::Refused(refused) => {
--- a/crates/magnoliasail/src/gateway/entry/link_notice.rs
+++ b/crates/magnoliasail/src/gateway/entry/link_notice.rs
@@ -3,7 +3,7 @@
 use {
     super::{quarantine::tell_agent, state::EntryState},
     magnoliasail_core::gateway::message::{
-        CompletionNotice, ConfigurationCopy, CrashReport, QuarantineChange,
+        CompletionNotice, ConfigurationCopy, CrashReport, QuarantineChange, ServiceVersions,
     },
     std::{net::IpAddr, rc::Rc},
     tokio::sync::mpsc,
@@ -27,6 +27,8 @@
     Completed(CompletionNotice),
     /// An agent has a newer configuration than this entry had when it asked.
     Configuration(ConfigurationCopy),
+    /// An agent tells which software versions a service has had.
+    Versions(ServiceVersions),
 }
 
 /// Handles the notices of all links until the process exits.
@@ -37,12 +39,14 @@
     while let Some(notice) = notices.recv().await {
         match notice {
             LinkNotice::Up(vm) => {
+                state.send_versions(vm);
                 tokio::task::spawn_local(tell_agent(Rc::clone(&state), vm));
             }
             LinkNotice::Crash(report) => state.apply_reported_crash(report),
             LinkNotice::Quarantine(change) => state.adopt_quarantine(change),
             LinkNotice::QuarantinesSent => state.mark_quarantines_known(),
             LinkNotice::Completed(notice) => state.apply_completion(notice),
+            LinkNotice::Versions(versions) => state.add_versions(&versions),
             LinkNotice::Configuration(copy) => state.apply_configuration_copy(&copy),
         }
     }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -33,6 +33,7 @@
 mod store_observer;
 mod stream_origin;
 mod takeover;
+mod version_reports;
 
 use {
     self::{
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -8,7 +8,8 @@
     super::state::EntryState,
     crate::events::{EventId, emit},
     magnoliasail_core::gateway::{
-        ReplicaCandidate, RequestMetadata, VersionConstraint, message::StreamOrigin, pick_replicas,
+        OriginEvidence, OriginRecord, OriginVerdict, ReplicaCandidate, RequestMetadata,
+        VersionConstraint, message::StreamOrigin, pick_replicas,
     },
     std::{collections::HashSet, net::IpAddr, sync::Arc, time::Duration},
     strum::{Display, IntoStaticStr},
@@ -20,6 +21,8 @@
 
 /// Longest wait for the answers of agents: several round trips between data centres.
 const MAX_QUERY_WAIT: Duration = Duration::from_millis(250);
+/// Maximum number of records of a stream that wait to be read; few agents keep one.
+const MAX_RECORDS: usize = 64;
 /// Time between checks for links that have come up.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -31,8 +34,10 @@
     OwnMemory,
     /// An agent has recorded the stream.
     Agent,
-    /// The service has had only one software version recently.
+    /// The service has had only one software version since the stream began.
     OnlyVersion,
+    /// Engines of several versions have begun the stream, and which one the caller heard is unknown.
+    Conflicting,
     /// No process knows the stream, and the service has had several versions.
     Unknown,
 }
@@ -48,63 +53,79 @@
 /// Finds out which software version of a service began the stream with this key.
 pub(super) async fn find_origin(state: &EntryState, service: &str, key: u64) -> OriginLookup {
     let now_ms = state.clock.now_ms();
-    if let Some(origin) = state.origins.borrow().get(key, now_ms) {
+    if let Some(record) = state.origins.borrow().get(key, now_ms) {
         return OriginLookup {
-            version: Some(VersionConstraint::from(origin)),
+            version: Some(VersionConstraint::Only(record.software_version)),
             source: OriginSource::OwnMemory,
         };
     }
-    let is_query_needed = {
-        let versions = state.versions.borrow();
-        versions.only_version(service, now_ms).is_none()
-            || !versions.covers_resumable_streams(service, now_ms)
-    };
-    if is_query_needed && let Some(origin) = ask_agents(state, service, key).await {
-        return OriginLookup {
-            version: Some(VersionConstraint::from(&origin)),
+    if let Some(lookup) = only_version(state, service) {
+        return lookup;
+    }
+    match ask_agents(state, service, key).await {
+        OriginVerdict::Known(version) => OriginLookup {
+            version: Some(version),
             source: OriginSource::Agent,
-        };
+        },
+        OriginVerdict::Conflicting => OriginLookup {
+            version: None,
+            source: OriginSource::Conflicting,
+        },
+        // The agents may have told meanwhile which versions the service has had.
+        OriginVerdict::Unknown => only_version(state, service).unwrap_or(OriginLookup {
+            version: None,
+            source: OriginSource::Unknown,
+        }),
     }
-    let version = state
-        .versions
-        .borrow()
-        .only_version(service, state.clock.now_ms());
-    let source = match version {
-        Some(_) => OriginSource::OnlyVersion,
-        None => OriginSource::Unknown,
-    };
-    OriginLookup { version, source }
 }
 
-/// Asks all linked agents for the origin of a stream, and returns the first origin that arrives.
+/// Returns the only version that the service has had since the oldest resumable stream began, if this is
+/// known to be the only one.
+fn only_version(state: &EntryState, service: &str) -> Option<OriginLookup> {
+    let now_ms = state.clock.now_ms();
+    let versions = state.versions.borrow();
+    if !versions.covers_resumable_streams(service, now_ms) {
+        return None;
+    }
+    Some(OriginLookup {
+        version: Some(versions.only_version(service, now_ms)?),
+        source: OriginSource::OnlyVersion,
+    })
+}
+
+/// Asks all linked agents for the origin of a stream, and returns what they say together.
 ///
-/// Agents to which this entry is still connecting are asked as soon as their links are up.
-async fn ask_agents(state: &EntryState, service: &str, key: u64) -> Option<StreamOrigin> {
+/// Agents to which this entry is still connecting are asked as soon as their links are up. All agents are
+/// heard, because the one that answers first may have an older record than another.
+async fn ask_agents(state: &EntryState, service: &str, key: u64) -> OriginVerdict {
     let deadline = Instant::now() + MAX_QUERY_WAIT;
     let mut asked = HashSet::new();
-    let (sender, mut answers) = mpsc::channel(1);
+    let mut evidence = OriginEvidence::default();
+    let (sender, mut answers) = mpsc::channel(MAX_RECORDS);
     let mut sender = Some(sender);
     while Instant::now() < deadline {
         if let Some(sender) = &sender {
             ask_connected_agents(state, key, sender, &mut asked);
         }
         if !state.has_starting_engine(service, &VersionConstraint::Any) {
-            // The channel then closes when all agents have answered that they do not know the stream.
+            // The channel then closes when all agents have answered.
             sender = None;
         }
         let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
-        if let Ok(answer) = timeout_at(poll_end, answers.recv()).await {
-            return answer;
+        match timeout_at(poll_end, answers.recv()).await {
+            Ok(Some(record)) => evidence.add(record),
+            Ok(None) => break,
+            Err(_) => {}
         }
     }
-    None
+    evidence.verdict()
 }
 
 /// Asks the agents with a link that are not in `asked`, and adds them.
 fn ask_connected_agents(
     state: &EntryState,
     key: u64,
-    sender: &mpsc::Sender<StreamOrigin>,
+    sender: &mpsc::Sender<OriginRecord>,
     asked: &mut HashSet<IpAddr>,
 ) {
     for (&vm, link) in state.links.borrow().iter() {
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -100,6 +100,7 @@
         let buffered = BufferBudget::new(settings.max_buffered_bytes());
         let clock = SteadyClock::new();
         let started_ms = clock.now_ms();
+        let versions = VersionHistory::new(settings.is_first_start);
         Rc::new(Self {
             settings,
             clock,
@@ -112,7 +113,7 @@
             idle_limit: SharedIdleLimit::default(),
             retry_windows: RefCell::default(),
             origins: RefCell::default(),
-            versions: RefCell::default(),
+            versions: RefCell::new(versions),
             quarantine: RefCell::default(),
             plain_crash_detectors: RefCell::default(),
             buffered,
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -11,7 +11,7 @@
             store_client::{ConfigurationSource, store_pool},
         },
     },
-    magnoliasail_core::gateway::{Directory, DiscardReason, Freshness, VersionHistory},
+    magnoliasail_core::gateway::{DiscardReason, Freshness},
     magnoliasail_platform::{configuration, registry, store::Change},
     std::{
         collections::HashSet,
@@ -132,8 +132,8 @@
                         change.revision
                     ),
                 );
-                let mut versions = self.0.versions.borrow_mut();
-                versions.record(&entry.service, entry.software_version.as_ref(), now_ms);
+                self.0
+                    .record_version(&entry.service, entry.software_version.as_ref());
                 match freshness {
                     Freshness::Written => directory.insert(entry, now_ms),
                     Freshness::Restored => directory.restore(entry, now_ms),
@@ -155,23 +155,11 @@
     }
 }
 
-/// Records the software versions of the listed servers again at intervals, because a version that is
-/// not recorded for a while is dropped.
-fn record_software_versions(directory: &Directory, versions: &mut VersionHistory, now_ms: u64) {
-    if !versions.start_refresh(now_ms) {
-        return;
-    }
-    for server in directory.all() {
-        let entry = &server.entry;
-        versions.record(&entry.service, entry.software_version.as_ref(), now_ms);
-    }
-}
-
 fn update_links(state: &Rc<EntryState>) {
     let now_ms = state.clock.now_ms();
     let mut directory = state.directory.borrow_mut();
     directory.prune(now_ms);
-    record_software_versions(&directory, &mut state.versions.borrow_mut(), now_ms);
+    state.refresh_versions(&directory);
     let table = state.table.borrow();
     let engines: HashSet<IpAddr> = directory
         .all()
--- a/crates/magnoliasail/src/gateway/entry/stream_origin.rs
+++ b/crates/magnoliasail/src/gateway/entry/stream_origin.rs
@@ -32,6 +32,7 @@
         let lookup = find_origin(&self.state, &self.route.service, key).await;
         log_lookup(metadata, key, &lookup, started_at);
         let Some(version) = lookup.version else {
+            // It stays unknown, so that the caller need not come back for it.
             return Err(self.refusal(RefusalCause::VersionUnknown, u64::MAX));
         };
         self.version = version;
@@ -69,7 +70,7 @@
         if only_version.is_none() {
             replicate_origin(&self.state, &origin, server.server(), &self.tried);
         }
-        self.state.origins.borrow_mut().record(origin, now_ms);
+        self.state.origins.borrow_mut().record(&origin, now_ms);
     }
 
     /// Sends the origin of a stream that ended early to agents of other VMs, as the caller may resume
--- a/crates/magnoliasail/tests/software_versions.rs
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -114,6 +114,27 @@
     (fleet, resumed_calls)
 }
 
+fn kill_entries(fleet: &mut Fleet) {
+    for entry in 0..ENTRIES {
+        fleet.kill(entry);
+    }
+}
+
+fn restart_entries(fleet: &mut Fleet) {
+    for entry in 0..ENTRIES {
+        fleet.restart(entry).expect("the entry starts");
+    }
+}
+
+/// Removes engines at once, with their agents and their entries in the list of servers.
+fn lose_engines(fleet: &mut Fleet, engines: impl IntoIterator<Item = usize>) {
+    for engine in engines {
+        fleet.remove_server(engine);
+        fleet.kill(ENTRIES + engine);
+        fleet.servers[engine].crash();
+    }
+}
+
 /// Returns the index of the engine that ran a call last.
 fn engine_that_ran(fleet: &Fleet, call: &str) -> usize {
     let runs = fleet.ledger.runs(call);
@@ -129,16 +150,27 @@
     (engine + ENGINES / 2) % ENGINES
 }
 
-/// Resumes streams at the second entry, and returns the outcomes.
+/// Resumes streams at the second entry, as soon as it accepts connections, and returns the outcomes.
 async fn resume(fleet: &Fleet, calls: &[Call]) -> Vec<Outcome> {
     let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
     let mut outcomes = Vec::new();
     for call in calls {
-        outcomes.push(caller.call(call).await);
+        outcomes.push(resume_one(&mut caller, call).await);
     }
     outcomes
 }
 
+/// Resumes a stream as soon as the entry accepts connections.
+async fn resume_one(caller: &mut Caller, call: &Call) -> Outcome {
+    const POLL: Duration = Duration::from_millis(2);
+    loop {
+        match caller.call(call).await {
+            Outcome::ConnectionFailed => sleep(POLL).await,
+            outcome => return outcome,
+        }
+    }
+}
+
 /// Asserts that the processes log `text`. They write their log in the background.
 async fn assert_logged(fleet: &Fleet, text: &str) {
     const MAX_POLLS: u32 = 250;
@@ -212,11 +244,7 @@
         fleet.restart(0).expect("the entry starts");
         let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
         for call in &calls {
-            let mut outcome = Outcome::ConnectionFailed;
-            while outcome == Outcome::ConnectionFailed {
-                outcome = caller.call(call).await;
-                sleep(Duration::from_millis(2)).await;
-            }
+            let outcome = resume_one(&mut caller, call).await;
             assert_eq!(outcome, Outcome::Served, "{}\n{}", call.id, fleet.output());
         }
         assert_no_violations(&fleet);
@@ -266,6 +294,136 @@
     });
 }
 
+/// Every entry is killed at once and is back; the agents know the streams.
+#[test]
+fn streams_of_entries_that_were_all_killed_stay_at_their_software_version() {
+    with_two_versions(116, |fleet| async move {
+        let (mut fleet, calls) = broken_off_streams(fleet, kill_entries).await;
+        assert!(!calls.is_empty(), "{}", fleet.output());
+        restart_entries(&mut fleet);
+        let outcomes = resume(&fleet, &calls).await;
+        assert_all_served(&fleet, &outcomes);
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Every entry is killed while the VMs of the older version, with their agents, are lost. The entries that
+/// are back see servers of one version only.
+#[test]
+fn streams_whose_version_left_with_its_agents_are_not_joined_to_the_remaining_one() {
+    with_two_versions(117, |fleet| async move {
+        let (mut fleet, calls) = broken_off_streams(fleet, |fleet| {
+            kill_entries(fleet);
+            lose_engines(fleet, FIRST_VERSION_ENGINES);
+        })
+        .await;
+        restart_entries(&mut fleet);
+        let outcomes = resume(&fleet, &calls).await;
+        let is_safe = |outcome: &Outcome| matches!(outcome, Outcome::Served | Outcome::NotRun);
+        assert!(
+            outcomes.iter().all(is_safe),
+            "{outcomes:?}\n{}",
+            fleet.output()
+        );
+        assert!(outcomes.contains(&Outcome::NotRun), "{outcomes:?}");
+        assert_no_violations(&fleet);
+    });
+}
+
+/// The streams began while there was one version only, so that no other agent has a copy of their origin. Then
+/// the servers of that version leave, others take their place, and every entry is killed.
+#[test]
+fn streams_that_began_before_a_newer_version_came_are_not_joined_to_it() {
+    let settings = FleetSettings {
+        entries: ENTRIES as u8,
+        engines: ENGINES as u8,
+        software_versions: 1,
+        plain_servers: 1,
+        ..small_fleet(120)
+    };
+    run_with_fleet(settings, |fleet| async move {
+        let (mut fleet, calls) = broken_off_streams(fleet, |fleet| {
+            kill_entries(fleet);
+            lose_engines(fleet, FIRST_VERSION_ENGINES);
+        })
+        .await;
+        for engine in (0..ENGINES).filter(|engine| !FIRST_VERSION_ENGINES.contains(engine)) {
+            fleet.remove_server(engine);
+            let server = &fleet.servers[engine];
+            server.crash();
+            server.set_software_version("v2");
+            server.start().await.expect("the server starts");
+            fleet.publish_server(engine);
+        }
+        restart_entries(&mut fleet);
+        let outcomes = resume(&fleet, &calls).await;
+        let is_refused = |outcome: &Outcome| *outcome == Outcome::NotRun;
+        assert!(
+            outcomes.iter().all(is_refused),
+            "{outcomes:?}\n{}",
+            fleet.output()
+        );
+        assert_no_violations(&fleet);
+    });
+}
+
+/// The caller's second attempt is cut off too, by another loss of all entries.
+#[test]
+fn streams_that_are_resumed_twice_stay_at_their_software_version() {
+    with_two_versions(118, |fleet| async move {
+        let (mut fleet, calls) = broken_off_streams(fleet, kill_entries).await;
+        restart_entries(&mut fleet);
+        set_faults(&fleet, 0..ENGINES, LONG_STREAM);
+        let mut tasks = Vec::new();
+        for call in calls {
+            let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
+            tasks.push(tokio::spawn(async move {
+                let outcome = resume_one(&mut caller, &call).await;
+                caller.resumed_call(&call, outcome)
+            }));
+        }
+        sleep(Duration::from_millis(1_000)).await;
+        kill_entries(&mut fleet);
+        restart_entries(&mut fleet);
+        let mut resumed_calls = Vec::new();
+        for task in tasks {
+            resumed_calls.extend(task.await.expect("the caller does not panic"));
+        }
+        set_faults(&fleet, 0..ENGINES, NO_FAULTS);
+        assert!(!resumed_calls.is_empty(), "{}", fleet.output());
+        let outcomes = resume(&fleet, &resumed_calls).await;
+        assert_all_served(&fleet, &outcomes);
+        assert_no_violations(&fleet);
+    });
+}
+
+/// All processes are restarted, and the servers of the older version are gone: no process knows anything.
+#[test]
+fn streams_that_no_process_remembers_are_not_joined_to_the_only_listed_version() {
+    with_two_versions(119, |fleet| async move {
+        let (mut fleet, calls) = broken_off_streams(fleet, |fleet| {
+            kill_entries(fleet);
+            for engine in 0..ENGINES {
+                fleet.kill(ENTRIES + engine);
+            }
+            lose_engines(fleet, FIRST_VERSION_ENGINES);
+        })
+        .await;
+        for engine in 0..ENGINES {
+            fleet.restart(ENTRIES + engine).expect("the agent starts");
+        }
+        restart_entries(&mut fleet);
+        let outcomes = resume(&fleet, &calls).await;
+        let is_refused = |outcome: &Outcome| *outcome == Outcome::NotRun;
+        assert!(
+            outcomes.iter().all(is_refused),
+            "{outcomes:?}\n{}",
+            fleet.output()
+        );
+        assert_no_violations(&fleet);
+    });
+}
+
 #[test]
 fn stream_whose_software_version_is_gone_is_refused_without_a_run() {
     with_two_versions(83, |fleet| async move {
