fix(gateway): refuse at once the late requests that those in time leave no room

Cause: requests in time start before late ones, which the expected wait at arrival does not count, so that a flooding account's late requests waited until their deadline. The engine now counts the starts of requests in time over the last seconds and refuses a late one as soon as what they leave does not reach it; it says when.

--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         EngineLimits, EngineRefusal, EngineRequest, account_shares::AccountShares,
-        prompt_rate::PromptRate,
+        prompt_rate::PromptRate, timely_starts::TimelyStarts,
     },
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
@@ -36,6 +36,7 @@
     mean_run_ms: f64,
     prompt_rate: PromptRate,
     shares: AccountShares,
+    timely_starts: TimelyStarts,
 }
 
 impl EngineQueue {
@@ -48,6 +49,7 @@
             mean_run_ms: initial_run_ms,
             prompt_rate: PromptRate::default(),
             shares: AccountShares::default(),
+            timely_starts: TimelyStarts::default(),
         }
     }
 
@@ -179,6 +181,9 @@
                 request,
             };
             self.prompt_rate.start(now_ms);
+            if now_ms <= running.request.objective_ms {
+                self.timely_starts.record(now_ms);
+            }
             self.running.insert(running.request.key, running);
         }
         started
@@ -204,6 +209,41 @@
         });
     }
 
+    /// Returns the late requests among those that `can_serve` allows which cannot start before their deadline
+    /// while others that are in time go first, with the expected time until they could, in milliseconds.
+    pub(super) fn hopeless<F>(
+        &self,
+        batch_slots: u32,
+        now_ms: TimeMs,
+        can_serve: F,
+    ) -> HashMap<u64, u64>
+    where
+        F: Fn(&EngineRequest) -> bool,
+    {
+        let mut late: Vec<&EngineRequest> = self
+            .waiting
+            .iter()
+            .filter(|request| now_ms > request.objective_ms && can_serve(request))
+            .filter(|request| !self.shares.is_behind(request.account.as_ref()))
+            .collect();
+        late.sort_by_key(|request| (request.rank, request.minor_rank, request.objective_ms));
+        let start_interval_ms = self.mean_run_ms / f64::from(batch_slots.max(1));
+        let mut hopeless = HashMap::new();
+        let mut kept = 0;
+        for request in late {
+            let wait_ms = self
+                .timely_starts
+                .late_wait_ms(kept + 1, start_interval_ms, now_ms);
+            if wait_ms.is_some_and(|wait_ms| now_ms + wait_ms <= request.deadline_ms) {
+                kept += 1;
+            } else {
+                let wait_ms = wait_ms.unwrap_or(TimelyStarts::MAX_WAIT_MS);
+                hopeless.insert(request.key, wait_ms.min(TimelyStarts::MAX_WAIT_MS));
+            }
+        }
+        hopeless
+    }
+
     /// Returns the tokens of the prompts that the engine is reading.
     fn reading_tokens(&self) -> u64 {
         let reading = self.running.values().filter(|run| run.is_reading);
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -5,7 +5,8 @@
 
 use {
     super::{
-        EngineAction, EngineRefusal, EngineRequest, EngineScheduler, Ineligibility, SlotState,
+        AdapterSlots, EngineAction, EngineRefusal, EngineRequest, EngineScheduler, Ineligibility,
+        SlotState, base_models::BaseModels,
     },
     crate::TimeMs,
 };
@@ -126,6 +127,11 @@
         let adapters = &self.adapters;
         let is_slowed = self.max_reading_tokens(now_ms) < u64::MAX;
         let ready_ms = self.models.ready_ms();
+        let hopeless = self
+            .queue
+            .hopeless(self.limits.batch_slots, now_ms, |request| {
+                is_loaded(&self.models, &self.adapters, request)
+            });
         let rejected = self.queue.reject_where(|request| {
             let is_expired = now_ms + MIN_RUN_MS >= request.deadline_ms;
             let objective_ms = request.objective_ms.saturating_sub(request.arrived_ms);
@@ -145,6 +151,10 @@
                 .or_else(|| is_expired.then_some(EngineRefusal::Expired))
                 .or_else(|| is_slot_overdue.then_some(EngineRefusal::NoSlot))
                 .or_else(|| is_stuck.then_some(EngineRefusal::LateHere))
+                .or_else(|| {
+                    let is_hopeless = hopeless.contains_key(&request.key);
+                    is_hopeless.then_some(EngineRefusal::Overloaded)
+                })
         });
         let refusals = rejected
             .into_iter()
@@ -154,6 +164,7 @@
                 retry_after_ms: match reason {
                     EngineRefusal::Paused => pause_left_ms,
                     EngineRefusal::RateLimited => rate_wait_ms,
+                    EngineRefusal::Overloaded => hopeless.get(&key).copied().unwrap_or(0),
                     _ => 0,
                 },
             });
@@ -161,6 +172,18 @@
     }
 }
 
+/// Returns whether the engine has what a request needs, so that the request can start.
+pub(super) fn is_loaded(
+    models: &BaseModels,
+    adapters: &AdapterSlots,
+    request: &EngineRequest,
+) -> bool {
+    match &request.adapter {
+        Some(adapter) => adapters.state(adapter) == Some(SlotState::Resident),
+        None => models.is_loaded(&request.model),
+    }
+}
+
 /// Returns whether a request has waited so long that it should go elsewhere while it can still be in time.
 const fn is_held_up(request: &EngineRequest, now_ms: TimeMs) -> bool {
     /// Divides the objective; a request may wait for the quotient before it is handed back.
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -11,12 +11,12 @@
 use {
     super::{
         AdapterSlots, Announcement, Eligibility, EngineAction, EngineLimits, EngineReport,
-        EngineRequest, Ineligibility, Order, OrderKind, OrderOutcome, RateChange, RateSource,
-        RateStatement, RequestRate, SchedulerSettings, ServerNotice, SlotState, VersionedAdapter,
-        WorkTime, adapter_key,
+        EngineRequest, OrderKind, OrderOutcome, RateChange, RateSource, RateStatement, RequestRate,
+        SchedulerSettings, ServerNotice, SlotState, VersionedAdapter, WorkTime, adapter_key,
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
+        engine_refusals::is_loaded,
         host_copies::HostCopies,
         load_times::LoadTimes,
         order_tracker::{OrderTracker, PendingOrder},
@@ -138,71 +138,6 @@
         self.started_ms
     }
 
-    /// Returns the expected time until new requests can start, in milliseconds: until the base model
-    /// is loaded and the pause that the engine asked for has ended. Returns `None` if nothing is
-    /// known to make them start.
-    #[must_use]
-    pub fn ready_in_ms(&self, now_ms: TimeMs) -> Option<u64> {
-        let pause_left_ms = match self.eligibility.check(now_ms) {
-            Ok(()) => 0,
-            Err(Ineligibility::Paused { left_ms }) => left_ms,
-            Err(Ineligibility::Unreachable) => return self.models.ready_in_ms(now_ms),
-            Err(_) => return None,
-        };
-        match self.models.ready_in_ms(now_ms) {
-            Some(model_ms) => Some(model_ms.max(pause_left_ms)),
-            None => (pause_left_ms > 0 && !self.models.is_empty()).then_some(pause_left_ms),
-        }
-    }
-
-    /// Returns the number of adapter slots that are free or whose adapter is not in use.
-    fn slots_available(&self) -> u32 {
-        let free = (self.limits.adapter_slots as usize).saturating_sub(self.adapters.taken());
-        (free + self.adapters.unused()) as u32
-    }
-
-    /// Returns the expected time until the first event of a request that arrives now, in
-    /// milliseconds, if its prompt is short and its adapter is loaded.
-    #[must_use]
-    pub fn expected_first_event_ms(&self, rank: u32) -> u64 {
-        self.queue
-            .expected_first_event_ms(rank, self.limits.batch_slots)
-    }
-
-    /// Returns the expected time to load an adapter of which the host has a copy, in milliseconds:
-    /// the wait for a slot, and the load itself.
-    #[must_use]
-    pub fn expected_copy_load_ms(&self, now_ms: TimeMs) -> u64 {
-        let adapters_ahead = self.missing_adapters(now_ms).len();
-        let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
-        (wait_ms + self.load_times.mean_copy_load_ms()) as u64
-    }
-
-    /// Returns the expected time to fetch an adapter from the weight store, in milliseconds: the wait
-    /// for a slot, for the loads ahead, and the fetch itself.
-    #[must_use]
-    pub fn expected_fetch_ms(&self, now_ms: TimeMs) -> u64 {
-        let adapters_ahead = self.missing_adapters(now_ms).len();
-        let load_limit = self
-            .load_times
-            .load_limit(self.settings.max_concurrent_loads);
-        let ahead_ms = adapters_ahead as f64 / load_limit as f64 * self.load_times.mean_ms();
-        let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
-        (wait_ms + ahead_ms + self.load_times.mean_fetch_ms()) as u64
-    }
-
-    /// Returns the rate at which the engine reads prompts, in tokens per millisecond.
-    #[must_use]
-    pub fn prompt_tokens_per_ms(&self) -> f64 {
-        self.queue.prompt_tokens_per_ms()
-    }
-
-    /// Returns the average time between two places in a full batch becoming free, in milliseconds.
-    #[must_use]
-    pub fn batch_turnover_ms(&self) -> f64 {
-        self.queue.mean_run_ms() / f64::from(self.limits.batch_slots.max(1))
-    }
-
     /// Records that a request has produced its first event.
     pub fn record_first_event(
         &mut self,
@@ -410,47 +345,14 @@
         self.models.is_loaded(model) || self.models.is_loading_model(model)
     }
 
-    /// Returns the expected wait for a slot of an adapter after `adapters_ahead` others, in
-    /// milliseconds.
-    fn expected_slot_wait_ms(&self, adapters_ahead: usize) -> f64 {
-        let slots = f64::from(self.limits.adapter_slots.max(1));
-        let missing_slots = adapters_ahead as f64 + 1.0 - f64::from(self.slots_available());
-        missing_slots.max(0.0) * self.queue.mean_run_ms() / slots
-    }
-
     /// Returns whether the engine's host probably caches an adapter.
     pub(super) fn is_copied(&self, adapter: &str) -> bool {
         self.copies.contains(adapter_key(adapter))
     }
 
-    /// Returns the expected time of a load of an adapter, in milliseconds.
-    pub(super) fn load_ms(&self, adapter: &str) -> f64 {
-        if self.is_copied(adapter) {
-            self.load_times.mean_copy_load_ms()
-        } else {
-            self.load_times.mean_fetch_ms()
-        }
-    }
-
-    /// Returns the expected wait of a request until its adapter is loaded, in milliseconds.
-    pub(super) fn expected_load_ms(&self, request: &EngineRequest) -> u64 {
-        let Some(adapter) = &request.adapter else {
-            return 0;
-        };
-        match self.adapters.state(adapter) {
-            Some(SlotState::Resident) => 0,
-            Some(SlotState::Loading) => self.load_times.mean_ms() as u64,
-            None if self.is_copied(adapter) => self.expected_copy_load_ms(request.arrived_ms),
-            None => self.expected_fetch_ms(request.arrived_ms),
-        }
-    }
-
     fn start(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         let (models, adapters) = (&self.models, &self.adapters);
-        let can_serve = |request: &EngineRequest| match &request.adapter {
-            Some(adapter) => adapters.state(adapter) == Some(SlotState::Resident),
-            None => models.is_loaded(&request.model),
-        };
+        let can_serve = |request: &EngineRequest| is_loaded(models, adapters, request);
         let max_started = self.eligibility.limit().available(now_ms);
         let max_reading_tokens = self.max_reading_tokens(now_ms);
         let started = self.queue.start(
@@ -469,86 +371,6 @@
         }
     }
 
-    /// Returns the next order: the load of a base model if there is none, then replacements of old
-    /// adapter versions, then the load of the missing adapter with the highest weight, or an
-    /// eviction to make room for it.
-    fn next_order(&mut self, now_ms: TimeMs) -> Option<Order> {
-        if self.models.is_empty() {
-            return self.order_model(now_ms);
-        }
-        if self.adapters.loading() >= self.settings.max_concurrent_loads {
-            return None;
-        }
-        if let Some(order) = self.order_replacement(now_ms) {
-            return Some(order);
-        }
-        let missing = self.missing_adapter(now_ms)?;
-        let fetch_limit = self
-            .load_times
-            .load_limit(self.settings.max_concurrent_loads);
-        if !self.is_copied(&missing) && self.adapters.loading() >= fetch_limit {
-            return None;
-        }
-        if self.adapters.taken() < self.limits.adapter_slots as usize {
-            return Some(self.order_adapter(&missing, now_ms));
-        }
-        let victim = self
-            .adapters
-            .victim(now_ms, |name| self.queue.needs_adapter(name))?;
-        Some(self.orders.issue_adapter(OrderKind::Unload, &victim, None))
-    }
-
-    /// Returns the missing adapter to load next: one of which the host has a copy, which takes little
-    /// time and nothing from the weight store, then the one with the highest weight; see
-    /// [`EngineQueue::missing_adapters`].
-    fn missing_adapter(&self, now_ms: TimeMs) -> Option<Arc<str>> {
-        self.missing_adapters(now_ms)
-            .into_iter()
-            .map(|(name, weight)| (self.is_copied(name), weight, name))
-            .max_by(
-                |(is_copied_a, weight_a, name_a), (is_copied_b, weight_b, name_b)| {
-                    is_copied_a
-                        .cmp(is_copied_b)
-                        .then_with(|| weight_a.total_cmp(weight_b))
-                        .then_with(|| name_b.cmp(name_a))
-                },
-            )
-            .map(|(.., name)| Arc::clone(name))
-    }
-
-    /// Returns the adapters for which requests wait and that have no slot, with their weights.
-    fn missing_adapters(&self, now_ms: TimeMs) -> HashMap<&Arc<str>, f64> {
-        let load_ms = |adapter: &str| self.load_ms(adapter) as u64;
-        self.queue
-            .missing_adapters(now_ms, load_ms, |request, adapter| {
-                self.adapters.state(adapter).is_none() && self.may_serve(&request.model)
-            })
-    }
-
-    /// Issues the order to replace a loaded adapter by its newer version.
-    fn order_replacement(&mut self, now_ms: TimeMs) -> Option<Order> {
-        let name = self.replacements.take_due(now_ms)?;
-        let is_outdated = self.adapters.version(&name)? < self.replacements.newest(&name);
-        is_outdated.then(|| self.order_adapter(&name, now_ms))
-    }
-
-    /// Issues the order to load the newest version of an adapter.
-    fn order_adapter(&mut self, name: &Arc<str>, now_ms: TimeMs) -> Order {
-        let newest = self.replacements.newest(name);
-        self.adapters.start_load(Arc::clone(name), newest, now_ms);
-        let version = Some(newest).filter(|&version| version > 0);
-        self.orders.issue_adapter(OrderKind::Load, name, version)
-    }
-
-    /// Issues the order to load a base model into an empty engine.
-    fn order_model(&mut self, now_ms: TimeMs) -> Option<Order> {
-        let (choice, gap_ms) = (self.settings.engine_seed, self.settings.model_load_gap_ms);
-        let model = self
-            .models
-            .next_load(&self.limits, choice, gap_ms, now_ms)?;
-        Some(self.orders.issue_model(model))
-    }
-
     /// Applies an order that the engine has accepted or completed.
     fn apply_order(&mut self, pending: &PendingOrder) {
         match (&pending.adapter, pending.order.kind) {
