feat(gateway): one queue of fetches from the weight store over the fleet

Cause: each engine ordered up to four fetches on its own; 71 were in transit on a store that carries 8 at once, so that after a cold start nobody was in time. Agents now tell the linked entry whose name ranks first what they fetch and wait for; it permits as many fetches as the store has been found to carry, for requests that can still be in time first. Without an answer for 150 ms an engine limits itself as before.

--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -1,13 +1,16 @@
 //! Which model or adapter an engine loads next, and which adapter it evicts for it.
 //!
-//! Load: requests wait for more adapters than the weight store delivers at once. Each engine limits its own
-//! fetches by how slow they have become; of what it misses, it loads first what most requests wait for that can
-//! still be in time.
+//! Load: requests wait for more adapters than the weight store delivers at once. An entry permits the fetches of
+//! all engines, see [`FetchQueue`](super::FetchQueue); while none answers, each engine limits its own by how slow
+//! they have become, and loads first what most requests wait for that can still be in time.
 
 use {
-    super::{EngineScheduler, Order, OrderKind},
+    super::{
+        EngineAction, EngineRequest, EngineScheduler, Order, OrderKind, SlotState, adapter_key,
+        message::{EngineFetches, FetchPermits, FetchWish},
+    },
     crate::TimeMs,
-    std::{collections::HashMap, sync::Arc},
+    std::{cmp::Reverse, collections::HashMap, sync::Arc},
 };
 
 impl EngineScheduler {
@@ -25,10 +28,7 @@
             return Some(order);
         }
         let missing = self.missing_adapter(now_ms)?;
-        let fetch_limit = self
-            .load_times
-            .load_limit(self.settings.max_concurrent_loads);
-        if !self.is_copied(&missing) && self.adapters.loading() >= fetch_limit {
+        if !self.is_copied(&missing) && !self.may_fetch(&missing, now_ms) {
             return None;
         }
         if self.adapters.taken() < self.limits.adapter_slots as usize {
@@ -40,24 +40,94 @@
         Some(self.orders.issue_adapter(OrderKind::Unload, &victim, None))
     }
 
+    /// Returns whether an adapter may be fetched now: by a permit, or while there is nobody to give one, within
+    /// this engine's own limit.
+    fn may_fetch(&self, adapter: &str, now_ms: TimeMs) -> bool {
+        if self.fetches.is_active(now_ms) {
+            return self.fetches.is_permitted(adapter_key(adapter), now_ms);
+        }
+        let max_loads = self.settings.max_concurrent_loads;
+        self.adapters.loading() < self.load_times.load_limit(max_loads)
+    }
+
     /// Returns the missing adapter to load next: one of which the host has a copy, which takes little
-    /// time and nothing from the weight store, then the one with the highest weight; see
-    /// [`EngineQueue::missing_adapters`].
+    /// time and nothing from the weight store, then one whose fetch is permitted, then the one with the highest
+    /// weight; see [`EngineQueue::missing_adapters`].
     pub(super) fn missing_adapter(&self, now_ms: TimeMs) -> Option<Arc<str>> {
         self.missing_adapters(now_ms)
             .into_iter()
-            .map(|(name, weight)| (self.is_copied(name), weight, name))
-            .max_by(
-                |(is_copied_a, weight_a, name_a), (is_copied_b, weight_b, name_b)| {
-                    is_copied_a
-                        .cmp(is_copied_b)
-                        .then_with(|| weight_a.total_cmp(weight_b))
-                        .then_with(|| name_b.cmp(name_a))
-                },
-            )
+            .map(|(name, weight)| {
+                let is_permitted = self.fetches.is_permitted(adapter_key(name), now_ms);
+                ((self.is_copied(name), is_permitted), weight, name)
+            })
+            .max_by(|(first_a, weight_a, name_a), (first_b, weight_b, name_b)| {
+                first_a
+                    .cmp(first_b)
+                    .then_with(|| weight_a.total_cmp(weight_b))
+                    .then_with(|| name_b.cmp(name_a))
+            })
             .map(|(.., name)| Arc::clone(name))
     }
 
+    /// Starts anew with an entry that permits fetches, or without one.
+    pub fn set_fetch_entry(&mut self, has_entry: bool) {
+        self.fetches.set_entry(has_entry);
+    }
+
+    /// Applies the permits of the entry.
+    pub fn apply_fetch_permits(
+        &mut self,
+        permits: &FetchPermits,
+        now_ms: TimeMs,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        self.fetches.apply(permits, now_ms);
+        self.advance(now_ms, actions);
+    }
+
+    /// Returns what the entry that permits fetches must be told now, if anything.
+    pub fn fetch_message(&mut self, now_ms: TimeMs) -> Option<EngineFetches> {
+        let wishes = if self.eligibility.check(now_ms).is_ok() {
+            self.fetch_wishes(now_ms)
+        } else {
+            Vec::new()
+        };
+        let adapters = &self.adapters;
+        self.fetches
+            .retain_fetching(|name| adapters.state(name) == Some(SlotState::Loading));
+        self.fetches.drop_unused(now_ms, |adapter| {
+            wishes.iter().any(|wish| wish.adapter == adapter)
+        });
+        self.fetches.message(wishes, now_ms)
+    }
+
+    /// Returns the adapters that the engine needs from the weight store, as far as it has slots for them.
+    fn fetch_wishes(&self, now_ms: TimeMs) -> Vec<FetchWish> {
+        let loading = self.adapters.loading();
+        let room = (self.settings.max_concurrent_loads.saturating_sub(loading))
+            .min(self.slots_available() as usize);
+        let fetch_ms = self.load_times.mean_fetch_ms() as u64;
+        let is_missing = |request: &EngineRequest, adapter: &Arc<str>| {
+            self.adapters.state(adapter).is_none()
+                && !self.is_copied(adapter)
+                && self.models.is_loaded(&request.model)
+        };
+        let batch_slots = self.limits.batch_slots;
+        let mut wishes = self
+            .queue
+            .fetch_wishes(now_ms, fetch_ms, batch_slots, is_missing);
+        wishes.sort_by_key(|wish| {
+            (
+                wish.left_ms.is_none(),
+                wish.left_ms,
+                Reverse(wish.waited_ms),
+                wish.adapter,
+            )
+        });
+        wishes.truncate(room);
+        wishes
+    }
+
     /// Returns the adapters for which requests wait and that have no slot, with their weights.
     pub(super) fn missing_adapters(&self, now_ms: TimeMs) -> HashMap<&Arc<str>, f64> {
         let load_ms = |adapter: &str| self.load_ms(adapter) as u64;
@@ -77,6 +147,9 @@
     /// Issues the order to load the newest version of an adapter.
     pub(super) fn order_adapter(&mut self, name: &Arc<str>, now_ms: TimeMs) -> Order {
         let newest = self.replacements.newest(name);
+        if !self.is_copied(name) {
+            self.fetches.start(name, adapter_key(name));
+        }
         self.adapters.start_load(Arc::clone(name), newest, now_ms);
         let version = Some(newest).filter(|&version| version > 0);
         self.orders.issue_adapter(OrderKind::Load, name, version)
--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        EngineLimits, EngineRefusal, EngineRequest, account_shares::AccountShares,
-        prompt_rate::PromptRate, timely_starts::TimelyStarts,
+        EngineLimits, EngineRefusal, EngineRequest, account_shares::AccountShares, adapter_key,
+        message::FetchWish, prompt_rate::PromptRate, timely_starts::TimelyStarts,
     },
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
@@ -380,6 +380,44 @@
         missing
     }
 
+    /// Returns the adapters of waiting requests for which `is_missing` returns `true`, as wishes for fetches that
+    /// take `fetch_ms`.
+    pub(super) fn fetch_wishes<F>(
+        &self,
+        now_ms: TimeMs,
+        fetch_ms: u64,
+        batch_slots: u32,
+        is_missing: F,
+    ) -> Vec<FetchWish>
+    where
+        F: Fn(&EngineRequest, &Arc<str>) -> bool,
+    {
+        let mut wishes: HashMap<&Arc<str>, FetchWish> = HashMap::new();
+        for request in &self.waiting {
+            let Some(adapter) = &request.adapter else {
+                continue;
+            };
+            if !is_missing(request, adapter) {
+                continue;
+            }
+            let wish = wishes.entry(adapter).or_insert_with(|| FetchWish {
+                adapter: adapter_key(adapter),
+                ..FetchWish::default()
+            });
+            let prompt_ms = request.prompt_tokens as f64 / self.prompt_rate.tokens_per_ms();
+            let ahead_ms = self.expected_first_event_ms(request.rank, batch_slots) + fetch_ms;
+            let left_ms = request
+                .objective_ms
+                .checked_sub(now_ms + ahead_ms + prompt_ms as u64);
+            wish.left_ms = [wish.left_ms, left_ms].into_iter().flatten().min();
+            wish.waited_ms = wish
+                .waited_ms
+                .max(now_ms.saturating_sub(request.arrived_ms));
+            wish.requests += 1;
+        }
+        wishes.into_values().collect()
+    }
+
     /// Returns whether a waiting request needs an adapter.
     pub(super) fn needs_adapter(&self, adapter: &str) -> bool {
         self.waiting
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -125,6 +125,8 @@
         let pause_left_ms = self.eligibility.pause_left_ms(now_ms);
         let rate_wait_ms = self.eligibility.limit().wait_ms(0, now_ms);
         let adapters = &self.adapters;
+        // Another engine would wait for the same permits.
+        let waits_for_permits = self.fetches.is_active(now_ms) && self.slots_available() > 0;
         let is_slowed = self.max_reading_tokens(now_ms) < u64::MAX;
         let ready_ms = self.models.ready_ms();
         let hopeless = self
@@ -144,8 +146,9 @@
             let is_slot_overdue = !has_slot && now_ms > since_ms + max_wait_ms;
             // More urgent requests may have taken the times for which it has waited.
             let is_rate_overdue = rate_wait_ms > 0 && now_ms > request.objective_ms;
-            let is_stuck =
-                request.may_move && is_held_up(request, now_ms) && (!has_slot || is_slowed);
+            let is_stuck = request.may_move
+                && is_held_up(request, now_ms)
+                && (!(has_slot || waits_for_permits) || is_slowed);
             refusal_reason(eligibility, request, now_ms)
                 .or_else(|| is_rate_overdue.then_some(EngineRefusal::RateLimited))
                 .or_else(|| is_expired.then_some(EngineRefusal::Expired))
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -17,6 +17,7 @@
         base_models::BaseModels,
         engine_queue::EngineQueue,
         engine_refusals::is_loaded,
+        fetch_control::FetchControl,
         host_copies::HostCopies,
         load_times::LoadTimes,
         order_tracker::{OrderTracker, PendingOrder},
@@ -44,6 +45,7 @@
     /// Whether this start of the engine may get new work.
     pub(super) eligibility: Eligibility,
     pub(super) work_time: WorkTime,
+    pub(super) fetches: FetchControl,
 }
 
 impl EngineScheduler {
@@ -64,6 +66,7 @@
             restarts: 0,
             eligibility: Eligibility::default(),
             work_time: WorkTime::default(),
+            fetches: FetchControl::default(),
         }
     }
 
@@ -396,6 +399,7 @@
         let loading = loading_adapters(report);
         for load_ms in self.adapters.reconcile(&loaded, &loading, now_ms) {
             self.load_times.record(load_ms as f64);
+            self.fetches.record_ended(load_ms);
         }
         self.schedule_replacements(&loaded, now_ms);
     }
--- a/crates/magnoliasail-core/src/gateway/expected_waits.rs
+++ b/crates/magnoliasail-core/src/gateway/expected_waits.rs
@@ -50,13 +50,21 @@
     /// for a slot, for the loads ahead, and the fetch itself.
     #[must_use]
     pub fn expected_fetch_ms(&self, now_ms: TimeMs) -> u64 {
+        (self.local_fetch_ms(now_ms) + self.fetches.expected_wait_ms(now_ms)) as u64
+    }
+
+    /// Returns the same without the wait for a permit, which is the same at all engines.
+    fn local_fetch_ms(&self, now_ms: TimeMs) -> f64 {
         let adapters_ahead = self.missing_adapters(now_ms).len();
+        let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
+        if self.fetches.is_active(now_ms) {
+            return wait_ms + self.load_times.mean_fetch_ms();
+        }
         let load_limit = self
             .load_times
             .load_limit(self.settings.max_concurrent_loads);
         let ahead_ms = adapters_ahead as f64 / load_limit as f64 * self.load_times.mean_ms();
-        let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
-        (wait_ms + ahead_ms + self.load_times.mean_fetch_ms()) as u64
+        wait_ms + ahead_ms + self.load_times.mean_fetch_ms()
     }
 
     /// Returns the rate at which the engine reads prompts, in tokens per millisecond.
@@ -88,7 +96,8 @@
         }
     }
 
-    /// Returns the expected wait of a request until its adapter is loaded, in milliseconds.
+    /// Returns the expected wait of a request until its adapter is loaded, in milliseconds, without that for a
+    /// permit.
     pub(super) fn expected_load_ms(&self, request: &EngineRequest) -> u64 {
         let Some(adapter) = &request.adapter else {
             return 0;
@@ -97,7 +106,7 @@
             Some(SlotState::Resident) => 0,
             Some(SlotState::Loading) => self.load_times.mean_ms() as u64,
             None if self.is_copied(adapter) => self.expected_copy_load_ms(request.arrived_ms),
-            None => self.expected_fetch_ms(request.arrived_ms),
+            None => self.local_fetch_ms(request.arrived_ms) as u64,
         }
     }
 }
--- /dev/null
+++ b/crates/magnoliasail-core/src/gateway/fetch_control.rs
@@ -0,0 +1,164 @@
+//! When an engine may fetch an adapter from the weight store, by the permits of an entry.
+//!
+//! While no entry answers, the engine fetches without permits, and limits itself by how slow its fetches have
+//! become. So an entry that is lost or slow costs a bounded wait.
+
+use {
+    super::message::{EngineFetches, FetchPermits, FetchWish},
+    crate::TimeMs,
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// Time within which an entry acknowledges a message: many round trips, and well below an objective.
+const MAX_ACKNOWLEDGE_MS: u64 = 150;
+/// Time after which a permit that was not used counts as given back.
+const PERMIT_LIFETIME_MS: u64 = 1_000;
+/// Weight of the newest wait in the moving average.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// The permits of one engine, and what the entry that gives them knows.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FetchControl {
+    /// Whether an entry is linked that gives permits.
+    has_entry: bool,
+    permits: Vec<Permit>,
+    permits_received: u64,
+    /// The message that was sent last.
+    sent: EngineFetches,
+    /// When the oldest message was sent that the entry has not acknowledged.
+    unacknowledged_since_ms: Option<TimeMs>,
+    /// The adapters whose fetch was ordered.
+    fetching: Vec<Arc<str>>,
+    ended_ms: Vec<u32>,
+    /// Since when the adapters of the last message have waited for a permit.
+    wished_ms: HashMap<u64, TimeMs>,
+    mean_wait_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Permit {
+    adapter: u64,
+    expires_ms: TimeMs,
+}
+
+impl FetchControl {
+    /// Starts anew with an entry that gives permits, or without one.
+    pub(super) fn set_entry(&mut self, has_entry: bool) {
+        *self = Self {
+            has_entry,
+            fetching: std::mem::take(&mut self.fetching),
+            ..Self::default()
+        };
+    }
+
+    /// Returns whether fetches need a permit.
+    pub(super) fn is_active(&self, now_ms: TimeMs) -> bool {
+        let is_silent = self
+            .unacknowledged_since_ms
+            .is_some_and(|since_ms| now_ms > since_ms + MAX_ACKNOWLEDGE_MS);
+        self.has_entry && !is_silent
+    }
+
+    /// Returns the expected wait for a permit, in milliseconds.
+    pub(super) fn expected_wait_ms(&self, now_ms: TimeMs) -> f64 {
+        if self.is_active(now_ms) {
+            self.mean_wait_ms
+        } else {
+            0.0
+        }
+    }
+
+    /// Applies what the entry permits.
+    pub(super) fn apply(&mut self, permits: &FetchPermits, now_ms: TimeMs) {
+        if permits.received >= self.sent.number {
+            self.unacknowledged_since_ms = None;
+        }
+        self.permits_received += permits.adapters.len() as u64;
+        for adapter in &permits.adapters {
+            if let Some(wished_ms) = self.wished_ms.remove(adapter) {
+                let wait_ms = now_ms.saturating_sub(wished_ms) as f64;
+                self.mean_wait_ms += NEWEST_WEIGHT * (wait_ms - self.mean_wait_ms);
+            }
+        }
+        let expires_ms = now_ms + PERMIT_LIFETIME_MS;
+        let new = permits.adapters.iter().map(|&adapter| Permit {
+            adapter,
+            expires_ms,
+        });
+        self.permits.extend(new);
+    }
+
+    /// Returns whether an adapter may be fetched now.
+    pub(super) fn is_permitted(&self, adapter: u64, now_ms: TimeMs) -> bool {
+        self.permits
+            .iter()
+            .any(|permit| permit.adapter == adapter && permit.expires_ms > now_ms)
+    }
+
+    /// Records that the fetch of an adapter is ordered.
+    pub(super) fn start(&mut self, name: &Arc<str>, adapter: u64) {
+        self.permits.retain(|permit| permit.adapter != adapter);
+        self.fetching.push(Arc::clone(name));
+    }
+
+    /// Forgets the fetches that `is_loading` denies.
+    pub(super) fn retain_fetching(&mut self, is_loading: impl Fn(&str) -> bool) {
+        self.fetching.retain(|name| is_loading(name));
+    }
+
+    /// Records the time of a load that ended.
+    pub(super) fn record_ended(&mut self, load_ms: u64) {
+        if self.has_entry {
+            self.ended_ms
+                .push(u32::try_from(load_ms).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// Drops the permits that have expired, and those of adapters that `is_needed` denies.
+    pub(super) fn drop_unused(&mut self, now_ms: TimeMs, is_needed: impl Fn(u64) -> bool) {
+        self.permits
+            .retain(|permit| permit.expires_ms > now_ms && is_needed(permit.adapter));
+    }
+
+    /// Returns the next message for the entry, if it would learn something new from it. `wishes` are the
+    /// adapters that the engine misses.
+    pub(super) fn message(
+        &mut self,
+        wishes: Vec<FetchWish>,
+        now_ms: TimeMs,
+    ) -> Option<EngineFetches> {
+        if !self.has_entry {
+            return None;
+        }
+        let wishes: Vec<FetchWish> = wishes
+            .into_iter()
+            .filter(|wish| !self.is_permitted(wish.adapter, now_ms))
+            .collect();
+        self.wished_ms
+            .retain(|adapter, _| wishes.iter().any(|wish| wish.adapter == *adapter));
+        for wish in &wishes {
+            self.wished_ms.entry(wish.adapter).or_insert(now_ms);
+        }
+        let in_transit = (self.fetching.len() + self.permits.len()) as u32;
+        let is_known = self.ended_ms.is_empty()
+            && self.sent.in_transit == in_transit
+            && self.sent.permits_received == self.permits_received
+            && adapters(&self.sent.wishes).eq(adapters(&wishes));
+        if is_known {
+            return None;
+        }
+        self.sent = EngineFetches {
+            number: self.sent.number + 1,
+            permits_received: self.permits_received,
+            in_transit,
+            wishes,
+            ended_ms: std::mem::take(&mut self.ended_ms),
+        };
+        self.unacknowledged_since_ms.get_or_insert(now_ms);
+        Some(self.sent.clone())
+    }
+}
+
+fn adapters(wishes: &[FetchWish]) -> impl Iterator<Item = u64> {
+    wishes.iter().map(|wish| wish.adapter)
+}
--- a/crates/magnoliasail-core/src/gateway/message/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/message/mod.rs
@@ -1,12 +1,14 @@
 //! The messages on a link between an entry and the agent of a model engine.
 
 mod configuration;
+mod fetches;
 mod origin;
 mod quota;
 mod versions;
 
 pub use self::{
     configuration::{AskConfiguration, ConfigurationCopy},
+    fetches::{EngineFetches, FetchPermits, FetchWish, PermitsFetches},
     origin::{OriginAnswer, StreamOrigin},
     quota::{AskQuota, QuotaAnswer},
     versions::{ListedVersion, ServiceVersions},
@@ -18,7 +20,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToAgent {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub kind: Option<ToAgentKind>,
 }
 
@@ -59,6 +61,12 @@
     /// Tells which software versions a service has had recently.
     #[prost(message, tag = "10")]
     Versions(ServiceVersions),
+    /// Tells that the entry permits fetches from the weight store.
+    #[prost(message, tag = "11")]
+    PermitsFetches(PermitsFetches),
+    /// Permits fetches from the weight store.
+    #[prost(message, tag = "12")]
+    FetchPermits(FetchPermits),
 }
 
 /// A question whether a request may be sent to a plain server that names a rate.
@@ -224,7 +232,7 @@
     /// The content of the message; absent if the sender uses a kind unknown here.
     #[prost(
         oneof = "ToEntryKind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub kind: Option<ToEntryKind>,
 }
@@ -284,6 +292,9 @@
     /// Tells which software versions a service has had recently.
     #[prost(message, tag = "17")]
     Versions(ServiceVersions),
+    /// Tells what the engine fetches from the weight store and what it waits for.
+    #[prost(message, tag = "18")]
+    Fetches(EngineFetches),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -37,6 +37,8 @@
 mod event_stream;
 mod expected_waits;
 mod expiring_map;
+mod fetch_control;
+mod fetch_queue;
 mod fingerprint;
 mod freshness;
 mod grant_agent;
@@ -75,6 +77,7 @@
 mod store_position;
 mod stream_origins;
 mod timely_starts;
+mod transfer_limit;
 mod unreported;
 mod version_constraint;
 mod version_history;
@@ -100,6 +103,7 @@
     engine_scheduler::EngineScheduler,
     engine_watch::{EngineWatch, MissingReport},
     event_stream::{EventSplitter, StreamEvent},
+    fetch_queue::FetchQueue,
     fingerprint::{
         part_fingerprint, request_fingerprint, server_start_fingerprint, service_fingerprint,
     },
@@ -132,6 +136,7 @@
     store_freshness::StoreFreshness,
     store_position::StorePosition,
     stream_origins::StreamOrigins,
+    transfer_limit::TransferLimit,
     unreported::UnreportedWork,
     version_constraint::VersionConstraint,
     version_history::VersionHistory,
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -116,6 +116,10 @@
     OrderGiven = 430,
     /// An order to an engine got no response, so its outcome is unknown.
     OrderLost = 431,
+    /// An agent asks another entry than before for permits to fetch adapters from the weight store.
+    FetchEntryPicked = 432,
+    /// The entry that is asked permitted the fetch of an adapter.
+    FetchPermitted = 433,
     /// An agent refused an attempt, which has not run.
     AttemptRefused = 500,
     /// An attempt at a server failed.
@@ -213,6 +217,8 @@
             | Self::CallerLeft
             | Self::QuotaExceeded
             | Self::OrderGiven
+            | Self::FetchEntryPicked
+            | Self::FetchPermitted
             | Self::AttemptRefused
             | Self::AttemptFailed
             | Self::AnswerBrokenOff
--- a/crates/magnoliasail/src/gateway/agent/entry_link.rs
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -56,6 +56,12 @@
                 receiving_state.answer_configuration(id, question);
             }
             Some(ToAgentKind::Versions(versions)) => receiving_state.add_versions(&versions),
+            Some(ToAgentKind::PermitsFetches(permits)) => {
+                receiving_state.add_fetch_entry(id, permits.entry);
+            }
+            Some(ToAgentKind::FetchPermits(permits)) => {
+                receiving_state.apply_fetch_permits(id, &permits);
+            }
             None => {}
         })
         .await;
--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod engine;
 mod entry_link;
+mod fetches;
 mod operator_observer;
 mod outgoing;
 mod questions;
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -8,6 +8,7 @@
     super::{
         active_request::ActiveRequest,
         engine::{run_request, send_order},
+        fetches::FetchEntries,
         report_mark::ReportMark,
     },
     crate::{
@@ -88,6 +89,7 @@
     pub(super) holdings: RefCell<HoldingsTracker>,
     /// The origins of streams that this engine began, and of others that entries sent.
     origins: RefCell<StreamOrigins>,
+    pub(super) fetch_entries: RefCell<FetchEntries>,
     /// The software versions of services, as entries have listed them.
     versions: RefCell<VersionHistory>,
     pub(super) next_key: Cell<u64>,
@@ -140,6 +142,7 @@
             holdings: RefCell::default(),
             origins: RefCell::default(),
             versions: RefCell::new(versions),
+            fetch_entries: RefCell::default(),
             next_key: Cell::new(1),
             next_link: Cell::new(1),
             mean_head_time_ms: Cell::new(INITIAL_HEAD_TIME_MS),
@@ -180,6 +183,7 @@
     /// Removes a link and cancels its requests.
     pub(super) fn remove_link(self: &Rc<Self>, link: LinkId) {
         self.links.borrow_mut().remove(&link);
+        self.remove_fetch_entry(link);
         let keys: Vec<u64> = self
             .active_requests
             .borrow()
@@ -396,6 +400,7 @@
         for action in actions {
             self.execute_action(action);
         }
+        self.report_fetches(now_ms);
         let (waiting, load) = {
             let scheduler = self.scheduler.borrow();
             (scheduler.waiting() as i64, i64::from(scheduler.load()))
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -343,6 +343,9 @@
                     .answer(answer.question, answer.content());
             }
             ToEntryKind::Configuration(copy) => self.notify(LinkNotice::Configuration(copy)),
+            ToEntryKind::Fetches(fetches) => {
+                self.notify(LinkNotice::Fetches(self.address.ip(), fetches));
+            }
             ToEntryKind::Versions(versions) => self.notify(LinkNotice::Versions(versions)),
             ToEntryKind::Origin(answer) => self.answer_origin_queries(&answer),
             ToEntryKind::Holdings(update) => self.holdings.borrow_mut().apply(&update),
@@ -427,6 +430,7 @@
                 .run(async move |message: ToEntry| receiver.receive(message))
                 .await;
             link.outbox.replace(None);
+            link.notify(LinkNotice::Down(link.address.ip()));
             link.set_state(EngineState::default());
             // This closes the queues of all attempts, which aborts the attempts.
             link.attempts.borrow_mut().clear();
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
@@ -0,0 +1,65 @@
+//! Permits the fetches of all engines from the weight store, if this entry is the one that agents ask.
+
+use {
+    super::state::EntryState,
+    crate::events::{EventId, emit},
+    magnoliasail_core::gateway::message::{
+        EngineFetches, FetchPermits, PermitsFetches, ToAgentKind,
+    },
+    std::{collections::BTreeMap, net::IpAddr},
+};
+
+impl EntryState {
+    /// Tells an agent whose link is up that this entry permits fetches.
+    pub(super) fn offer_fetch_permits(&self, vm: IpAddr) {
+        let entry = self.settings.vm_name.as_ref().to_owned();
+        self.send_to_agent(vm, ToAgentKind::PermitsFetches(PermitsFetches { entry }));
+    }
+
+    /// Applies what an agent fetches and waits for, and permits what can be fetched now.
+    pub(super) fn apply_fetches(&self, vm: IpAddr, fetches: &EngineFetches) {
+        let now_ms = self.clock.now_ms();
+        self.fetch_queue.borrow_mut().update(vm, fetches, now_ms);
+        self.permit_fetches(Some((vm, fetches.number)));
+    }
+
+    /// Forgets the fetches of an agent whose link has ended.
+    pub(super) fn remove_fetches(&self, vm: IpAddr) {
+        self.fetch_queue.borrow_mut().remove(vm);
+        self.permit_fetches(None);
+    }
+
+    /// Sends the permits that can be given, and acknowledges the message of an agent with this number.
+    fn permit_fetches(&self, received: Option<(IpAddr, u64)>) {
+        let now_ms = self.clock.now_ms();
+        let permits = self.fetch_queue.borrow_mut().permit(now_ms);
+        let mut by_vm: BTreeMap<IpAddr, FetchPermits> = BTreeMap::new();
+        if let Some((vm, number)) = received {
+            by_vm.entry(vm).or_default().received = number;
+        }
+        let queue = self.fetch_queue.borrow();
+        for (vm, adapter) in permits {
+            emit(
+                EventId::FetchPermitted,
+                format_args!(
+                    "agent={vm} adapter_key={adapter:016x} in_transit={} limit={} waiting={}",
+                    queue.in_transit(),
+                    queue.limit(),
+                    queue.waiting()
+                ),
+            );
+            by_vm.entry(vm).or_default().adapters.push(adapter);
+        }
+        for (vm, permits) in by_vm {
+            self.send_to_agent(vm, ToAgentKind::FetchPermits(permits));
+        }
+    }
+
+    fn send_to_agent(&self, vm: IpAddr, kind: ToAgentKind) {
+        let link = self.links.borrow().get(&vm).cloned();
+        let is_sent = link.is_some_and(|link| link.send(kind));
+        if !is_sent {
+            emit(EventId::RingFull, format_args!("permits agent={vm}"));
+        }
+    }
+}
--- a/crates/magnoliasail/src/gateway/entry/link_notice.rs
+++ b/crates/magnoliasail/src/gateway/entry/link_notice.rs
@@ -3,7 +3,8 @@
 use {
     super::{quarantine::tell_agent, state::EntryState},
     magnoliasail_core::gateway::message::{
-        CompletionNotice, ConfigurationCopy, CrashReport, QuarantineChange, ServiceVersions,
+        CompletionNotice, ConfigurationCopy, CrashReport, EngineFetches, QuarantineChange,
+        ServiceVersions,
     },
     std::{net::IpAddr, rc::Rc},
     tokio::sync::mpsc,
@@ -29,6 +30,10 @@
     Configuration(ConfigurationCopy),
     /// An agent tells which software versions a service has had.
     Versions(ServiceVersions),
+    /// The agent on this VM tells what its engine fetches.
+    Fetches(IpAddr, EngineFetches),
+    /// The link to the agent on this VM has ended.
+    Down(IpAddr),
 }
 
 /// Handles the notices of all links until the process exits.
@@ -40,12 +45,15 @@
         match notice {
             LinkNotice::Up(vm) => {
                 state.send_versions(vm);
+                state.offer_fetch_permits(vm);
                 tokio::task::spawn_local(tell_agent(Rc::clone(&state), vm));
             }
             LinkNotice::Crash(report) => state.apply_reported_crash(report),
             LinkNotice::Quarantine(change) => state.adopt_quarantine(change),
             LinkNotice::QuarantinesSent => state.mark_quarantines_known(),
             LinkNotice::Completed(notice) => state.apply_completion(notice),
+            LinkNotice::Fetches(vm, fetches) => state.apply_fetches(vm, &fetches),
+            LinkNotice::Down(vm) => state.remove_fetches(vm),
             LinkNotice::Versions(versions) => state.add_versions(&versions),
             LinkNotice::Configuration(copy) => state.apply_configuration_copy(&copy),
         }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -15,6 +15,7 @@
 mod dispatch;
 mod dispatch_log;
 mod engine_link;
+mod fetch_permits;
 mod in_flight;
 mod link_notice;
 mod origin_lookup;
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -18,8 +18,8 @@
         },
     },
     magnoliasail_core::gateway::{
-        Affinity, Candidate, CrashDetector, Directory, Holding, Ineligibility, Placement,
-        PlacementCosts, Quarantine, RateSource, RateStatement, RetryBudget, RetryWindow,
+        Affinity, Candidate, CrashDetector, Directory, FetchQueue, Holding, Ineligibility,
+        Placement, PlacementCosts, Quarantine, RateSource, RateStatement, RetryBudget, RetryWindow,
         RouteTable, ServerNotice, ServerView, StoreFreshness, StreamOrigins, VersionConstraint,
         VersionHistory, adapter_key, plain_wait_ms,
     },
@@ -55,6 +55,8 @@
     /// The origins of streams whose first event this entry has forwarded.
     pub(super) origins: RefCell<StreamOrigins>,
     pub(super) versions: RefCell<VersionHistory>,
+    /// The fetches of the engines whose agents ask this entry.
+    pub(super) fetch_queue: RefCell<FetchQueue<IpAddr>>,
     pub(super) quarantine: RefCell<Quarantine>,
     /// What may crash plain servers, by the fingerprint of the server's start.
     pub(super) plain_crash_detectors: RefCell<HashMap<u64, CrashDetector>>,
@@ -114,6 +116,7 @@
             retry_windows: RefCell::default(),
             origins: RefCell::default(),
             versions: RefCell::new(versions),
+            fetch_queue: RefCell::default(),
             quarantine: RefCell::default(),
             plain_crash_detectors: RefCell::default(),
             buffered,
