--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -12,7 +12,7 @@
 };
 
 /// How long a request may wait for an adapter slot, as a multiple of its latency objective.
-const MAX_SLOT_WAIT_OBJECTIVES: u64 = 2;
+const MAX_SLOT_WAIT_OBJECTIVES: u64 = 1;
 /// How long a request may wait for an adapter slot even if its latency objective is short.
 const MIN_SLOT_WAIT_MS: u64 = 400;
 
