--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -46,8 +46,17 @@
         if self.fetches.is_active(now_ms) {
             return self.fetches.is_permitted(adapter_key(adapter), now_ms);
         }
+        self.adapters.loading() < self.max_loads(now_ms)
+    }
+
+    /// Returns how many loads may be in progress at this engine: as many as it carries if an entry permits its
+    /// fetches, and otherwise fewer while fetches are slow.
+    pub(super) fn max_loads(&self, now_ms: TimeMs) -> usize {
         let max_loads = self.settings.max_concurrent_loads;
-        self.adapters.loading() < self.load_times.load_limit(max_loads)
+        if self.fetches.is_active(now_ms) {
+            return max_loads;
+        }
+        self.load_times.load_limit(max_loads)
     }
 
     /// Returns the missing adapter to load next: one of which the host has a copy, which takes little
--- a/crates/magnoliasail-core/src/gateway/expected_waits.rs
+++ b/crates/magnoliasail-core/src/gateway/expected_waits.rs
@@ -57,12 +57,7 @@
     fn local_fetch_ms(&self, now_ms: TimeMs) -> f64 {
         let adapters_ahead = self.missing_adapters(now_ms).len();
         let wait_ms = self.expected_slot_wait_ms(adapters_ahead);
-        if self.fetches.is_active(now_ms) {
-            return wait_ms + self.load_times.mean_fetch_ms();
-        }
-        let load_limit = self
-            .load_times
-            .load_limit(self.settings.max_concurrent_loads);
+        let load_limit = self.max_loads(now_ms);
         let ahead_ms = adapters_ahead as f64 / load_limit as f64 * self.load_times.mean_ms();
         wait_ms + ahead_ms + self.load_times.mean_fetch_ms()
     }
--- a/crates/magnoliasail-core/src/gateway/fetch_control.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_control.rs
@@ -140,7 +140,8 @@
             self.wished_ms.entry(wish.adapter).or_insert(now_ms);
         }
         let in_transit = (self.fetching.len() + self.permits.len()) as u32;
-        let is_known = self.ended_ms.is_empty()
+        let is_known = self.sent.number > 0
+            && self.ended_ms.is_empty()
             && self.sent.in_transit == in_transit
             && self.sent.permits_received == self.permits_received
             && adapters(&self.sent.wishes).eq(adapters(&wishes));
--- a/crates/magnoliasail-core/src/gateway/transfer_limit.rs
+++ b/crates/magnoliasail-core/src/gateway/transfer_limit.rs
@@ -7,8 +7,10 @@
 
 use {crate::TimeMs, std::collections::VecDeque};
 
-/// Fetches take longer than a single one, by more than what reports add to a measured time.
-const MIN_SLOWDOWN: f64 = 1.2;
+/// Slow-down from which on the store counts as full; less may come from the times of reports.
+const MIN_SLOWDOWN: f64 = 1.3;
+/// Slow-down that is aimed at, so that the store is never idle.
+const AIMED_SLOWDOWN: f64 = 1.1;
 /// Weight of the newest estimate in the moving average.
 const NEWEST_WEIGHT: f64 = 0.2;
 /// Times below this are loads from a copy on the host, which the weight store does not carry.
@@ -65,7 +67,7 @@
         let slowdown = fetch_ms / shortest_ms;
         let learned = if slowdown > MIN_SLOWDOWN {
             self.is_store_full = true;
-            limit + NEWEST_WEIGHT * (in_transit / slowdown - limit)
+            limit + NEWEST_WEIGHT * (in_transit * AIMED_SLOWDOWN / slowdown - limit)
         } else if in_transit < MIN_USED_SHARE * limit {
             limit
         } else if self.is_store_full {
