--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -43,7 +43,7 @@
     /// Returns whether an adapter may be fetched now: by a permit, or while there is nobody to give one, within
     /// this engine's own limit.
     fn may_fetch(&self, adapter: &str, now_ms: TimeMs) -> bool {
-        if self.fetches.is_active(now_ms) {
+        if self.fetches.needs_permit(now_ms) {
             return self.fetches.is_permitted(adapter_key(adapter), now_ms);
         }
         self.adapters.loading() < self.max_loads(now_ms)
@@ -53,7 +53,7 @@
     /// fetches, and otherwise fewer while fetches are slow.
     pub(super) fn max_loads(&self, now_ms: TimeMs) -> usize {
         let max_loads = self.settings.max_concurrent_loads;
-        if self.fetches.is_active(now_ms) {
+        if self.fetches.needs_permit(now_ms) {
             return max_loads;
         }
         self.load_times.load_limit(max_loads)
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -126,7 +126,7 @@
         let rate_wait_ms = self.eligibility.limit().wait_ms(0, now_ms);
         let adapters = &self.adapters;
         // Another engine would wait for the same permits.
-        let waits_for_permits = self.fetches.is_active(now_ms)
+        let waits_for_permits = self.fetches.needs_permit(now_ms)
             && self.slots_available() > 0
             && self.adapters.loading() < self.max_loads(now_ms);
         let is_slowed = self.max_reading_tokens(now_ms) < u64::MAX;
--- a/crates/magnoliasail-core/src/gateway/fetch_control.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_control.rs
@@ -21,6 +21,8 @@
 pub(super) struct FetchControl {
     /// Whether an entry is linked that gives permits.
     has_entry: bool,
+    /// Whether the entry says that no fetch needs a permit.
+    is_open: bool,
     permits: Vec<Permit>,
     permits_received: u64,
     /// The message that was sent last.
@@ -52,7 +54,12 @@
     }
 
     /// Returns whether fetches need a permit.
-    pub(super) fn is_active(&self, now_ms: TimeMs) -> bool {
+    pub(super) fn needs_permit(&self, now_ms: TimeMs) -> bool {
+        !self.is_open && self.is_active(now_ms)
+    }
+
+    /// Returns whether an entry orders the fetches of the fleet.
+    fn is_active(&self, now_ms: TimeMs) -> bool {
         let is_silent = self
             .unacknowledged_since_ms
             .is_some_and(|since_ms| now_ms > since_ms + MAX_ACKNOWLEDGE_MS);
@@ -61,7 +68,7 @@
 
     /// Returns the expected wait for a permit, in milliseconds.
     pub(super) fn expected_wait_ms(&self, now_ms: TimeMs) -> f64 {
-        if self.is_active(now_ms) {
+        if self.needs_permit(now_ms) {
             self.mean_wait_ms
         } else {
             0.0
@@ -73,6 +80,7 @@
         if permits.received >= self.sent.number {
             self.unacknowledged_since_ms = None;
         }
+        self.is_open = permits.is_open;
         self.permits_received += permits.adapters.len() as u64;
         for adapter in &permits.adapters {
             if let Some(wished_ms) = self.wished_ms.remove(adapter) {
--- a/crates/magnoliasail-core/src/gateway/fetch_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_queue.rs
@@ -21,6 +21,10 @@
 const LONGEST_WAIT_INTERVAL: u64 = 8;
 /// Maximum number of wishes of one engine that are considered.
 const MAX_WISHES: usize = 64;
+/// Share of the limit up to which fetches stop to need permits.
+const OPEN_UP_TO_SHARE: f64 = 0.7;
+/// Share of the limit from which on fetches need permits again.
+const CLOSED_FROM_SHARE: f64 = 0.9;
 
 /// The queue of fetches over all engines. `E` identifies an engine.
 #[derive(Clone, Debug)]
@@ -28,6 +32,7 @@
     engines: BTreeMap<E, EngineEntry>,
     limit: TransferLimit,
     permit_count: u64,
+    is_open: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -82,6 +87,7 @@
             engines: BTreeMap::new(),
             limit: TransferLimit::default(),
             permit_count: 0,
+            is_open: false,
         }
     }
 }
@@ -134,6 +140,31 @@
         permits
     }
 
+    /// Decides again whether fetches need permits at all; returns whether that has changed.
+    ///
+    /// While the store has room, asking for a permit would only delay a fetch.
+    pub fn update_openness(&mut self) -> bool {
+        let used_share = f64::from(self.in_transit()) / f64::from(self.limit());
+        let max_share = if self.is_open {
+            CLOSED_FROM_SHARE
+        } else {
+            OPEN_UP_TO_SHARE
+        };
+        let is_open = self.limit.is_store_known() && self.waiting() == 0 && used_share <= max_share;
+        std::mem::replace(&mut self.is_open, is_open) != is_open
+    }
+
+    /// Returns the engines that have told what they fetch.
+    pub fn engines(&self) -> impl Iterator<Item = E> {
+        self.engines.keys().copied()
+    }
+
+    /// Returns whether no fetch needs a permit.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.is_open
+    }
+
     /// Returns the number of fetches in transit, with the permits that engines have not confirmed.
     #[must_use]
     pub fn in_transit(&self) -> u32 {
--- a/crates/magnoliasail-core/src/gateway/message/fetches.rs
+++ b/crates/magnoliasail-core/src/gateway/message/fetches.rs
@@ -57,4 +57,7 @@
     /// The keys of the adapters that may be fetched now.
     #[prost(fixed64, repeated, tag = "2")]
     pub adapters: Vec<u64>,
+    /// Whether the weight store has so much room that no fetch needs a permit.
+    #[prost(bool, tag = "3")]
+    pub is_open: bool,
 }
--- a/crates/magnoliasail-core/src/gateway/transfer_limit.rs
+++ b/crates/magnoliasail-core/src/gateway/transfer_limit.rs
@@ -78,6 +78,12 @@
         self.learned = Some(learned.max(1.0));
     }
 
+    /// Returns whether the limit was learned from fetches.
+    #[must_use]
+    pub const fn is_store_known(&self) -> bool {
+        self.learned.is_some()
+    }
+
     /// Returns the number of fetches that may be in transit to this number of engines.
     #[must_use]
     pub fn get(&self, engines: usize) -> u32 {
--- a/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
+++ b/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
@@ -33,10 +33,17 @@
     fn permit_fetches(&self, received: Option<(IpAddr, u64)>) {
         let now_ms = self.clock.now_ms();
         let permits = self.fetch_queue.borrow_mut().permit(now_ms);
+        let has_changed = self.fetch_queue.borrow_mut().update_openness();
+        let is_open = self.fetch_queue.borrow().is_open();
         let mut by_vm: BTreeMap<IpAddr, FetchPermits> = BTreeMap::new();
         if let Some((vm, number)) = received {
             by_vm.entry(vm).or_default().received = number;
         }
+        if has_changed {
+            for vm in self.fetch_queue.borrow().engines() {
+                by_vm.entry(vm).or_default();
+            }
+        }
         let queue = self.fetch_queue.borrow();
         for (vm, adapter) in permits {
             emit(
@@ -51,6 +58,7 @@
             by_vm.entry(vm).or_default().adapters.push(adapter);
         }
         for (vm, permits) in by_vm {
+            let permits = FetchPermits { is_open, ..permits };
             self.send_to_agent(vm, ToAgentKind::FetchPermits(permits));
         }
     }
