--- a/crates/magnoliasail-core/src/gateway/fetch_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_queue.rs
@@ -68,10 +68,12 @@
         }
     }
 
-    /// Returns the place in the queue: what can be in time by its urgency, then the rest by the number of
-    /// requests.
-    fn place(&self, now_ms: TimeMs) -> (bool, TimeMs, Reverse<u32>, TimeMs) {
-        let start_until_ms = self.start_until_ms.filter(|&until_ms| until_ms >= now_ms);
+    /// Returns the place in the queue: what can be in time if it starts at `earliest_ms`, by its urgency, then the
+    /// rest by the number of requests.
+    fn place(&self, earliest_ms: TimeMs) -> (bool, TimeMs, Reverse<u32>, TimeMs) {
+        let start_until_ms = self
+            .start_until_ms
+            .filter(|&until_ms| until_ms >= earliest_ms);
         (
             start_until_ms.is_none(),
             start_until_ms.unwrap_or(0),
@@ -192,10 +194,11 @@
             .iter()
             .flat_map(|(&engine, entry)| entry.wishes.iter().map(move |wish| (engine, wish)));
         let is_turn_of_longest_wait = self.permit_count.is_multiple_of(LONGEST_WAIT_INTERVAL);
+        let earliest_ms = now_ms + self.limit.usual_delay_ms();
         let next = if is_turn_of_longest_wait {
             wishes.min_by_key(|(_, wish)| wish.waiting_since_ms)
         } else {
-            wishes.min_by_key(|(_, wish)| wish.place(now_ms))
+            wishes.min_by_key(|(_, wish)| wish.place(earliest_ms))
         };
         next.map(|(engine, wish)| (engine, wish.adapter))
     }
--- a/crates/magnoliasail-core/src/gateway/transfer_limit.rs
+++ b/crates/magnoliasail-core/src/gateway/transfer_limit.rs
@@ -1,8 +1,7 @@
 //! How many fetches the weight store carries at once before they slow each other down.
 //!
-//! The store does not publish it. While fetches take as long as a single one, the limit grows: at first by one
-//! with each fetch that ends, so that it doubles in the time of a fetch, and slowly once the store has been found
-//! full. A fetch that takes longer shows what the store carries: the mean number in transit during the fetch,
+//! The store does not publish it. While fetches take as long as a single one, the limit grows: at first with
+//! each fetch that ends, so that it triples in the time of a fetch, and slowly once the store has been found full. A fetch that takes longer shows what the store carries: the mean number in transit during the fetch,
 //! divided by its slow-down.
 
 use {crate::TimeMs, std::collections::VecDeque};
@@ -18,7 +17,9 @@
 /// Share of the limit that must be in use for a fast fetch to show that more are possible.
 const MIN_USED_SHARE: f64 = 0.8;
 /// The number of engines that share one fetch until the limit is known.
-const INITIAL_ENGINES_PER_FETCH: f64 = 2.0;
+const INITIAL_ENGINES_PER_FETCH: f64 = 1.0;
+/// Growth of the limit with each fast fetch until the store has been found full.
+const FIRST_GROWTH: f64 = 2.0;
 /// Maximum number of changes of the number in transit that are kept.
 const MAX_CHANGES: usize = 4_096;
 
@@ -73,11 +74,17 @@
         } else if self.is_store_full {
             limit + 1.0 / limit
         } else {
-            limit + 1.0
+            limit + FIRST_GROWTH
         };
         self.learned = Some(learned.max(1.0));
     }
 
+    /// Returns by how much a fetch may take longer than a single one while the store is not full, in milliseconds.
+    #[must_use]
+    pub fn usual_delay_ms(&self) -> u64 {
+        (self.shortest_ms.unwrap_or(0.0) * (MIN_SLOWDOWN - 1.0)) as u64
+    }
+
     /// Returns whether the limit was learned from fetches.
     #[must_use]
     pub const fn is_store_known(&self) -> bool {
--- a/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
+++ b/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
@@ -45,6 +45,10 @@
             }
         }
         let queue = self.fetch_queue.borrow();
+        let metrics = &self.metrics;
+        metrics.fetches_in_transit.set(queue.in_transit().into());
+        metrics.fetch_limit.set(queue.limit().into());
+        metrics.fetches_waiting.set(queue.waiting() as i64);
         for (vm, adapter) in permits {
             emit(
                 EventId::FetchPermitted,
--- a/crates/magnoliasail/src/gateway/entry/status.rs
+++ b/crates/magnoliasail/src/gateway/entry/status.rs
@@ -14,10 +14,22 @@
             "store_age_ms": self.store_freshness.get().age_ms(now_ms),
             "held_bytes": self.buffered.held_bytes(),
             "accounts": self.quotas.borrow().status(now_ms),
+            "fetches": self.fetch_status(),
             "servers": self.server_status(now_ms),
         })
     }
 
+    /// Returns the fetches from the weight store, which only the entry that permits them knows.
+    fn fetch_status(&self) -> Value {
+        let queue = self.fetch_queue.borrow();
+        json!({
+            "in_transit": queue.in_transit(),
+            "limit": queue.limit(),
+            "waiting": queue.waiting(),
+            "needs_permits": !queue.is_open(),
+        })
+    }
+
     fn server_status(&self, now_ms: u64) -> Vec<Value> {
         let directory = self.directory.borrow();
         let links = self.links.borrow();
