--- a/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
+++ b/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
@@ -44,6 +44,20 @@
                 by_vm.entry(vm).or_default();
             }
         }
+        self.log_permits(&permits);
+        for (vm, adapter) in permits {
+            by_vm.entry(vm).or_default().adapters.push(adapter);
+        }
+        for (vm, permits) in by_vm {
+            let permits = FetchPermits { is_open, ..permits };
+            if !self.send_to_agent(vm, ToAgentKind::FetchPermits(permits)) {
+                // The agent's next message brings its whole state again.
+                self.fetch_queue.borrow_mut().remove(vm);
+            }
+        }
+    }
+
+    fn log_permits(&self, permits: &[(IpAddr, u64)]) {
         let queue = self.fetch_queue.borrow();
         let metrics = &self.metrics;
         metrics.fetches_in_transit.set(queue.in_transit().into());
@@ -59,19 +73,16 @@
                     queue.waiting()
                 ),
             );
-            by_vm.entry(vm).or_default().adapters.push(adapter);
-        }
-        for (vm, permits) in by_vm {
-            let permits = FetchPermits { is_open, ..permits };
-            self.send_to_agent(vm, ToAgentKind::FetchPermits(permits));
         }
     }
 
-    fn send_to_agent(&self, vm: IpAddr, kind: ToAgentKind) {
+    /// Sends a message to the agent on a VM; returns whether its link has taken it.
+    fn send_to_agent(&self, vm: IpAddr, kind: ToAgentKind) -> bool {
         let link = self.links.borrow().get(&vm).cloned();
         let is_sent = link.is_some_and(|link| link.send(kind));
         if !is_sent {
             emit(EventId::RingFull, format_args!("permits agent={vm}"));
         }
+        is_sent
     }
 }
