--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod expected_wait;
 mod fake_engine;
 mod fake_store;
+mod fetch_permits;
 mod fetch_queue;
 mod hand_back;
 mod holdings;
