--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         EngineAction, EngineRequest, EngineScheduler, Order, OrderKind, SlotState, adapter_key,
-        message::{EngineFetches, FetchPermits, FetchWish},
+        message::{EngineFetches, FetchPermits, PendingFetch},
     },
     crate::TimeMs,
     std::{cmp::Reverse, collections::HashMap, sync::Arc},
@@ -96,8 +96,8 @@
 
     /// Returns what the entry that permits fetches must be told now, if anything.
     pub fn fetch_message(&mut self, now_ms: TimeMs) -> Option<EngineFetches> {
-        let wishes = if self.eligibility.check(now_ms).is_ok() {
-            self.fetch_wishes(now_ms)
+        let pending = if self.eligibility.check(now_ms).is_ok() {
+            self.pending_fetches(now_ms)
         } else {
             Vec::new()
         };
@@ -105,13 +105,13 @@
         self.fetches
             .retain_fetching(|name| adapters.state(name) == Some(SlotState::Loading));
         self.fetches.drop_unused(now_ms, |adapter| {
-            wishes.iter().any(|wish| wish.adapter == adapter)
+            pending.iter().any(|fetch| fetch.adapter == adapter)
         });
-        self.fetches.message(wishes, now_ms)
+        self.fetches.message(pending, now_ms)
     }
 
     /// Returns the adapters that the engine needs from the weight store, as far as it has slots for them.
-    fn fetch_wishes(&self, now_ms: TimeMs) -> Vec<FetchWish> {
+    fn pending_fetches(&self, now_ms: TimeMs) -> Vec<PendingFetch> {
         let loading = self.adapters.loading();
         let room = (self.settings.max_concurrent_loads.saturating_sub(loading))
             .min(self.slots_available() as usize);
@@ -122,19 +122,19 @@
                 && self.models.is_loaded(&request.model)
         };
         let batch_slots = self.limits.batch_slots;
-        let mut wishes = self
+        let mut pending = self
             .queue
-            .fetch_wishes(now_ms, fetch_ms, batch_slots, is_missing);
-        wishes.sort_by_key(|wish| {
+            .pending_fetches(now_ms, fetch_ms, batch_slots, is_missing);
+        pending.sort_by_key(|fetch| {
             (
-                wish.left_ms.is_none(),
-                wish.left_ms,
-                Reverse(wish.waited_ms),
-                wish.adapter,
+                fetch.left_ms.is_none(),
+                fetch.left_ms,
+                Reverse(fetch.waited_ms),
+                fetch.adapter,
             )
         });
-        wishes.truncate(room);
-        wishes
+        pending.truncate(room);
+        pending
     }
 
     /// Returns the adapters for which requests wait and that have no slot, with their weights.
--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         EngineLimits, EngineRefusal, EngineRequest, account_shares::AccountShares, adapter_key,
-        message::FetchWish, prompt_rate::PromptRate, timely_starts::TimelyStarts,
+        message::PendingFetch, prompt_rate::PromptRate, timely_starts::TimelyStarts,
     },
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
@@ -211,7 +211,7 @@
 
     /// Returns the late requests among those that `can_serve` allows which cannot start before their deadline
     /// while others that are in time go first, with the expected time until they could, in milliseconds.
-    pub(super) fn hopeless<F>(
+    pub(super) fn without_room<F>(
         &self,
         batch_slots: u32,
         now_ms: TimeMs,
@@ -228,7 +228,7 @@
             .collect();
         late.sort_by_key(|request| (request.rank, request.minor_rank, request.objective_ms));
         let start_interval_ms = self.mean_run_ms / f64::from(batch_slots.max(1));
-        let mut hopeless = HashMap::new();
+        let mut without_room = HashMap::new();
         let mut kept = 0;
         for request in late {
             let wait_ms = self
@@ -238,10 +238,10 @@
                 kept += 1;
             } else {
                 let wait_ms = wait_ms.unwrap_or(TimelyStarts::MAX_WAIT_MS);
-                hopeless.insert(request.key, wait_ms.min(TimelyStarts::MAX_WAIT_MS));
+                without_room.insert(request.key, wait_ms.min(TimelyStarts::MAX_WAIT_MS));
             }
         }
-        hopeless
+        without_room
     }
 
     /// Returns the tokens of the prompts that the engine is reading.
@@ -380,19 +380,19 @@
         missing
     }
 
-    /// Returns the adapters of waiting requests for which `is_missing` returns `true`, as wishes for fetches that
+    /// Returns the adapters of waiting requests for which `is_missing` returns `true`, as pending for fetches that
     /// take `fetch_ms`.
-    pub(super) fn fetch_wishes<F>(
+    pub(super) fn pending_fetches<F>(
         &self,
         now_ms: TimeMs,
         fetch_ms: u64,
         batch_slots: u32,
         is_missing: F,
-    ) -> Vec<FetchWish>
+    ) -> Vec<PendingFetch>
     where
         F: Fn(&EngineRequest, &Arc<str>) -> bool,
     {
-        let mut wishes: HashMap<&Arc<str>, FetchWish> = HashMap::new();
+        let mut pending: HashMap<&Arc<str>, PendingFetch> = HashMap::new();
         for request in &self.waiting {
             let Some(adapter) = &request.adapter else {
                 continue;
@@ -400,22 +400,22 @@
             if !is_missing(request, adapter) {
                 continue;
             }
-            let wish = wishes.entry(adapter).or_insert_with(|| FetchWish {
+            let fetch = pending.entry(adapter).or_insert_with(|| PendingFetch {
                 adapter: adapter_key(adapter),
-                ..FetchWish::default()
+                ..PendingFetch::default()
             });
             let prompt_ms = request.prompt_tokens as f64 / self.prompt_rate.tokens_per_ms();
             let ahead_ms = self.expected_first_event_ms(request.rank, batch_slots) + fetch_ms;
             let left_ms = request
                 .objective_ms
                 .checked_sub(now_ms + ahead_ms + prompt_ms as u64);
-            wish.left_ms = [wish.left_ms, left_ms].into_iter().flatten().min();
-            wish.waited_ms = wish
+            fetch.left_ms = [fetch.left_ms, left_ms].into_iter().flatten().min();
+            fetch.waited_ms = fetch
                 .waited_ms
                 .max(now_ms.saturating_sub(request.arrived_ms));
-            wish.requests += 1;
+            fetch.requests += 1;
         }
-        wishes.into_values().collect()
+        pending.into_values().collect()
     }
 
     /// Returns whether a waiting request needs an adapter.
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -131,9 +131,9 @@
             && self.adapters.loading() < self.max_loads(now_ms);
         let is_slowed = self.max_reading_tokens(now_ms) < u64::MAX;
         let ready_ms = self.models.ready_ms();
-        let hopeless = self
+        let without_room = self
             .queue
-            .hopeless(self.limits.batch_slots, now_ms, |request| {
+            .without_room(self.limits.batch_slots, now_ms, |request| {
                 is_loaded(&self.models, &self.adapters, request)
             });
         let rejected = self.queue.reject_where(|request| {
@@ -157,8 +157,8 @@
                 .or_else(|| is_slot_overdue.then_some(EngineRefusal::NoSlot))
                 .or_else(|| is_stuck.then_some(EngineRefusal::LateHere))
                 .or_else(|| {
-                    let is_hopeless = hopeless.contains_key(&request.key);
-                    is_hopeless.then_some(EngineRefusal::Overloaded)
+                    let is_without_room = without_room.contains_key(&request.key);
+                    is_without_room.then_some(EngineRefusal::Overloaded)
                 })
         });
         let refusals = rejected
@@ -169,7 +169,7 @@
                 retry_after_ms: match reason {
                     EngineRefusal::Paused => pause_left_ms,
                     EngineRefusal::RateLimited => rate_wait_ms,
-                    EngineRefusal::Overloaded => hopeless.get(&key).copied().unwrap_or(0),
+                    EngineRefusal::Overloaded => without_room.get(&key).copied().unwrap_or(0),
                     _ => 0,
                 },
             });
--- a/crates/magnoliasail-core/src/gateway/fetch_control.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_control.rs
@@ -4,7 +4,7 @@
 //! become. So an entry that is lost or slow costs a bounded wait.
 
 use {
-    super::message::{EngineFetches, FetchPermits, FetchWish},
+    super::message::{EngineFetches, FetchPermits, PendingFetch},
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
 };
@@ -22,8 +22,9 @@
     /// Whether an entry is linked that gives permits.
     has_entry: bool,
     /// Whether the entry says that no fetch needs a permit.
-    is_open: bool,
+    is_unrestricted: bool,
     permits: Vec<Permit>,
+    /// The number of permits that came on the link to the entry.
     permits_received: u64,
     /// The message that was sent last.
     sent: EngineFetches,
@@ -31,9 +32,11 @@
     unacknowledged_since_ms: Option<TimeMs>,
     /// The adapters whose fetch was ordered.
     fetching: Vec<Arc<str>>,
+    /// The times of the loads that ended since the last message.
     ended_ms: Vec<u32>,
     /// Since when the adapters of the last message have waited for a permit.
-    wished_ms: HashMap<u64, TimeMs>,
+    pending_since_ms: HashMap<u64, TimeMs>,
+    /// Moving average of the wait for a permit.
     mean_wait_ms: f64,
 }
 
@@ -55,7 +58,7 @@
 
     /// Returns whether fetches need a permit.
     pub(super) fn needs_permit(&self, now_ms: TimeMs) -> bool {
-        !self.is_open && self.is_active(now_ms)
+        !self.is_unrestricted && self.is_active(now_ms)
     }
 
     /// Returns whether an entry orders the fetches of the fleet.
@@ -80,11 +83,11 @@
         if permits.received >= self.sent.number {
             self.unacknowledged_since_ms = None;
         }
-        self.is_open = permits.is_open;
+        self.is_unrestricted = permits.is_unrestricted;
         self.permits_received += permits.adapters.len() as u64;
         for adapter in &permits.adapters {
-            if let Some(wished_ms) = self.wished_ms.remove(adapter) {
-                let wait_ms = now_ms.saturating_sub(wished_ms) as f64;
+            if let Some(pending_since_ms) = self.pending_since_ms.remove(adapter) {
+                let wait_ms = now_ms.saturating_sub(pending_since_ms) as f64;
                 self.mean_wait_ms += NEWEST_WEIGHT * (wait_ms - self.mean_wait_ms);
             }
         }
@@ -128,31 +131,31 @@
             .retain(|permit| permit.expires_ms > now_ms && is_needed(permit.adapter));
     }
 
-    /// Returns the next message for the entry, if it would learn something new from it. `wishes` are the
+    /// Returns the next message for the entry, if it would learn something new from it. `pending` are the
     /// adapters that the engine misses.
     pub(super) fn message(
         &mut self,
-        wishes: Vec<FetchWish>,
+        pending: Vec<PendingFetch>,
         now_ms: TimeMs,
     ) -> Option<EngineFetches> {
         if !self.has_entry {
             return None;
         }
-        let wishes: Vec<FetchWish> = wishes
+        let pending: Vec<PendingFetch> = pending
             .into_iter()
-            .filter(|wish| !self.is_permitted(wish.adapter, now_ms))
+            .filter(|fetch| !self.is_permitted(fetch.adapter, now_ms))
             .collect();
-        self.wished_ms
-            .retain(|adapter, _| wishes.iter().any(|wish| wish.adapter == *adapter));
-        for wish in &wishes {
-            self.wished_ms.entry(wish.adapter).or_insert(now_ms);
+        self.pending_since_ms
+            .retain(|adapter, _| pending.iter().any(|fetch| fetch.adapter == *adapter));
+        for fetch in &pending {
+            self.pending_since_ms.entry(fetch.adapter).or_insert(now_ms);
         }
         let in_transit = (self.fetching.len() + self.permits.len()) as u32;
         let is_known = self.sent.number > 0
             && self.ended_ms.is_empty()
             && self.sent.in_transit == in_transit
             && self.sent.permits_received == self.permits_received
-            && adapters(&self.sent.wishes).eq(adapters(&wishes));
+            && adapters(&self.sent.pending).eq(adapters(&pending));
         if is_known {
             return None;
         }
@@ -160,7 +163,7 @@
             number: self.sent.number + 1,
             permits_received: self.permits_received,
             in_transit,
-            wishes,
+            pending,
             ended_ms: std::mem::take(&mut self.ended_ms),
         };
         self.unacknowledged_since_ms.get_or_insert(now_ms);
@@ -168,6 +171,6 @@
     }
 }
 
-fn adapters(wishes: &[FetchWish]) -> impl Iterator<Item = u64> {
-    wishes.iter().map(|wish| wish.adapter)
+fn adapters(pending: &[PendingFetch]) -> impl Iterator<Item = u64> {
+    pending.iter().map(|fetch| fetch.adapter)
 }
--- a/crates/magnoliasail-core/src/gateway/fetch_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_queue.rs
@@ -11,7 +11,7 @@
 use {
     super::{
         TransferLimit,
-        message::{EngineFetches, FetchWish},
+        message::{EngineFetches, PendingFetch},
     },
     crate::TimeMs,
     std::{cmp::Reverse, collections::BTreeMap},
@@ -19,12 +19,12 @@
 
 /// One in this many permits goes to the request that has waited longest, whether or not it can be in time.
 const LONGEST_WAIT_INTERVAL: u64 = 8;
-/// Maximum number of wishes of one engine that are considered.
-const MAX_WISHES: usize = 64;
+/// Maximum number of pending fetches of one engine that are considered.
+const MAX_PENDING: usize = 64;
 /// Share of the limit up to which fetches stop to need permits.
-const OPEN_UP_TO_SHARE: f64 = 0.7;
+const UNRESTRICTED_UP_TO_SHARE: f64 = 0.7;
 /// Share of the limit from which on fetches need permits again.
-const CLOSED_FROM_SHARE: f64 = 0.9;
+const RESTRICTED_FROM_SHARE: f64 = 0.9;
 
 /// The queue of fetches over all engines. `E` identifies an engine.
 #[derive(Clone, Debug)]
@@ -32,39 +32,40 @@
     engines: BTreeMap<E, EngineEntry>,
     limit: TransferLimit,
     permit_count: u64,
-    is_open: bool,
+    is_unrestricted: bool,
 }
 
 #[derive(Clone, Debug, Default)]
 struct EngineEntry {
-    wishes: Vec<Wish>,
+    /// What waits for a permit.
+    pending: Vec<QueuedFetch>,
     in_transit: u32,
-    /// The number of permits sent, and of those that the engine has received.
-    sent: u64,
+    /// The number of permits that the engine has received.
     received: u64,
     /// The adapters of the permits that the engine has not confirmed.
     unconfirmed: Vec<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Wish {
+struct QueuedFetch {
     adapter: u64,
     /// The latest time at which the fetch can start for a request to be in time.
     start_until_ms: Option<TimeMs>,
     waiting_since_ms: TimeMs,
+    /// The number of requests that wait for the adapter.
     requests: u32,
 }
 
-impl Wish {
-    const fn new(wish: &FetchWish, now_ms: TimeMs) -> Self {
+impl QueuedFetch {
+    const fn new(fetch: &PendingFetch, now_ms: TimeMs) -> Self {
         Self {
-            adapter: wish.adapter,
-            start_until_ms: match wish.left_ms {
+            adapter: fetch.adapter,
+            start_until_ms: match fetch.left_ms {
                 Some(left_ms) => Some(now_ms.saturating_add(left_ms)),
                 None => None,
             },
-            waiting_since_ms: now_ms.saturating_sub(wish.waited_ms),
-            requests: wish.requests,
+            waiting_since_ms: now_ms.saturating_sub(fetch.waited_ms),
+            requests: fetch.requests,
         }
     }
 
@@ -89,7 +90,7 @@
             engines: BTreeMap::new(),
             limit: TransferLimit::default(),
             permit_count: 0,
-            is_open: false,
+            is_unrestricted: false,
         }
     }
 }
@@ -104,10 +105,10 @@
             .drain(..confirmed.min(entry.unconfirmed.len()));
         entry.received = fetches.permits_received;
         entry.in_transit = fetches.in_transit;
-        let wishes = fetches.wishes.iter().take(MAX_WISHES);
-        entry.wishes = wishes
-            .filter(|wish| !entry.unconfirmed.contains(&wish.adapter))
-            .map(|wish| Wish::new(wish, now_ms))
+        let pending = fetches.pending.iter().take(MAX_PENDING);
+        entry.pending = pending
+            .filter(|fetch| !entry.unconfirmed.contains(&fetch.adapter))
+            .map(|fetch| QueuedFetch::new(fetch, now_ms))
             .collect();
         let engines = self.engines.len();
         for &ended_ms in &fetches.ended_ms {
@@ -130,9 +131,8 @@
             };
             self.permit_count += 1;
             if let Some(entry) = self.engines.get_mut(&engine) {
-                entry.wishes.retain(|wish| wish.adapter != adapter);
+                entry.pending.retain(|fetch| fetch.adapter != adapter);
                 entry.unconfirmed.push(adapter);
-                entry.sent += 1;
             }
             permits.push((engine, adapter));
         }
@@ -145,15 +145,16 @@
     /// Decides again whether fetches need permits at all; returns whether that has changed.
     ///
     /// While the store has room, asking for a permit would only delay a fetch.
-    pub fn update_openness(&mut self) -> bool {
+    pub fn update_restriction(&mut self) -> bool {
         let used_share = f64::from(self.in_transit()) / f64::from(self.limit());
-        let max_share = if self.is_open {
-            CLOSED_FROM_SHARE
+        let max_share = if self.is_unrestricted {
+            RESTRICTED_FROM_SHARE
         } else {
-            OPEN_UP_TO_SHARE
+            UNRESTRICTED_UP_TO_SHARE
         };
-        let is_open = self.limit.is_store_known() && self.waiting() == 0 && used_share <= max_share;
-        std::mem::replace(&mut self.is_open, is_open) != is_open
+        let is_unrestricted =
+            self.limit.is_store_known() && self.waiting() == 0 && used_share <= max_share;
+        std::mem::replace(&mut self.is_unrestricted, is_unrestricted) != is_unrestricted
     }
 
     /// Returns the engines that have told what they fetch.
@@ -163,8 +164,8 @@
 
     /// Returns whether no fetch needs a permit.
     #[must_use]
-    pub const fn is_open(&self) -> bool {
-        self.is_open
+    pub const fn is_unrestricted(&self) -> bool {
+        self.is_unrestricted
     }
 
     /// Returns the number of fetches in transit, with the permits that engines have not confirmed.
@@ -185,21 +186,21 @@
     /// Returns the number of adapters that wait for a permit.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.engines.values().map(|entry| entry.wishes.len()).sum()
+        self.engines.values().map(|entry| entry.pending.len()).sum()
     }
 
     fn next(&self, now_ms: TimeMs) -> Option<(E, u64)> {
-        let wishes = self
+        let pending = self
             .engines
             .iter()
-            .flat_map(|(&engine, entry)| entry.wishes.iter().map(move |wish| (engine, wish)));
+            .flat_map(|(&engine, entry)| entry.pending.iter().map(move |fetch| (engine, fetch)));
         let is_turn_of_longest_wait = self.permit_count.is_multiple_of(LONGEST_WAIT_INTERVAL);
         let earliest_ms = now_ms + self.limit.usual_delay_ms();
         let next = if is_turn_of_longest_wait {
-            wishes.min_by_key(|(_, wish)| wish.waiting_since_ms)
+            pending.min_by_key(|(_, fetch)| fetch.waiting_since_ms)
         } else {
-            wishes.min_by_key(|(_, wish)| wish.place(earliest_ms))
+            pending.min_by_key(|(_, fetch)| fetch.place(earliest_ms))
         };
-        next.map(|(engine, wish)| (engine, wish.adapter))
+        next.map(|(engine, fetch)| (engine, fetch.adapter))
     }
 }
--- a/crates/magnoliasail-core/src/gateway/message/fetches.rs
+++ b/crates/magnoliasail-core/src/gateway/message/fetches.rs
@@ -24,7 +24,7 @@
     pub in_transit: u32,
     /// The adapters that wait for a permit.
     #[prost(message, repeated, tag = "4")]
-    pub wishes: Vec<FetchWish>,
+    pub pending: Vec<PendingFetch>,
     /// The times of the fetches that ended since the last message, in milliseconds.
     #[prost(uint32, repeated, tag = "5")]
     pub ended_ms: Vec<u32>,
@@ -32,7 +32,7 @@
 
 /// An adapter that an engine needs from the weight store.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct FetchWish {
+pub struct PendingFetch {
     /// The key of the adapter, see [`adapter_key`](crate::gateway::adapter_key).
     #[prost(fixed64, tag = "1")]
     pub adapter: u64,
@@ -59,5 +59,5 @@
     pub adapters: Vec<u64>,
     /// Whether the weight store has so much room that no fetch needs a permit.
     #[prost(bool, tag = "3")]
-    pub is_open: bool,
+    pub is_unrestricted: bool,
 }
--- a/crates/magnoliasail-core/src/gateway/message/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/message/mod.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     configuration::{AskConfiguration, ConfigurationCopy},
-    fetches::{EngineFetches, FetchPermits, FetchWish, PermitsFetches},
+    fetches::{EngineFetches, FetchPermits, PendingFetch, PermitsFetches},
     origin::{OriginAnswer, StreamOrigin},
     quota::{AskQuota, QuotaAnswer},
     versions::{ListedVersion, ServiceVersions},
--- a/crates/magnoliasail-core/tests/gateway/fetch_permits.rs
+++ b/crates/magnoliasail-core/tests/gateway/fetch_permits.rs
@@ -61,7 +61,7 @@
             .iter()
             .map(|name| adapter_key(&full_name(name)))
             .collect(),
-        is_open: false,
+        is_unrestricted: false,
     };
     let mut actions = Vec::new();
     scheduler.apply_fetch_permits(&permits, now_ms, &mut actions);
@@ -77,8 +77,8 @@
     actions.iter().filter_map(adapter).collect()
 }
 
-fn wishes(message: &EngineFetches) -> Vec<u64> {
-    message.wishes.iter().map(|wish| wish.adapter).collect()
+fn pending(message: &EngineFetches) -> Vec<u64> {
+    message.pending.iter().map(|fetch| fetch.adapter).collect()
 }
 
 #[test]
@@ -87,7 +87,7 @@
     let actions = submit(&mut scheduler, 1, "a1");
     assert!(actions.is_empty(), "{actions:?}");
     let message = scheduler.fetch_message(NOW_MS).expect("the adapter is new");
-    assert_eq!(wishes(&message), [adapter_key(&full_name("a1"))]);
+    assert_eq!(pending(&message), [adapter_key(&full_name("a1"))]);
     assert_eq!(scheduler.fetch_message(NOW_MS), None);
     let actions = permit(&mut scheduler, &message, &["a1"], NOW_MS + 5);
     assert_eq!(ordered(&actions), ["a1"]);
@@ -95,7 +95,7 @@
         .fetch_message(NOW_MS + 5)
         .expect("a fetch has begun");
     assert_eq!((message.in_transit, message.permits_received), (1, 1));
-    assert!(message.wishes.is_empty(), "{message:?}");
+    assert!(message.pending.is_empty(), "{message:?}");
 }
 
 /// The entry is paused, cut off one way or overloaded.
--- a/crates/magnoliasail-core/tests/gateway/fetch_queue.rs
+++ b/crates/magnoliasail-core/tests/gateway/fetch_queue.rs
@@ -3,7 +3,7 @@
 use {
     magnoliasail_core::gateway::{
         FetchQueue, TransferLimit,
-        message::{EngineFetches, FetchWish},
+        message::{EngineFetches, PendingFetch},
     },
     std::collections::BTreeMap,
 };
@@ -82,9 +82,9 @@
         }
         if has_queue {
             for engine in (0..engines).filter(|&engine| is_changed[engine]) {
-                let wishes = waiting[engine]
+                let pending = waiting[engine]
                     .iter()
-                    .map(|(&adapter, &since_ms)| FetchWish {
+                    .map(|(&adapter, &since_ms)| PendingFetch {
                         adapter,
                         left_ms: (since_ms + OBJECTIVE_MS).checked_sub(now_ms + FETCH_MS),
                         waited_ms: now_ms - since_ms,
@@ -94,7 +94,7 @@
                     number: now_ms + 1,
                     permits_received: received[engine],
                     in_transit: in_transit(&store, engine),
-                    wishes: wishes.collect(),
+                    pending: pending.collect(),
                     ended_ms: std::mem::take(&mut changed[engine]),
                 };
                 queue.update(engine, &fetches, now_ms);
@@ -129,8 +129,8 @@
     keys.filter(|&&(other, _)| other == engine).count() as u32
 }
 
-fn wish(adapter: u64, left_ms: Option<u64>, waited_ms: u64) -> FetchWish {
-    FetchWish {
+fn fetch(adapter: u64, left_ms: Option<u64>, waited_ms: u64) -> PendingFetch {
+    PendingFetch {
         adapter,
         left_ms,
         waited_ms,
@@ -138,10 +138,10 @@
     }
 }
 
-fn fetches(number: u64, wishes: Vec<FetchWish>) -> EngineFetches {
+fn fetches(number: u64, pending: Vec<PendingFetch>) -> EngineFetches {
     EngineFetches {
         number,
-        wishes,
+        pending,
         ..EngineFetches::default()
     }
 }
@@ -190,16 +190,16 @@
 fn the_most_urgent_fetch_that_can_be_in_time_goes_first_and_late_ones_last() {
     let mut queue = FetchQueue::default();
     // The first permit goes to the longest wait, and is used up here.
-    queue.update(0, &fetches(1, vec![wish(9, None, 0)]), 0);
+    queue.update(0, &fetches(1, vec![fetch(9, None, 0)]), 0);
     assert_eq!(queue.permit(0), [(0, 9)]);
-    let wishes = vec![
-        wish(1, None, 900),
-        wish(2, Some(300), 10),
-        wish(3, Some(50), 20),
+    let pending = vec![
+        fetch(1, None, 900),
+        fetch(2, Some(300), 10),
+        fetch(3, Some(50), 20),
     ];
     let message = EngineFetches {
         permits_received: 1,
-        ..fetches(2, wishes)
+        ..fetches(2, pending)
     };
     queue.update(0, &message, 10);
     assert_eq!(queue.permit(10), [(0, 3)]);
@@ -212,7 +212,7 @@
     for engine in 0..4 {
         let message = EngineFetches {
             in_transit: 2,
-            ..fetches(1, vec![wish(engine, Some(100), 0)])
+            ..fetches(1, vec![fetch(engine, Some(100), 0)])
         };
         queue.update(engine, &message, 0);
     }
@@ -229,10 +229,10 @@
     let mut queue = FetchQueue::default();
     let mut received = 0;
     for number in 1..100 {
-        let urgent = wish(1_000 + number, Some(200), 0);
+        let urgent = fetch(1_000 + number, Some(200), 0);
         let message = EngineFetches {
             permits_received: received,
-            ..fetches(number, vec![urgent, wish(1, None, 5_000)])
+            ..fetches(number, vec![urgent, fetch(1, None, 5_000)])
         };
         queue.update(0, &message, number);
         let permits = queue.permit(number);
@@ -254,7 +254,7 @@
                 number: u.arbitrary()?,
                 permits_received: u.arbitrary()?,
                 in_transit: u.arbitrary::<u16>()?.into(),
-                wishes: vec![wish(u.arbitrary()?, u.arbitrary()?, u.arbitrary()?)],
+                pending: vec![fetch(u.arbitrary()?, u.arbitrary()?, u.arbitrary()?)],
                 ended_ms: vec![u.arbitrary()?],
             };
             queue.update(u.int_in_range(0..=3)?, &message, now_ms);
--- a/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
+++ b/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
@@ -33,8 +33,8 @@
     fn permit_fetches(&self, received: Option<(IpAddr, u64)>) {
         let now_ms = self.clock.now_ms();
         let permits = self.fetch_queue.borrow_mut().permit(now_ms);
-        let has_changed = self.fetch_queue.borrow_mut().update_openness();
-        let is_open = self.fetch_queue.borrow().is_open();
+        let has_changed = self.fetch_queue.borrow_mut().update_restriction();
+        let is_unrestricted = self.fetch_queue.borrow().is_unrestricted();
         let mut by_vm: BTreeMap<IpAddr, FetchPermits> = BTreeMap::new();
         if let Some((vm, number)) = received {
             by_vm.entry(vm).or_default().received = number;
@@ -49,7 +49,10 @@
             by_vm.entry(vm).or_default().adapters.push(adapter);
         }
         for (vm, permits) in by_vm {
-            let permits = FetchPermits { is_open, ..permits };
+            let permits = FetchPermits {
+                is_unrestricted,
+                ..permits
+            };
             if !self.send_to_agent(vm, ToAgentKind::FetchPermits(permits)) {
                 // The agent's next message brings its whole state again.
                 self.fetch_queue.borrow_mut().remove(vm);
--- a/crates/magnoliasail/src/gateway/entry/status.rs
+++ b/crates/magnoliasail/src/gateway/entry/status.rs
@@ -26,7 +26,7 @@
             "in_transit": queue.in_transit(),
             "limit": queue.limit(),
             "waiting": queue.waiting(),
-            "needs_permits": !queue.is_open(),
+            "needs_permits": !queue.is_unrestricted(),
         })
     }
 
