refactor(gateway): fetches in progress are counted from the slots; one scan, one threshold, sums once

The engine kept a list of its fetches beside the slots, which grew while no entry was linked; the slots now say which loads are fetches. Two loops over the requests without an adapter are one. The time from which a load is a fetch stood twice, and loads of copies caused messages that nobody used. Room for late requests, the wait of each rank and the fetches in transit are computed once instead of for each request and permit. A record's age comes from the map that keeps it. Token counts that callers name cannot overflow the time left to a fetch.

--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -32,6 +32,8 @@
     used_ms: TimeMs,
     /// When the load in progress was ordered; cleared once it completes.
     ordered_ms: Option<TimeMs>,
+    /// Whether the load that was ordered last fetches the adapter from the weight store.
+    is_fetch: bool,
 }
 
 /// The taken adapter slots of an engine, by the full name of the adapter.
@@ -65,6 +67,15 @@
             .count()
     }
 
+    /// Returns the number of slots whose adapter is being fetched from the weight store.
+    #[must_use]
+    pub fn fetching(&self) -> usize {
+        self.slots
+            .values()
+            .filter(|slot| slot.state == SlotState::Loading && slot.is_fetch)
+            .count()
+    }
+
     /// Returns the state of an adapter's slot, or `None` if it has no slot.
     #[must_use]
     pub fn state(&self, adapter: &str) -> Option<SlotState> {
@@ -84,18 +95,17 @@
     }
 
     /// Records that a load was ordered. A resident adapter cannot serve until it is replaced.
-    pub fn start_load(&mut self, adapter: Arc<str>, version: u64, now_ms: TimeMs) {
-        let slot = self.slots.entry(adapter).or_insert(Slot {
-            state: SlotState::Loading,
-            version,
-            in_use: 0,
-            uses: 0.0,
-            used_ms: now_ms,
-            ordered_ms: None,
-        });
+    ///
+    /// `is_fetch` says whether the adapter comes from the weight store.
+    pub fn start_load(&mut self, adapter: Arc<str>, version: u64, is_fetch: bool, now_ms: TimeMs) {
+        let slot =
+            self.slots
+                .entry(adapter)
+                .or_insert(Slot::new(SlotState::Loading, version, now_ms));
         slot.state = SlotState::Loading;
         slot.version = version;
         slot.ordered_ms = Some(now_ms);
+        slot.is_fetch = is_fetch;
     }
 
     /// Frees the slot of an adapter that was unloaded or whose load was rejected.
@@ -151,14 +161,11 @@
             loaded.contains_key(name) || loading.contains_key(name) || slot.in_use > 0
         });
         for (name, adapter) in loaded {
-            let slot = self.slots.entry(Arc::clone(name)).or_insert(Slot {
-                state: SlotState::Resident,
-                version: adapter.version,
-                in_use: 0,
-                uses: 0.0,
-                used_ms: now_ms,
-                ordered_ms: None,
-            });
+            let slot = self.slots.entry(Arc::clone(name)).or_insert(Slot::new(
+                SlotState::Resident,
+                adapter.version,
+                now_ms,
+            ));
             if !loading.contains_key(name) {
                 slot.state = SlotState::Resident;
                 slot.version = adapter.version;
@@ -166,15 +173,11 @@
             }
         }
         for (name, adapter) in loading {
-            let uses = self.slots.get(name).map_or(0.0, |slot| slot.uses);
-            let slot = self.slots.entry(Arc::clone(name)).or_insert(Slot {
-                state: SlotState::Loading,
-                version: adapter.version,
-                in_use: 0,
-                uses,
-                used_ms: now_ms,
-                ordered_ms: None,
-            });
+            let slot = self.slots.entry(Arc::clone(name)).or_insert(Slot::new(
+                SlotState::Loading,
+                adapter.version,
+                now_ms,
+            ));
             slot.state = SlotState::Loading;
         }
         load_times_ms
@@ -194,6 +197,19 @@
 }
 
 impl Slot {
+    /// Creates the slot of an adapter that was never used and whose load was not ordered here.
+    const fn new(state: SlotState, version: u64, now_ms: TimeMs) -> Self {
+        Self {
+            state,
+            version,
+            in_use: 0,
+            uses: 0.0,
+            used_ms: now_ms,
+            ordered_ms: None,
+            is_fetch: false,
+        }
+    }
+
     fn uses_at(&self, now_ms: TimeMs) -> f64 {
         let age_ms = now_ms.saturating_sub(self.used_ms) as f64;
         self.uses * 0.5_f64.powf(age_ms / USES_HALF_LIFE_MS)
--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        EngineAction, EngineRequest, EngineScheduler, Order, OrderKind, SlotState, adapter_key,
+        EngineAction, EngineRequest, EngineScheduler, Order, OrderKind, adapter_key,
         message::{EngineFetches, FetchPermits, PendingFetch},
     },
     crate::TimeMs,
@@ -96,18 +96,16 @@
 
     /// Returns what the entry that permits fetches must be told now, if anything.
     pub fn fetch_message(&mut self, now_ms: TimeMs) -> Option<EngineFetches> {
-        let pending = if self.eligibility.check(now_ms).is_ok() {
+        if !self.fetches.has_entry() {
+            return None;
+        }
+        let missing = if self.eligibility.check(now_ms).is_ok() {
             self.pending_fetches(now_ms)
         } else {
             Vec::new()
         };
-        let adapters = &self.adapters;
         self.fetches
-            .retain_fetching(|name| adapters.state(name) == Some(SlotState::Loading));
-        self.fetches.drop_unused(now_ms, |adapter| {
-            pending.iter().any(|fetch| fetch.adapter == adapter)
-        });
-        self.fetches.message(pending, now_ms)
+            .message(missing, self.adapters.fetching(), now_ms)
     }
 
     /// Returns the adapters that the engine needs from the weight store, as far as it has slots for them.
@@ -156,10 +154,12 @@
     /// Issues the order to load the newest version of an adapter.
     pub(super) fn order_adapter(&mut self, name: &Arc<str>, now_ms: TimeMs) -> Order {
         let newest = self.replacements.newest(name);
-        if !self.is_copied(name) {
-            self.fetches.start(name, adapter_key(name));
+        let is_fetch = !self.is_copied(name);
+        if is_fetch {
+            self.fetches.start(adapter_key(name));
         }
-        self.adapters.start_load(Arc::clone(name), newest, now_ms);
+        self.adapters
+            .start_load(Arc::clone(name), newest, is_fetch, now_ms);
         let version = Some(newest).filter(|&version| version > 0);
         self.orders.issue_adapter(OrderKind::Load, name, version)
     }
--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -226,19 +226,22 @@
             .filter(|request| now_ms > request.objective_ms && can_serve(request))
             .filter(|request| !self.shares.is_behind(request.account.as_ref()))
             .collect();
+        let mut without_room = HashMap::new();
+        if late.is_empty() {
+            return without_room;
+        }
         late.sort_by_key(|request| (request.rank, request.minor_rank, request.objective_ms));
         let start_interval_ms = self.mean_run_ms / f64::from(batch_slots.max(1));
-        let mut without_room = HashMap::new();
-        let mut kept = 0;
+        let late_interval_ms = self
+            .timely_starts
+            .late_interval_ms(start_interval_ms, now_ms);
+        let mut wait_ms = late_interval_ms;
         for request in late {
-            let wait_ms = self
-                .timely_starts
-                .late_wait_ms(kept + 1, start_interval_ms, now_ms);
-            if wait_ms.is_some_and(|wait_ms| now_ms + wait_ms <= request.deadline_ms) {
-                kept += 1;
+            if now_ms.saturating_add(wait_ms as u64) <= request.deadline_ms {
+                wait_ms += late_interval_ms;
             } else {
-                let wait_ms = wait_ms.unwrap_or(TimelyStarts::MAX_WAIT_MS);
-                without_room.insert(request.key, wait_ms.min(TimelyStarts::MAX_WAIT_MS));
+                let retry_after_ms = wait_ms.min(TimelyStarts::MAX_WAIT_MS as f64);
+                without_room.insert(request.key, retry_after_ms as u64);
             }
         }
         without_room
@@ -365,13 +368,7 @@
         F: Fn(&EngineRequest, &Arc<str>) -> bool,
     {
         let mut missing = HashMap::new();
-        for request in &self.waiting {
-            let Some(adapter) = &request.adapter else {
-                continue;
-            };
-            if !is_missing(request, adapter) {
-                continue;
-            }
+        for (request, adapter) in self.without_adapter(is_missing) {
             let is_late = now_ms + load_ms(adapter) > request.objective_ms;
             let weight = if is_late { LATE_WEIGHT } else { 1.0 };
             let age_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
@@ -380,8 +377,8 @@
         missing
     }
 
-    /// Returns the adapters of waiting requests for which `is_missing` returns `true`, as pending for fetches that
-    /// take `fetch_ms`.
+    /// Returns the fetches, each of which takes `fetch_ms`, of the adapters of waiting requests for which
+    /// `is_missing` returns `true`.
     pub(super) fn pending_fetches<F>(
         &self,
         now_ms: TimeMs,
@@ -393,22 +390,21 @@
         F: Fn(&EngineRequest, &Arc<str>) -> bool,
     {
         let mut pending: HashMap<&Arc<str>, PendingFetch> = HashMap::new();
-        for request in &self.waiting {
-            let Some(adapter) = &request.adapter else {
-                continue;
-            };
-            if !is_missing(request, adapter) {
-                continue;
-            }
+        let mut first_event_ms_by_rank = HashMap::new();
+        for (request, adapter) in self.without_adapter(is_missing) {
             let fetch = pending.entry(adapter).or_insert_with(|| PendingFetch {
                 adapter: adapter_key(adapter),
                 ..PendingFetch::default()
             });
+            let first_event_ms = *first_event_ms_by_rank
+                .entry(request.rank)
+                .or_insert_with(|| self.expected_first_event_ms(request.rank, batch_slots));
             let prompt_ms = request.prompt_tokens as f64 / self.prompt_rate.tokens_per_ms();
-            let ahead_ms = self.expected_first_event_ms(request.rank, batch_slots) + fetch_ms;
-            let left_ms = request
-                .objective_ms
-                .checked_sub(now_ms + ahead_ms + prompt_ms as u64);
+            // A caller may name any number of tokens.
+            let ready_ms = [first_event_ms, fetch_ms, prompt_ms as u64]
+                .into_iter()
+                .fold(now_ms, u64::saturating_add);
+            let left_ms = request.objective_ms.checked_sub(ready_ms);
             fetch.left_ms = [fetch.left_ms, left_ms].into_iter().flatten().min();
             fetch.waited_ms = fetch
                 .waited_ms
@@ -418,6 +414,17 @@
         pending.into_values().collect()
     }
 
+    /// Returns the waiting requests, with their adapters, for which `is_missing` returns `true`.
+    fn without_adapter<F>(&self, is_missing: F) -> impl Iterator<Item = (&EngineRequest, &Arc<str>)>
+    where
+        F: Fn(&EngineRequest, &Arc<str>) -> bool,
+    {
+        self.waiting
+            .iter()
+            .filter_map(|request| Some((request, request.adapter.as_ref()?)))
+            .filter(move |(request, adapter)| is_missing(request, adapter))
+    }
+
     /// Returns whether a waiting request needs an adapter.
     pub(super) fn needs_adapter(&self, adapter: &str) -> bool {
         self.waiting
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -398,8 +398,9 @@
         }
         let loading = loading_adapters(report);
         for load_ms in self.adapters.reconcile(&loaded, &loading, now_ms) {
-            self.load_times.record(load_ms as f64);
-            self.fetches.record_ended(load_ms);
+            if self.load_times.record(load_ms) {
+                self.fetches.record_ended(load_ms);
+            }
         }
         self.schedule_replacements(&loaded, now_ms);
     }
--- a/crates/magnoliasail-core/src/gateway/expiring_map.rs
+++ b/crates/magnoliasail-core/src/gateway/expiring_map.rs
@@ -58,8 +58,15 @@
 
     /// Returns the value with this key, or `None` if there is none or it has expired.
     pub(super) fn get(&self, key: u64, now_ms: TimeMs) -> Option<&V> {
+        Some(self.get_with_age(key, now_ms)?.0)
+    }
+
+    /// Returns the value with this key and the time since it was recorded, in milliseconds, or `None` if there
+    /// is none or it has expired.
+    pub(super) fn get_with_age(&self, key: u64, now_ms: TimeMs) -> Option<(&V, u64)> {
         let recorded = self.by_key.get(&key)?;
-        (!self.is_expired(recorded.recorded_ms, now_ms)).then_some(&recorded.value)
+        let age_ms = now_ms.saturating_sub(recorded.recorded_ms);
+        (!self.is_expired(recorded.recorded_ms, now_ms)).then_some((&recorded.value, age_ms))
     }
 
     /// Removes a value and returns it.
--- a/crates/magnoliasail-core/src/gateway/fetch_control.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_control.rs
@@ -6,7 +6,7 @@
 use {
     super::message::{EngineFetches, FetchPermits, PendingFetch},
     crate::TimeMs,
-    std::{collections::HashMap, sync::Arc},
+    std::collections::HashMap,
 };
 
 /// Time within which an entry acknowledges a message: many round trips, and well below an objective.
@@ -30,9 +30,7 @@
     sent: EngineFetches,
     /// When the oldest message was sent that the entry has not acknowledged.
     unacknowledged_since_ms: Option<TimeMs>,
-    /// The adapters whose fetch was ordered.
-    fetching: Vec<Arc<str>>,
-    /// The times of the loads that ended since the last message.
+    /// The times of the fetches that ended since the last message.
     ended_ms: Vec<u32>,
     /// Since when the adapters of the last message have waited for a permit.
     pending_since_ms: HashMap<u64, TimeMs>,
@@ -51,7 +49,6 @@
     pub(super) fn set_entry(&mut self, has_entry: bool) {
         *self = Self {
             has_entry,
-            fetching: std::mem::take(&mut self.fetching),
             ..Self::default()
         };
     }
@@ -107,41 +104,33 @@
     }
 
     /// Records that the fetch of an adapter is ordered.
-    pub(super) fn start(&mut self, name: &Arc<str>, adapter: u64) {
+    pub(super) fn start(&mut self, adapter: u64) {
         self.permits.retain(|permit| permit.adapter != adapter);
-        self.fetching.push(Arc::clone(name));
     }
 
-    /// Forgets the fetches that `is_loading` denies.
-    pub(super) fn retain_fetching(&mut self, is_loading: impl Fn(&str) -> bool) {
-        self.fetching.retain(|name| is_loading(name));
-    }
-
-    /// Records the time of a load that ended.
-    pub(super) fn record_ended(&mut self, load_ms: u64) {
+    /// Records the time of a fetch that ended.
+    pub(super) fn record_ended(&mut self, fetch_ms: u64) {
         if self.has_entry {
             self.ended_ms
-                .push(u32::try_from(load_ms).unwrap_or(u32::MAX));
+                .push(u32::try_from(fetch_ms).unwrap_or(u32::MAX));
         }
     }
 
-    /// Drops the permits that have expired, and those of adapters that `is_needed` denies.
-    pub(super) fn drop_unused(&mut self, now_ms: TimeMs, is_needed: impl Fn(u64) -> bool) {
-        self.permits
-            .retain(|permit| permit.expires_ms > now_ms && is_needed(permit.adapter));
+    /// Returns whether an entry is linked that gives permits.
+    pub(super) const fn has_entry(&self) -> bool {
+        self.has_entry
     }
 
-    /// Returns the next message for the entry, if it would learn something new from it. `pending` are the
-    /// adapters that the engine misses.
+    /// Returns the next message for the entry, if it would learn something new from it. `missing` are the
+    /// adapters that the engine misses, and `fetching` is the number of fetches in progress.
     pub(super) fn message(
         &mut self,
-        pending: Vec<PendingFetch>,
+        missing: Vec<PendingFetch>,
+        fetching: usize,
         now_ms: TimeMs,
     ) -> Option<EngineFetches> {
-        if !self.has_entry {
-            return None;
-        }
-        let pending: Vec<PendingFetch> = pending
+        self.drop_unused(&missing, now_ms);
+        let pending: Vec<PendingFetch> = missing
             .into_iter()
             .filter(|fetch| !self.is_permitted(fetch.adapter, now_ms))
             .collect();
@@ -150,7 +139,7 @@
         for fetch in &pending {
             self.pending_since_ms.entry(fetch.adapter).or_insert(now_ms);
         }
-        let in_transit = (self.fetching.len() + self.permits.len()) as u32;
+        let in_transit = (fetching + self.permits.len()) as u32;
         let is_known = self.sent.number > 0
             && self.ended_ms.is_empty()
             && self.sent.in_transit == in_transit
@@ -169,6 +158,13 @@
         self.unacknowledged_since_ms.get_or_insert(now_ms);
         Some(self.sent.clone())
     }
+
+    /// Drops the permits that have expired, and those of adapters that the engine does not miss.
+    fn drop_unused(&mut self, missing: &[PendingFetch], now_ms: TimeMs) {
+        let is_missing = |adapter| missing.iter().any(|fetch| fetch.adapter == adapter);
+        self.permits
+            .retain(|permit| permit.expires_ms > now_ms && is_missing(permit.adapter));
+    }
 }
 
 fn adapters(pending: &[PendingFetch]) -> impl Iterator<Item = u64> {
--- a/crates/magnoliasail-core/src/gateway/fetch_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/fetch_queue.rs
@@ -125,7 +125,8 @@
     /// Returns the permits that can be given now: engines and the keys of their adapters.
     pub fn permit(&mut self, now_ms: TimeMs) -> Vec<(E, u64)> {
         let mut permits = Vec::new();
-        while self.in_transit() < self.limit() {
+        let free = self.limit().saturating_sub(self.in_transit());
+        for _ in 0..free {
             let Some((engine, adapter)) = self.next(now_ms) else {
                 break;
             };
--- a/crates/magnoliasail-core/src/gateway/load_times.rs
+++ b/crates/magnoliasail-core/src/gateway/load_times.rs
@@ -6,7 +6,7 @@
 const INITIAL_LOAD_MS: f64 = 100.0;
 /// Load time from which on a load counts as a fetch from the weight store: copies on the host load
 /// ten times as fast.
-const MIN_FETCH_MS: f64 = 120.0;
+pub(super) const MIN_FETCH_MS: u64 = 120;
 /// Assumed time of a load from a copy on the host until one has completed.
 const INITIAL_COPY_LOAD_MS: f64 = 30.0;
 /// Assumed time of a fetch until one has completed.
@@ -35,15 +35,18 @@
 }
 
 impl LoadTimes {
-    /// Records the time of a completed load, in milliseconds.
-    pub(super) fn record(&mut self, load_ms: f64) {
+    /// Records the time of a completed load, in milliseconds; returns whether it counts as a fetch.
+    pub(super) fn record(&mut self, load_ms: u64) -> bool {
+        let is_fetch = load_ms >= MIN_FETCH_MS;
+        let load_ms = load_ms as f64;
         self.mean_load_ms += NEWEST_WEIGHT * (load_ms - self.mean_load_ms);
-        if load_ms < MIN_FETCH_MS {
+        if !is_fetch {
             self.mean_copy_load_ms += NEWEST_WEIGHT * (load_ms - self.mean_copy_load_ms);
-            return;
+            return false;
         }
         self.mean_fetch_ms += NEWEST_WEIGHT * (load_ms - self.mean_fetch_ms);
         self.shortest_fetch_ms = self.shortest_fetch_ms.min(load_ms);
+        true
     }
 
     /// Returns the average time of recent loads, in milliseconds.
--- a/crates/magnoliasail-core/src/gateway/message/versions.rs
+++ b/crates/magnoliasail-core/src/gateway/message/versions.rs
@@ -1,4 +1,4 @@
-//! The software versions that a service has had recently, as entries and agents tell each other.
+//! The software versions that a service has had recently, as entries and agents report them to each other.
 
 use prost::Message;
 
--- a/crates/magnoliasail-core/src/gateway/origin_evidence.rs
+++ b/crates/magnoliasail-core/src/gateway/origin_evidence.rs
@@ -32,7 +32,7 @@
 pub enum OriginVerdict {
     /// No process knows the stream.
     Unknown,
-    /// Engines of several versions have begun the stream, and which one the caller heard is unknown.
+    /// Engines of several versions have begun the stream, and from which one the caller has events is unknown.
     Conflicting,
     /// This version began the stream.
     Known(VersionConstraint),
--- a/crates/magnoliasail-core/src/gateway/stream_origins.rs
+++ b/crates/magnoliasail-core/src/gateway/stream_origins.rs
@@ -16,7 +16,6 @@
 struct KnownOrigin {
     software_version: Option<Arc<str>>,
     is_forwarded: bool,
-    recorded_ms: TimeMs,
 }
 
 impl StreamOrigins {
@@ -48,11 +47,11 @@
     /// Returns what is known of the stream with this key, or `None` if it is unknown.
     #[must_use]
     pub fn get(&self, key: u64, now_ms: TimeMs) -> Option<OriginRecord> {
-        let known = self.by_key.get(key, now_ms)?;
+        let (known, age_ms) = self.by_key.get_with_age(key, now_ms)?;
         Some(OriginRecord {
             software_version: known.software_version.clone(),
             is_forwarded: known.is_forwarded,
-            age_ms: now_ms.saturating_sub(known.recorded_ms),
+            age_ms,
         })
     }
 
@@ -60,7 +59,6 @@
         let known = KnownOrigin {
             software_version: origin.software_version.as_deref().map(Arc::from),
             is_forwarded,
-            recorded_ms: now_ms,
         };
         self.by_key.record(origin.key, known, now_ms);
     }
--- a/crates/magnoliasail-core/src/gateway/timely_starts.rs
+++ b/crates/magnoliasail-core/src/gateway/timely_starts.rs
@@ -31,18 +31,17 @@
         self.recent_ms.push_back(now_ms);
     }
 
-    /// Returns the expected time until the engine has started `count` late requests, if it starts a request
-    /// every `start_interval_ms` milliseconds; `None` if those in time leave it no room.
-    pub(super) fn late_wait_ms(
-        &self,
-        count: usize,
-        start_interval_ms: f64,
-        now_ms: TimeMs,
-    ) -> Option<u64> {
+    /// Returns the expected time between two starts of late requests, in milliseconds, if the engine starts a
+    /// request every `start_interval_ms`; infinite if those in time leave it no room.
+    pub(super) fn late_interval_ms(&self, start_interval_ms: f64, now_ms: TimeMs) -> f64 {
         let is_recent = |&&started_ms: &&TimeMs| started_ms + WINDOW_MS > now_ms;
         let timely = self.recent_ms.iter().filter(is_recent).count();
         let possible = WINDOW_MS as f64 / start_interval_ms.max(f64::EPSILON);
         let left_share = 1.0 - timely as f64 / possible;
-        (left_share > 0.0).then(|| (count as f64 * start_interval_ms / left_share) as u64)
+        if left_share > 0.0 {
+            start_interval_ms / left_share
+        } else {
+            f64::INFINITY
+        }
     }
 }
--- a/crates/magnoliasail-core/src/gateway/transfer_limit.rs
+++ b/crates/magnoliasail-core/src/gateway/transfer_limit.rs
@@ -1,10 +1,11 @@
 //! How many fetches the weight store carries at once before they slow each other down.
 //!
 //! The store does not publish it. While fetches take as long as a single one, the limit grows: at first with
-//! each fetch that ends, so that it triples in the time of a fetch, and slowly once the store has been found full. A fetch that takes longer shows what the store carries: the mean number in transit during the fetch,
+//! each fetch that ends, so that it triples in the time of a fetch, and slowly once the store has been found
+//! full. A fetch that takes longer shows the store's capacity: the mean number in transit during the fetch,
 //! divided by its slow-down.
 
-use {crate::TimeMs, std::collections::VecDeque};
+use {super::load_times::MIN_FETCH_MS, crate::TimeMs, std::collections::VecDeque};
 
 /// Slow-down from which on the store counts as full; less may come from the times of reports.
 const MIN_SLOWDOWN: f64 = 1.3;
@@ -12,12 +13,8 @@
 const AIMED_SLOWDOWN: f64 = 1.1;
 /// Weight of the newest estimate in the moving average.
 const NEWEST_WEIGHT: f64 = 0.2;
-/// Times below this are loads from a copy on the host, which the weight store does not carry.
-const MIN_FETCH_MS: u64 = 120;
 /// Share of the limit that must be in use for a fast fetch to show that more are possible.
 const MIN_USED_SHARE: f64 = 0.8;
-/// The number of engines that share one fetch until the limit is known.
-const INITIAL_ENGINES_PER_FETCH: f64 = 1.0;
 /// Growth of the limit with each fast fetch until the store has been found full.
 const FIRST_GROWTH: f64 = 2.0;
 /// Maximum number of changes of the number in transit that are kept.
@@ -98,8 +95,8 @@
     }
 
     fn limit_for(&self, engines: usize) -> f64 {
-        self.learned
-            .unwrap_or((engines as f64 / INITIAL_ENGINES_PER_FETCH).max(1.0))
+        // One fetch for each engine until the limit is known.
+        self.learned.unwrap_or((engines as f64).max(1.0))
     }
 
     /// Returns the mean number in transit over the last `duration_ms` milliseconds.
--- a/crates/magnoliasail-core/src/gateway/version_history.rs
+++ b/crates/magnoliasail-core/src/gateway/version_history.rs
@@ -2,8 +2,8 @@
 //!
 //! A stream whose origin no process has recorded can only go on if its service has had one version since
 //! the stream began. A process that has just started cannot know that from the list of servers, which does
-//! not show those that left before. So entries tell agents what was listed, and a new entry hears it from
-//! them: together they know it through the restart of any of them.
+//! not show those that left before. So entries report to agents what was listed, and agents report it to
+//! an entry that starts: the knowledge survives the restart of any of them.
 
 use {
     super::{
