--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -9,6 +9,7 @@
 mod entry_link;
 mod fetches;
 mod operator_observer;
+mod origins;
 mod outgoing;
 mod questions;
 mod rates;
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -26,10 +26,7 @@
         EngineReport, EngineScheduler, HoldingsTracker, Order, OrderOutcome, Quarantine,
         QuotaGrants, SchedulerSettings, SendGrants, ServerLoad, ServerNotice, StreamOrigins,
         VersionHistory,
-        message::{
-            ConfigurationCopy, EngineState, OriginAnswer, ServiceVersions, StreamOrigin, ToEntry,
-            ToEntryKind,
-        },
+        message::{ConfigurationCopy, EngineState, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::settings::NodeSettings,
     magnoliasail_wire::Outbox,
@@ -88,10 +85,10 @@
     pub(super) links: RefCell<HashMap<LinkId, Outbox<ToEntry>>>,
     pub(super) holdings: RefCell<HoldingsTracker>,
     /// The origins of streams that this engine began, and of others that entries sent.
-    origins: RefCell<StreamOrigins>,
+    pub(super) origins: RefCell<StreamOrigins>,
     pub(super) fetch_entries: RefCell<FetchEntries>,
     /// The software versions of services, as entries have listed them.
-    versions: RefCell<VersionHistory>,
+    pub(super) versions: RefCell<VersionHistory>,
     pub(super) next_key: Cell<u64>,
     next_link: Cell<LinkId>,
     /// Moving average of the time from sending a request to its response head, in milliseconds.
@@ -172,10 +169,7 @@
         self.links.borrow_mut().insert(link, outbox);
         let holdings = self.holdings.borrow().snapshot();
         self.send(link, ToEntryKind::Holdings(holdings));
-        let known = self.versions.borrow().snapshot(self.clock.now_ms());
-        for versions in known {
-            self.send(link, ToEntryKind::Versions(versions));
-        }
+        self.send_versions(link);
         self.broadcast_engine_state();
         link
     }
@@ -209,31 +203,6 @@
         }
     }
 
-    /// Remembers which software version began a stream whose first event an entry forwards.
-    pub(super) fn remember_origin(&self, origin: &StreamOrigin) {
-        let now_ms = self.clock.now_ms();
-        self.origins.borrow_mut().record(origin, now_ms);
-    }
-
-    /// Remembers that the engine has made the first event of a stream.
-    pub(super) fn remember_begun(&self, origin: &StreamOrigin) {
-        let now_ms = self.clock.now_ms();
-        self.origins.borrow_mut().record_begun(origin, now_ms);
-    }
-
-    /// Remembers which software versions an entry has listed for a service.
-    pub(super) fn add_versions(&self, versions: &ServiceVersions) {
-        let now_ms = self.clock.now_ms();
-        self.versions.borrow_mut().add(versions, now_ms);
-    }
-
-    /// Answers an entry's query for the origin of a stream.
-    pub(super) fn answer_origin(&self, link: LinkId, key: u64) {
-        let now_ms = self.clock.now_ms();
-        let record = self.origins.borrow().get(key, now_ms);
-        self.send(link, ToEntryKind::Origin(OriginAnswer::new(key, record)));
-    }
-
     fn cancel_by_key(self: &Rc<Self>, key: u64) {
         let request = self.active_requests.borrow_mut().remove(&key);
         if let Some(request) = request
--- a/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
+++ b/crates/magnoliasail/src/gateway/entry/fetch_permits.rs
@@ -13,7 +13,9 @@
     /// Tells an agent whose link is up that this entry permits fetches.
     pub(super) fn offer_fetch_permits(&self, vm: IpAddr) {
         let entry = self.settings.vm_name.as_ref().to_owned();
-        self.send_to_agent(vm, ToAgentKind::PermitsFetches(PermitsFetches { entry }));
+        if !self.send_to_agent(vm, ToAgentKind::PermitsFetches(PermitsFetches { entry })) {
+            emit(EventId::RingFull, format_args!("permits agent={vm}"));
+        }
     }
 
     /// Applies what an agent fetches and waits for, and permits what can be fetched now.
@@ -54,38 +56,27 @@
                 ..permits
             };
             if !self.send_to_agent(vm, ToAgentKind::FetchPermits(permits)) {
+                emit(EventId::RingFull, format_args!("permits agent={vm}"));
                 // The agent's next message brings its whole state again.
                 self.fetch_queue.borrow_mut().remove(vm);
             }
         }
     }
 
+    /// Logs permits, and updates the metrics of the queue.
     fn log_permits(&self, permits: &[(IpAddr, u64)]) {
         let queue = self.fetch_queue.borrow();
-        let metrics = &self.metrics;
-        metrics.fetches_in_transit.set(queue.in_transit().into());
-        metrics.fetch_limit.set(queue.limit().into());
-        metrics.fetches_waiting.set(queue.waiting() as i64);
+        let (in_transit, limit, waiting) = (queue.in_transit(), queue.limit(), queue.waiting());
+        self.metrics.fetches_in_transit.set(in_transit.into());
+        self.metrics.fetch_limit.set(limit.into());
+        self.metrics.fetches_waiting.set(waiting as i64);
         for (vm, adapter) in permits {
             emit(
                 EventId::FetchPermitted,
                 format_args!(
-                    "agent={vm} adapter_key={adapter:016x} in_transit={} limit={} waiting={}",
-                    queue.in_transit(),
-                    queue.limit(),
-                    queue.waiting()
+                    "agent={vm} adapter_key={adapter:016x} in_transit={in_transit} limit={limit} waiting={waiting}"
                 ),
             );
         }
     }
-
-    /// Sends a message to the agent on a VM; returns whether its link has taken it.
-    fn send_to_agent(&self, vm: IpAddr, kind: ToAgentKind) -> bool {
-        let link = self.links.borrow().get(&vm).cloned();
-        let is_sent = link.is_some_and(|link| link.send(kind));
-        if !is_sent {
-            emit(EventId::RingFull, format_args!("permits agent={vm}"));
-        }
-        is_sent
-    }
 }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -27,6 +27,7 @@
 mod relay;
 mod request;
 mod response_body;
+mod retries;
 mod send_permit;
 mod startup_wait;
 mod state;
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -36,9 +36,9 @@
     Agent,
     /// The service has had only one software version since the stream began.
     OnlyVersion,
-    /// Engines of several versions have begun the stream, and which one the caller heard is unknown.
+    /// Engines of several versions have begun the stream, and from which one the caller has events is unknown.
     Conflicting,
-    /// No process knows the stream, and the service has had several versions.
+    /// No process knows the stream, and the service has had several versions, or not all of them are known.
     Unknown,
 }
 
@@ -95,8 +95,8 @@
 
 /// Asks all linked agents for the origin of a stream, and returns what they say together.
 ///
-/// Agents to which this entry is still connecting are asked as soon as their links are up. All agents are
-/// heard, because the one that answers first may have an older record than another.
+/// Agents to which this entry is still connecting are asked as soon as their links are up. The answers of all
+/// are awaited, because the first may be an older record than another.
 async fn ask_agents(state: &EntryState, service: &str, key: u64) -> OriginVerdict {
     let deadline = Instant::now() + MAX_QUERY_WAIT;
     let mut asked = HashSet::new();
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -217,12 +217,9 @@
     /// Sends an agent what is quarantined and confirmed.
     fn send_quarantines(&self, vm: IpAddr) {
         let now_ms = self.clock.now_ms();
-        let Some(link) = self.links.borrow().get(&vm).map(Rc::clone) else {
-            return;
-        };
         for change in self.quarantine.borrow().changes_to_replay(now_ms) {
             // If the link goes down again, the agent is told at its next start.
-            let _ = link.send(ToAgentKind::Quarantine(change));
+            let _ = self.send_to_agent(vm, ToAgentKind::Quarantine(change));
         }
     }
 
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -11,7 +11,7 @@
             announcement::{record_notice, record_rate},
             buffer_budget::BufferBudget,
             byte_limit::TooLong,
-            metrics::{GatewayMetrics, RetryCause},
+            metrics::GatewayMetrics,
             phase::Phase,
             pool::{Pool, SharedIdleLimit},
             steady_clock::SteadyClock,
@@ -19,9 +19,9 @@
     },
     magnoliasail_core::gateway::{
         Affinity, Candidate, CrashDetector, Directory, FetchQueue, Holding, Ineligibility,
-        Placement, PlacementCosts, Quarantine, RateSource, RateStatement, RetryBudget, RetryWindow,
-        RouteTable, ServerNotice, ServerView, StoreFreshness, StreamOrigins, VersionConstraint,
-        VersionHistory, adapter_key, plain_wait_ms,
+        Placement, PlacementCosts, Quarantine, RateSource, RateStatement, RetryWindow, RouteTable,
+        ServerNotice, ServerView, StoreFreshness, StreamOrigins, VersionConstraint, VersionHistory,
+        adapter_key, message::ToAgentKind, plain_wait_ms,
     },
     magnoliasail_platform::settings::NodeSettings,
     rand::Rng,
@@ -51,7 +51,7 @@
     pub(super) links: RefCell<HashMap<IpAddr, Rc<EngineLink>>>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     idle_limit: SharedIdleLimit,
-    retry_windows: RefCell<HashMap<Arc<str>, RetryWindow>>,
+    pub(super) retry_windows: RefCell<HashMap<Arc<str>, RetryWindow>>,
     /// The origins of streams whose first event this entry has forwarded.
     pub(super) origins: RefCell<StreamOrigins>,
     pub(super) versions: RefCell<VersionHistory>,
@@ -65,7 +65,7 @@
     /// The queue of what links bring that concerns more than one attempt.
     pub(super) link_notices: mpsc::Sender<LinkNotice>,
     /// When the process started, by its clock.
-    started_ms: u64,
+    pub(super) started_ms: u64,
     /// Number of answered requests since the process started.
     answered_count: Cell<u64>,
     /// Whether an agent has said what is quarantined since the process started.
@@ -305,6 +305,12 @@
         self.links.borrow().get(&address).map(Rc::clone)
     }
 
+    /// Queues a message for the agent on a VM; returns `false` if its link is down or its queue is full.
+    pub(super) fn send_to_agent(&self, vm: IpAddr, kind: ToAgentKind) -> bool {
+        let link = self.links.borrow().get(&vm).map(Rc::clone);
+        link.is_some_and(|link| link.send(kind))
+    }
+
     /// Returns a plain server as a candidate; it has whatever a request needs.
     fn plain_candidate(&self, server: &ServerView) -> (PickedServer, Candidate) {
         let now_ms = self.clock.now_ms();
@@ -414,47 +420,6 @@
         );
     }
 
-    /// Counts a request towards the retry budget of its service.
-    pub(super) fn count_request(&self, service: &Arc<str>) {
-        self.with_retry_window(service, |window, now_ms| window.count_request(now_ms));
-    }
-
-    /// Takes one retry from this entry's share of a service's retry budget; returns whether there
-    /// was one left.
-    pub(super) fn try_retry(&self, service: &Arc<str>) -> bool {
-        let entry_count = self.entry_count();
-        let is_granted = self.with_retry_window(service, |window, now_ms| {
-            window.try_retry(entry_count, now_ms)
-        });
-        if !is_granted {
-            self.metrics.count_retry(RetryCause::BudgetSpent);
-        }
-        is_granted
-    }
-
-    /// Returns a retry to the budget because it was not sent to any server.
-    pub(super) fn refund_retry(&self, service: &Arc<str>) {
-        self.with_retry_window(service, RetryWindow::refund);
-    }
-
-    fn with_retry_window<T>(
-        &self,
-        service: &Arc<str>,
-        operation: impl FnOnce(&mut RetryWindow, u64) -> T,
-    ) -> T {
-        let settings = &self.settings;
-        let mut retry_windows = self.retry_windows.borrow_mut();
-        let window = retry_windows.entry(Arc::clone(service)).or_insert_with(|| {
-            let budget = RetryBudget {
-                ratio: settings.retry_ratio,
-                floor: settings.min_retries,
-                window_ms: settings.retry_window_ms,
-            };
-            RetryWindow::new(budget, self.started_ms)
-        });
-        operation(window, self.clock.now_ms())
-    }
-
     /// Returns the number of entries that share a retry budget: the highest count that an agent has
     /// reported.
     pub(super) fn entry_count(&self) -> u32 {
--- a/crates/magnoliasail/src/gateway/entry/stream_origin.rs
+++ b/crates/magnoliasail/src/gateway/entry/stream_origin.rs
@@ -32,7 +32,6 @@
         let lookup = find_origin(&self.state, &self.route.service, key).await;
         log_lookup(metadata, key, &lookup, started_at);
         let Some(version) = lookup.version else {
-            // It stays unknown, so that the caller need not come back for it.
             return Err(self.refusal(RefusalCause::VersionUnknown, u64::MAX));
         };
         self.version = version;
--- a/crates/magnoliasail/src/gateway/entry/version_reports.rs
+++ b/crates/magnoliasail/src/gateway/entry/version_reports.rs
@@ -1,4 +1,4 @@
-//! Tells agents which software versions the entry has listed, and hears it from them.
+//! Tells agents which software versions the entry has listed, and learns it from them.
 //!
 //! An entry that has just started does not know which versions left before. The agents do.
 
@@ -48,11 +48,9 @@
     /// Tells the agent on a VM what this entry knows of the versions of services.
     pub(super) fn send_versions(&self, vm: IpAddr) {
         let known = self.versions.borrow().snapshot(self.clock.now_ms());
-        if let Some(link) = self.links.borrow().get(&vm) {
-            for versions in known {
-                // If the queue is full, the next report brings it.
-                let _ = link.send(ToAgentKind::Versions(versions));
-            }
+        for versions in known {
+            // If it is not taken, the next report brings it.
+            let _ = self.send_to_agent(vm, ToAgentKind::Versions(versions));
         }
     }
 
