refactor(test): one scheduler of an engine with its model, one check that all are refused

Five tests set up the same scheduler. The check that all resumed streams are refused stood twice and passed without any stream; it now needs one.

--- a/crates/magnoliasail-core/tests/gateway/account_shares.rs
+++ b/crates/magnoliasail-core/tests/gateway/account_shares.rs
@@ -1,11 +1,8 @@
 //! Shares of accounts at a full engine: who is served, who waits, who is refused.
 
 use {
-    super::fake_engine::{FakeEngine, MODEL, limits},
-    magnoliasail_core::gateway::{
-        EngineAction, EngineLimits, EngineRefusal, EngineRequest, EngineScheduler,
-        SchedulerSettings,
-    },
+    super::fake_engine::{MODEL, limits, scheduler_with_model},
+    magnoliasail_core::gateway::{EngineAction, EngineLimits, EngineRefusal, EngineRequest},
     std::collections::BTreeMap,
 };
 
@@ -49,15 +46,12 @@
 
 /// Replays demands at one engine whose runs all take the same time; returns the outcome of each account.
 fn replay(demands: &[Demand]) -> BTreeMap<&'static str, Outcome> {
-    let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
-    scheduler.configure(EngineLimits {
+    let engine_limits = EngineLimits {
         batch_slots: BATCH_SLOTS,
         kv_tokens: 1_000_000,
         ..limits()
-    });
-    let ticket = scheduler.report_ticket();
-    let report = FakeEngine::with_model().report();
-    scheduler.apply_report(&report, ticket, 0, &mut Vec::new());
+    };
+    let mut scheduler = scheduler_with_model(engine_limits, 0);
     let mut outcomes: BTreeMap<&str, Outcome> = BTreeMap::new();
     let mut accounts = BTreeMap::new();
     let mut ends: BTreeMap<(u64, u64), ()> = BTreeMap::new();
@@ -206,15 +200,12 @@
 /// Without accounts, requests start in the order of rank and objective, as if there were no shares.
 #[test]
 fn without_accounts_the_order_of_starts_is_that_of_rank_and_objective() {
-    let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
-    scheduler.configure(EngineLimits {
+    let engine_limits = EngineLimits {
         batch_slots: 1,
         kv_tokens: 1_000_000,
         ..limits()
-    });
-    let ticket = scheduler.report_ticket();
-    let report = FakeEngine::with_model().report();
-    scheduler.apply_report(&report, ticket, 0, &mut Vec::new());
+    };
+    let mut scheduler = scheduler_with_model(engine_limits, 0);
     let mut expected = Vec::new();
     let mut started = Vec::new();
     let mut record = |actions: Vec<EngineAction>| {
--- a/crates/magnoliasail-core/tests/gateway/expected_wait.rs
+++ b/crates/magnoliasail-core/tests/gateway/expected_wait.rs
@@ -1,7 +1,7 @@
 //! The expected time until an engine's first event, as its agent reports it and entries use it.
 
 use {
-    super::fake_engine::{FakeEngine, MODEL, limits},
+    super::fake_engine::{MODEL, limits, scheduler_with_model},
     magnoliasail_core::gateway::{
         EngineAction, EngineLimits, EngineRequest, EngineScheduler, SchedulerSettings,
         UnreportedWork, message::EngineState,
@@ -12,16 +12,12 @@
 const TOKENS_PER_MS: u64 = 10;
 
 fn scheduler() -> EngineScheduler {
-    let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
-    scheduler.configure(EngineLimits {
+    let engine_limits = EngineLimits {
         batch_slots: 64,
         kv_tokens: 1_000_000,
         ..limits()
-    });
-    let ticket = scheduler.report_ticket();
-    let report = FakeEngine::with_model().report();
-    scheduler.apply_report(&report, ticket, 0, &mut Vec::new());
-    scheduler
+    };
+    scheduler_with_model(engine_limits, 0)
 }
 
 /// Submits a request for the base model, which starts at once.
--- a/crates/magnoliasail-core/tests/gateway/fake_engine.rs
+++ b/crates/magnoliasail-core/tests/gateway/fake_engine.rs
@@ -2,8 +2,8 @@
 
 use {
     magnoliasail_core::gateway::{
-        EngineLimits, EngineReport, LoadedModel, ModelLimits, Order, OrderKind, OrderOutcome,
-        VersionedAdapter,
+        EngineLimits, EngineReport, EngineScheduler, LoadedModel, ModelLimits, Order, OrderKind,
+        OrderOutcome, SchedulerSettings, VersionedAdapter,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -32,6 +32,16 @@
     }
 }
 
+/// Returns the scheduler of an engine that has its base model and no adapter.
+pub(crate) fn scheduler_with_model(limits: EngineLimits, now_ms: u64) -> EngineScheduler {
+    let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
+    scheduler.configure(limits);
+    let ticket = scheduler.report_ticket();
+    let report = FakeEngine::with_model().report();
+    scheduler.apply_report(&report, ticket, now_ms, &mut Vec::new());
+    scheduler
+}
+
 /// A simulated engine, which carries out orders at once except for loads of adapters.
 #[derive(Default)]
 pub(crate) struct FakeEngine {
--- a/crates/magnoliasail-core/tests/gateway/fetch_permits.rs
+++ b/crates/magnoliasail-core/tests/gateway/fetch_permits.rs
@@ -1,10 +1,10 @@
 //! Fetches of one engine by the permits of an entry, and without an entry that answers.
 
 use {
-    super::fake_engine::{FakeEngine, MODEL, limits},
+    super::fake_engine::{MODEL, limits, scheduler_with_model},
     magnoliasail_core::gateway::{
         EngineAction, EngineRefusal, EngineRequest, EngineScheduler, Order, OrderOutcome,
-        SchedulerSettings, adapter_key,
+        adapter_key,
         message::{EngineFetches, FetchPermits},
     },
 };
@@ -15,11 +15,7 @@
 
 /// Returns the scheduler of an engine that has its base model, and asks an entry for permits.
 fn governed_scheduler() -> EngineScheduler {
-    let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
-    scheduler.configure(limits());
-    let ticket = scheduler.report_ticket();
-    let report = FakeEngine::with_model().report();
-    scheduler.apply_report(&report, ticket, NOW_MS, &mut Vec::new());
+    let mut scheduler = scheduler_with_model(limits(), NOW_MS);
     scheduler.set_fetch_entry(true);
     let first = scheduler
         .fetch_message(NOW_MS)
--- a/crates/magnoliasail-core/tests/gateway/hand_back.rs
+++ b/crates/magnoliasail-core/tests/gateway/hand_back.rs
@@ -2,26 +2,16 @@
 //! prompts that are held back while an engine is slowed down.
 
 use {
-    super::fake_engine::{FakeEngine, MODEL, limits},
+    super::fake_engine::{MODEL, limits, scheduler_with_model},
     magnoliasail_core::gateway::{
-        EngineAction, EngineLimits, EngineRefusal, EngineRequest, EngineScheduler,
-        SchedulerSettings, WorkTime, plain_wait_ms,
+        EngineAction, EngineLimits, EngineRefusal, EngineRequest, EngineScheduler, WorkTime,
+        plain_wait_ms,
     },
 };
 
 const NOW_MS: u64 = 100_000;
 const OBJECTIVE_MS: u64 = 500;
 
-/// Returns the scheduler of an engine that has its base model and no adapter.
-fn scheduler(limits: EngineLimits) -> EngineScheduler {
-    let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
-    scheduler.configure(limits);
-    let ticket = scheduler.report_ticket();
-    let report = FakeEngine::with_model().report();
-    scheduler.apply_report(&report, ticket, NOW_MS, &mut Vec::new());
-    scheduler
-}
-
 fn request(key: u64, adapter: Option<&str>) -> EngineRequest {
     EngineRequest {
         key,
@@ -54,7 +44,7 @@
 /// Load: more adapters are missing at one engine than it may load at once.
 #[test]
 fn a_request_that_waits_behind_the_loads_of_others_is_handed_back() {
-    let mut scheduler = scheduler(limits());
+    let mut scheduler = scheduler_with_model(limits(), NOW_MS);
     for key in 1..=4 {
         let hurried = request(key, Some(&format!("a{key}")));
         assert_eq!(refusals(&submit(&mut scheduler, hurried)), []);
@@ -77,7 +67,7 @@
 
 #[test]
 fn a_request_that_is_late_by_its_own_load_is_not_handed_back() {
-    let mut scheduler = scheduler(limits());
+    let mut scheduler = scheduler_with_model(limits(), NOW_MS);
     let hurried = EngineRequest {
         objective_ms: NOW_MS + 50,
         ..request(1, Some("a1"))
@@ -87,10 +77,13 @@
 
 #[test]
 fn a_request_without_a_slot_is_handed_back_while_it_can_still_be_in_time() {
-    let mut scheduler = scheduler(EngineLimits {
-        adapter_slots: 1,
-        ..limits()
-    });
+    let mut scheduler = scheduler_with_model(
+        EngineLimits {
+            adapter_slots: 1,
+            ..limits()
+        },
+        NOW_MS,
+    );
     let pinned = submit(&mut scheduler, request(1, Some("a1")));
     assert_eq!(refusals(&pinned), []);
     let waiting = EngineRequest {
@@ -131,10 +124,10 @@
         pause_objective_ms: 300,
         ..limits()
     };
-    let mut usual = scheduler(paced.clone());
+    let mut usual = scheduler_with_model(paced.clone(), NOW_MS);
     usual.record_work_time(120, NOW_MS);
     assert_eq!(started_of_ten(&mut usual), 10);
-    let mut slowed = scheduler(paced);
+    let mut slowed = scheduler_with_model(paced, NOW_MS);
     slowed.record_work_time(120, NOW_MS - 2_000);
     slowed.record_work_time(300, NOW_MS);
     assert_eq!(started_of_ten(&mut slowed), 1);
--- a/crates/magnoliasail-core/tests/gateway/load_replay.rs
+++ b/crates/magnoliasail-core/tests/gateway/load_replay.rs
@@ -5,10 +5,10 @@
 //! others stood empty.
 
 use {
-    super::fake_engine::{FakeEngine, MODEL, limits},
+    super::fake_engine::{MODEL, limits, scheduler_with_model},
     magnoliasail_core::gateway::{
         Affinity, Candidate, EngineAction, EngineLimits, EngineRequest, EngineScheduler, Holding,
-        Placement, SchedulerSettings, UnreportedWork, message::EngineState,
+        Placement, UnreportedWork, message::EngineState,
     },
     std::collections::{BTreeMap, VecDeque},
 };
@@ -87,15 +87,12 @@
 
 impl Engine {
     fn new(tokens_per_ms: u64) -> Self {
-        let mut scheduler = EngineScheduler::new(SchedulerSettings::default());
-        scheduler.configure(EngineLimits {
+        let engine_limits = EngineLimits {
             batch_slots: BATCH_SLOTS,
             kv_tokens: 1_000_000,
             ..limits()
-        });
-        let ticket = scheduler.report_ticket();
-        let report = FakeEngine::with_model().report();
-        scheduler.apply_report(&report, ticket, 0, &mut Vec::new());
+        };
+        let scheduler = scheduler_with_model(engine_limits, 0);
         Self {
             scheduler,
             tokens_per_ms,
--- a/crates/magnoliasail/tests/software_versions.rs
+++ b/crates/magnoliasail/tests/software_versions.rs
@@ -50,10 +50,19 @@
 const ENTRIES: usize = 2;
 
 fn with_two_versions<F: Future<Output = ()>>(network: u8, test: impl FnOnce(Fleet) -> F) {
+    with_versions(2, network, test);
+}
+
+/// Runs a test with a fleet whose engines have this number of software versions in turn.
+fn with_versions<F: Future<Output = ()>>(
+    software_versions: u8,
+    network: u8,
+    test: impl FnOnce(Fleet) -> F,
+) {
     let settings = FleetSettings {
         entries: ENTRIES as u8,
         engines: ENGINES as u8,
-        software_versions: 2,
+        software_versions,
         plain_servers: 1,
         ..small_fleet(network)
     };
@@ -193,6 +202,16 @@
     );
 }
 
+fn assert_all_refused(fleet: &Fleet, outcomes: &[Outcome]) {
+    assert!(!outcomes.is_empty(), "{}", fleet.output());
+    let is_refused = |outcome: &Outcome| *outcome == Outcome::NotRun;
+    assert!(
+        outcomes.iter().all(is_refused),
+        "{outcomes:?}\n{}",
+        fleet.output()
+    );
+}
+
 #[test]
 fn stream_resumed_within_an_answer_stays_at_its_software_version() {
     with_two_versions(80, |fleet| async move {
@@ -334,14 +353,7 @@
 /// the servers of that version leave, others take their place, and every entry is killed.
 #[test]
 fn streams_that_began_before_a_newer_version_came_are_not_joined_to_it() {
-    let settings = FleetSettings {
-        entries: ENTRIES as u8,
-        engines: ENGINES as u8,
-        software_versions: 1,
-        plain_servers: 1,
-        ..small_fleet(120)
-    };
-    run_with_fleet(settings, |fleet| async move {
+    with_versions(1, 120, |fleet| async move {
         let (mut fleet, calls) = broken_off_streams(fleet, |fleet| {
             kill_entries(fleet);
             lose_engines(fleet, FIRST_VERSION_ENGINES);
@@ -357,12 +369,7 @@
         }
         restart_entries(&mut fleet);
         let outcomes = resume(&fleet, &calls).await;
-        let is_refused = |outcome: &Outcome| *outcome == Outcome::NotRun;
-        assert!(
-            outcomes.iter().all(is_refused),
-            "{outcomes:?}\n{}",
-            fleet.output()
-        );
+        assert_all_refused(&fleet, &outcomes);
         assert_no_violations(&fleet);
     });
 }
@@ -414,12 +421,7 @@
         }
         restart_entries(&mut fleet);
         let outcomes = resume(&fleet, &calls).await;
-        let is_refused = |outcome: &Outcome| *outcome == Outcome::NotRun;
-        assert!(
-            outcomes.iter().all(is_refused),
-            "{outcomes:?}\n{}",
-            fleet.output()
-        );
+        assert_all_refused(&fleet, &outcomes);
         assert_no_violations(&fleet);
     });
 }
