--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -84,7 +84,11 @@
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    let method = if call.is_get { Method::GET } else { Method::POST };
+    let method = if call.is_get {
+        Method::GET
+    } else {
+        Method::POST
+    };
     let mut request = Request::builder()
         .method(method)
         .uri(&call.path)
@@ -92,21 +96,33 @@
         .header("request-id", &call.id)
         .header("deadline-ms", call.deadline_ms);
     if let Some(adapter) = &call.adapter {
-        let shared = if call.parts.is_empty() { "5c1e07a2:100".to_owned() } else { call.parts.join(",") };
+        let shared = if call.parts.is_empty() {
+            "5c1e07a2:100".to_owned()
+        } else {
+            call.parts.join(",")
+        };
         let prompt_tokens = 100 + 100 * call.parts.len().max(1);
         request = request
             .header("model", adapter)
             .header("token-count", format!("{prompt_tokens},80"))
-            .header("prompt-prefix", format!("{shared},{:x}:100", hash(&call.id)));
+            .header(
+                "prompt-prefix",
+                format!("{shared},{:x}:100", hash(&call.id)),
+            );
     }
     if let Some((first, last)) = &call.resumes {
-        request = request.header("resumes", first).header("last-event-id", *last);
+        request = request
+            .header("resumes", first)
+            .header("last-event-id", *last);
     }
     let request = request.body(Full::new(call.body.clone())).ok()?;
     let response = sender.send_request(request).await.ok()?;
     outcome.status = response.status().as_u16();
     outcome.has_stamp = response.headers().contains_key("response-stamp");
-    let retry_after = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
+    let retry_after = response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok());
     outcome.retry_after_s = retry_after.and_then(|text| text.parse().ok());
     let mut body = response.into_body();
     let mut received = Vec::new();
@@ -129,5 +145,7 @@
 }
 
 fn hash(text: &str) -> u32 {
-    text.bytes().fold(2_166_136_261, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(16_777_619))
+    text.bytes().fold(2_166_136_261, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(16_777_619)
+    })
 }
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -99,7 +99,11 @@
 
 impl State {
     fn stage(&self) -> &'static str {
-        if self.gone_at.is_some() { "draining" } else { "ready" }
+        if self.gone_at.is_some() {
+            "draining"
+        } else {
+            "ready"
+        }
     }
 
     fn remaining_ms(&self) -> Option<u64> {
@@ -169,7 +173,11 @@
             state.software = software.to_owned();
             state.born = unix_ms();
             state.lifetime += 1;
-            state.model = if has_model { Model::Ready } else { Model::Absent };
+            state.model = if has_model {
+                Model::Ready
+            } else {
+                Model::Absent
+            };
             state.has_disk_copy |= has_model;
             state.adapters.clear();
             state.sequence = 0;
@@ -185,27 +193,37 @@
             }
             sleep(Duration::from_millis(5)).await;
         };
-        self.world.log(format!("engine {} starts, software {software}", self.id()));
+        self.world
+            .log(format!("engine {} starts, software {software}", self.id()));
         let engine = Arc::clone(self);
-        self.track(tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let _ = stream.set_nodelay(true);
-                let serving = Arc::clone(&engine);
-                let service = service_fn(move |request| Arc::clone(&serving).handle(request));
-                let stream = TokioIo::new(CurrentVersion(stream));
-                let connection = http1::Builder::new().serve_connection(stream, service);
-                engine.track(tokio::spawn(async move {
-                    let _ = connection.await;
-                }).abort_handle());
-            }
-        }).abort_handle());
+        self.track(
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let _ = stream.set_nodelay(true);
+                    let serving = Arc::clone(&engine);
+                    let service = service_fn(move |request| Arc::clone(&serving).handle(request));
+                    let stream = TokioIo::new(CurrentVersion(stream));
+                    let connection = http1::Builder::new().serve_connection(stream, service);
+                    engine.track(
+                        tokio::spawn(async move {
+                            let _ = connection.await;
+                        })
+                        .abort_handle(),
+                    );
+                }
+            })
+            .abort_handle(),
+        );
         let engine = Arc::clone(self);
-        self.track(tokio::spawn(async move {
-            loop {
-                engine.beat();
-                sleep(Duration::from_millis(engine.settings.heartbeat_ms)).await;
-            }
-        }).abort_handle());
+        self.track(
+            tokio::spawn(async move {
+                loop {
+                    engine.beat();
+                    sleep(Duration::from_millis(engine.settings.heartbeat_ms)).await;
+                }
+            })
+            .abort_handle(),
+        );
     }
 
     /// Ends the lifetime at once: all connections end, and all runs with them.
@@ -229,7 +247,11 @@
     /// Tells the engine that it is taken away after a time. It reports that it drains, and then it is gone,
     /// whatever it runs.
     pub async fn take_away(&self, after: Duration) {
-        self.world.log(format!("engine {} has notice of {} ms", self.id(), after.as_millis()));
+        self.world.log(format!(
+            "engine {} has notice of {} ms",
+            self.id(),
+            after.as_millis()
+        ));
         self.state.lock().unwrap().gone_at = Some(Instant::now() + after);
         self.beat();
         sleep(after).await;
@@ -263,7 +285,10 @@
         self.store.put(&key, &row);
     }
 
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Infallible> {
         let path = request.uri().path().to_owned();
         let mut response = match path.as_str() {
             "/report" => json_response(200, &self.report()),
@@ -277,8 +302,12 @@
         };
         let state = self.state.lock().unwrap();
         let load = format!("{},0,{}", state.running, self.settings.slots);
-        response.headers_mut().insert("server-load", load.parse().unwrap());
-        response.headers_mut().insert("instance-id", state.id.parse().unwrap());
+        response
+            .headers_mut()
+            .insert("server-load", load.parse().unwrap());
+        response
+            .headers_mut()
+            .insert("instance-id", state.id.parse().unwrap());
         if state.gone_at.is_some() {
             response.headers_mut().insert("server-leaving", 1.into());
         }
@@ -292,7 +321,11 @@
             .iter()
             .filter_map(|(name, adapter)| Some(format!("{name}@{}", adapter.coming?)))
             .collect();
-        let on_disk = if state.has_disk_copy { vec![MODEL] } else { Vec::new() };
+        let on_disk = if state.has_disk_copy {
+            vec![MODEL]
+        } else {
+            Vec::new()
+        };
         let mut report = json!({"stage": "both", "models": models(&state), "busy": state.model == Model::Loading,
             "sequence": state.sequence, "waiting": 0, "running": state.running, "kv_used": 0,
             "kv_total": 200_000, "handles": 0, "state": state.stage(), "coming": coming, "born": state.born,
@@ -304,10 +337,18 @@
     }
 
     async fn order(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let body = request
+            .into_body()
+            .collect()
+            .await
+            .map(|body| body.to_bytes())
+            .unwrap_or_default();
         let order: Value = serde_json::from_slice(&body).unwrap_or_default();
         let status = self.accept_order(&order);
-        self.world.log(format!("order engine={} {order} status={status}", self.index));
+        self.world.log(format!(
+            "order engine={} {order} status={status}",
+            self.index
+        ));
         json_response(status, &json!({}))
     }
 
@@ -316,7 +357,10 @@
         if order["holder"].is_null() || order["fencing_token"].is_null() {
             return 400;
         }
-        if order["precondition"].as_u64().is_some_and(|expected| expected != state.sequence) {
+        if order["precondition"]
+            .as_u64()
+            .is_some_and(|expected| expected != state.sequence)
+        {
             return 409;
         }
         let is_load = order["operation"] == "load";
@@ -326,7 +370,11 @@
                 (true, Model::Absent) => {
                     state.sequence += 1;
                     state.model = Model::Loading;
-                    let seconds = if state.has_disk_copy { self.settings.disk_s } else { self.settings.load_s };
+                    let seconds = if state.has_disk_copy {
+                        self.settings.disk_s
+                    } else {
+                        self.settings.load_s
+                    };
                     self.spawn_model_load(state.lifetime, seconds);
                     202
                 }
@@ -350,8 +398,15 @@
         }
         let newest = self.world.newest_version(&name);
         let version = order["version"].as_u64().unwrap_or(newest);
-        let in_transit = state.adapters.values().filter(|adapter| adapter.coming.is_some()).count();
-        let known = state.adapters.get(&name).map(|adapter| (adapter.version, adapter.coming));
+        let in_transit = state
+            .adapters
+            .values()
+            .filter(|adapter| adapter.coming.is_some())
+            .count();
+        let known = state
+            .adapters
+            .get(&name)
+            .map(|adapter| (adapter.version, adapter.coming));
         match known {
             Some((held, None)) if held == version => return 200,
             Some((_, Some(_))) => return 409,
@@ -412,11 +467,20 @@
         });
     }
 
-    fn spawn_adapter_load(self: &Arc<Self>, lifetime: u64, name: String, version: u64, is_held: bool) {
+    fn spawn_adapter_load(
+        self: &Arc<Self>,
+        lifetime: u64,
+        name: String,
+        version: u64,
+        is_held: bool,
+    ) {
         let engine = Arc::clone(self);
         tokio::spawn(async move {
             if is_held {
-                sleep(Duration::from_secs_f64(engine.world.weights.adapter_ms / 10_000.0)).await;
+                sleep(Duration::from_secs_f64(
+                    engine.world.weights.adapter_ms / 10_000.0,
+                ))
+                .await;
             } else {
                 engine.world.weights.fetch().await;
             }
@@ -427,7 +491,9 @@
                     if state.lifetime != lifetime {
                         return;
                     }
-                    let Some(adapter) = state.adapters.get_mut(&name) else { return };
+                    let Some(adapter) = state.adapters.get_mut(&name) else {
+                        return;
+                    };
                     if adapter.runs == 0 {
                         adapter.version = version;
                         adapter.coming = None;
@@ -442,7 +508,10 @@
 
     fn serve(self: &Arc<Self>, request: &Parts) -> Response<Body> {
         let header = |name: &str| {
-            let value = request.headers.get(name).and_then(|value| value.to_str().ok());
+            let value = request
+                .headers
+                .get(name)
+                .and_then(|value| value.to_str().ok());
             value.unwrap_or_default().to_owned()
         };
         let (id, adapter) = (header("request-id"), header("model"));
@@ -450,12 +519,19 @@
         let mut state = self.state.lock().unwrap();
         if let Some(seconds) = state.pause_s.take() {
             state.paused_until = Some(Instant::now() + Duration::from_secs_f64(seconds));
-            self.world.log(format!("engine {} asks for a pause of {seconds} s", state.id));
+            self.world.log(format!(
+                "engine {} asks for a pause of {seconds} s",
+                state.id
+            ));
         }
         if let Some(until) = state.paused_until.filter(|&until| until > Instant::now()) {
-            let left_s = until.saturating_duration_since(Instant::now()).as_secs_f64();
+            let left_s = until
+                .saturating_duration_since(Instant::now())
+                .as_secs_f64();
             let mut response = refusal(503, &id);
-            response.headers_mut().insert("retry-after", format!("{left_s:.3}").parse().unwrap());
+            response
+                .headers_mut()
+                .insert("retry-after", format!("{left_s:.3}").parse().unwrap());
             return response;
         }
         let expected = header("expect-instance");
@@ -465,7 +541,8 @@
         if state.running >= self.settings.slots {
             return refusal(503, &id);
         }
-        let (server, software, lifetime) = (state.id.clone(), state.software.clone(), state.lifetime);
+        let (server, software, lifetime) =
+            (state.id.clone(), state.software.clone(), state.lifetime);
         let Some(held) = state.adapters.get_mut(&adapter) else {
             return refusal(421, &id);
         };
@@ -477,9 +554,13 @@
             return refusal(421, &id);
         }
         let prefix = header("prompt-prefix");
-        let parts: Vec<&str> = prefix.split(',').filter_map(|part| part.split(':').next()).collect();
+        let parts: Vec<&str> = prefix
+            .split(',')
+            .filter_map(|part| part.split(':').next())
+            .collect();
         let poison = self.world.poison.lock().unwrap().clone();
-        let is_poisoned = poison.is_some_and(|poison| parts[..parts.len().max(1) - 1].contains(&poison.as_str()));
+        let is_poisoned =
+            poison.is_some_and(|poison| parts[..parts.len().max(1) - 1].contains(&poison.as_str()));
         if is_poisoned {
             self.world.poisoned.lock().unwrap().push(Instant::now());
             let engine = Arc::clone(self);
@@ -504,27 +585,40 @@
             adapter_version: version,
             at: Instant::now(),
         });
-        let guard = RunGuard { engine: Arc::clone(self), adapter, lifetime };
-        let (events, gap) = (self.settings.events, Duration::from_millis(self.settings.gap_ms));
+        let guard = RunGuard {
+            engine: Arc::clone(self),
+            adapter,
+            lifetime,
+        };
+        let (events, gap) = (
+            self.settings.events,
+            Duration::from_millis(self.settings.gap_ms),
+        );
         let (sender, mut receiver) = mpsc::channel::<Frame<Bytes>>(4);
         let prefix = format!("{server}/{software}/{version}");
-        self.track(tokio::spawn(async move {
-            let _guard = guard;
-            for number in last + 1..=events {
-                sleep(gap).await;
-                let event = format!("id: {number}\ndata: {prefix}/{number}\n\n");
-                if sender.send(Frame::data(Bytes::from(event))).await.is_err() {
-                    return;
+        self.track(
+            tokio::spawn(async move {
+                let _guard = guard;
+                for number in last + 1..=events {
+                    sleep(gap).await;
+                    let event = format!("id: {number}\ndata: {prefix}/{number}\n\n");
+                    if sender.send(Frame::data(Bytes::from(event))).await.is_err() {
+                        return;
+                    }
                 }
-            }
-        }).abort_handle());
+            })
+            .abort_handle(),
+        );
         let stream = PollFn(move |context: &mut Context<'_>| {
             receiver.poll_recv(context).map(|frame| frame.map(Ok))
         });
         let mut response = Response::new(StreamBody::new(stream).boxed_unsync());
         let headers = response.headers_mut();
         headers.insert("request-id", id.parse().unwrap());
-        headers.insert("response-stamp", format!("3e1b.{server}.{id}").parse().unwrap());
+        headers.insert(
+            "response-stamp",
+            format!("3e1b.{server}.{id}").parse().unwrap(),
+        );
         headers.insert("weight-versions", version.into());
         headers.insert("content-type", "text/event-stream".parse().unwrap());
         if self.settings.is_unframed {
@@ -550,7 +644,11 @@
 }
 
 impl AsyncWrite for CurrentVersion {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
         const OLD: &[u8] = b"HTTP/1.0";
         if !bytes.starts_with(OLD) {
             return Pin::new(&mut self.0).poll_write(context, bytes);
@@ -560,11 +658,17 @@
         Pin::new(&mut self.0).poll_write(context, &current)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
         Pin::new(&mut self.0).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
         Pin::new(&mut self.0).poll_shutdown(context)
     }
 }
@@ -598,10 +702,7 @@
 {
     type Item = T;
 
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<T>> {
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<T>> {
         (self.0)(context)
     }
 }
@@ -625,14 +726,18 @@
 fn json_response(status: u16, body: &Value) -> Response<Body> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())).boxed_unsync());
     *response.status_mut() = StatusCode::from_u16(status).unwrap();
-    response.headers_mut().insert("content-type", "application/json".parse().unwrap());
+    response
+        .headers_mut()
+        .insert("content-type", "application/json".parse().unwrap());
     response
 }
 
 /// A refusal of a request that has not run and will not run.
 fn refusal(status: u16, id: &str) -> Response<Body> {
     let mut response = json_response(status, &json!({}));
-    response.headers_mut().insert("not-run", "1".parse().unwrap());
+    response
+        .headers_mut()
+        .insert("not-run", "1".parse().unwrap());
     if let Ok(id) = id.parse() {
         response.headers_mut().insert("request-id", id);
     }
--- a/review/harness/src/limited.rs
+++ b/review/harness/src/limited.rs
@@ -8,7 +8,9 @@
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     serde_json::json,
     std::{
@@ -30,7 +32,12 @@
 }
 
 impl LimitedServer {
-    pub async fn start(world: &Arc<World>, store: &Arc<Store>, index: usize, per_s: f64) -> Arc<Self> {
+    pub async fn start(
+        world: &Arc<World>,
+        store: &Arc<Store>,
+        index: usize,
+        per_s: f64,
+    ) -> Arc<Self> {
         let address = world.plain_address(index);
         let server = Arc::new(Self {
             id: format!("i-02d9{index:04x}"),
@@ -38,7 +45,9 @@
             per_s,
             arrivals: Mutex::default(),
         });
-        let listener = TcpListener::bind(address).await.expect("the server listens");
+        let listener = TcpListener::bind(address)
+            .await
+            .expect("the server listens");
         let serving = Arc::clone(&server);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -59,14 +68,21 @@
         server
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
         let header = |name: &str| {
-            let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+            let value = request
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok());
             value.unwrap_or_default().to_owned()
         };
         let (id, expected) = (header("request-id"), header("expect-instance"));
         self.arrivals.lock().unwrap().push(Instant::now());
-        self.world.log(format!("arrival request={id} server={}", self.id));
+        self.world
+            .log(format!("arrival request={id} server={}", self.id));
         let mut response = Response::new(Full::new(Bytes::from("x".repeat(800))));
         if !expected.is_empty() && expected != self.id {
             *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
@@ -75,7 +91,10 @@
         }
         let headers = response.headers_mut();
         headers.insert("request-id", id.parse().unwrap());
-        headers.insert("response-stamp", format!("3e1b.{}.{id}", self.id).parse().unwrap());
+        headers.insert(
+            "response-stamp",
+            format!("3e1b.{}.{id}", self.id).parse().unwrap(),
+        );
         headers.insert("server-limit", self.per_s.to_string().parse().unwrap());
         Ok(response)
     }
@@ -85,7 +104,16 @@
         const WINDOW: Duration = Duration::from_secs(4);
         let arrivals = self.arrivals.lock().unwrap();
         let later: Vec<Instant> = arrivals.iter().copied().filter(|&at| at >= from).collect();
-        let count = |start: Instant| later.iter().filter(|&&at| at >= start && at < start + WINDOW).count();
-        later.iter().map(|&start| (count(start), start)).max().unwrap_or((0, from))
+        let count = |start: Instant| {
+            later
+                .iter()
+                .filter(|&&at| at >= start && at < start + WINDOW)
+                .count()
+        };
+        later
+            .iter()
+            .map(|&start| (count(start), start))
+            .max()
+            .unwrap_or((0, from))
     }
 }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -15,7 +15,7 @@
     std::{
         fs::{self, File},
         panic::{AssertUnwindSafe, catch_unwind},
-        path::{Path, PathBuf},
+        path::Path,
         process::exit,
         time::Duration,
     },
@@ -30,8 +30,14 @@
     if let [mode, address, id] = &arguments[..]
         && mode == "plain-server"
     {
-        let runtime = Builder::new_current_thread().enable_all().build().expect("the runtime starts");
-        runtime.block_on(plain::serve(address.parse().expect("an address"), id.clone()));
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("the runtime starts");
+        runtime.block_on(plain::serve(
+            address.parse().expect("an address"),
+            id.clone(),
+        ));
         return;
     }
     let [case, repository, record] = &arguments[..] else {
@@ -42,7 +48,11 @@
     let folder = std::env::temp_dir().join(format!("review-cases-{}", std::process::id()));
     fs::create_dir_all(&folder).expect("a temporary folder is made");
     let record = File::create(record).expect("the record is made");
-    let runtime = Builder::new_multi_thread().worker_threads(3).enable_all().build().expect("the runtime starts");
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
     // All processes are ended, also if the case itself fails.
     let running = || runtime.block_on(run(case, Path::new(repository), &folder, record, trouble));
     let broken = catch_unwind(AssertUnwindSafe(running)).unwrap_or(None);
@@ -65,7 +75,13 @@
     }
 }
 
-async fn run(case: &str, repository: &Path, folder: &PathBuf, record: File, trouble: bool) -> Option<usize> {
+async fn run(
+    case: &str,
+    repository: &Path,
+    folder: &Path,
+    record: File,
+    trouble: bool,
+) -> Option<usize> {
     let world = World::new(record, (8, 250.0));
     world.log(format!("case {case}, trouble {trouble}"));
     let running = async {
--- a/review/harness/src/plain.rs
+++ b/review/harness/src/plain.rs
@@ -38,7 +38,9 @@
 /// Serves until the process ends.
 pub async fn serve(address: SocketAddr, id: String) {
     let runs = Arc::new(AtomicU64::new(0));
-    let listener = TcpListener::bind(address).await.expect("the server listens");
+    let listener = TcpListener::bind(address)
+        .await
+        .expect("the server listens");
     while let Ok((stream, _)) = listener.accept().await {
         let (id, runs) = (id.clone(), Arc::clone(&runs));
         tokio::spawn(async move {
@@ -66,7 +68,10 @@
         );
         return stream.write_all(refusal.as_bytes()).await;
     }
-    println!("run {} request={request} server={id}", runs.fetch_add(1, Ordering::Relaxed) + 1);
+    println!(
+        "run {} request={request} server={id}",
+        runs.fetch_add(1, Ordering::Relaxed) + 1
+    );
     sleep(WORK_TIME).await;
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: 3e1b.{id}.{request}\r\nServer-Load: 1,0,6\r\nConnection: close\r\n\r\n"
@@ -74,7 +79,9 @@
     stream.write_all(head.as_bytes()).await?;
     for piece in 0..PIECES {
         let digit = char::from_digit(piece as u32, 10).unwrap_or('x');
-        stream.write_all(digit.to_string().repeat(PIECE_BYTES).as_bytes()).await?;
+        stream
+            .write_all(digit.to_string().repeat(PIECE_BYTES).as_bytes())
+            .await?;
         sleep(PIECE_TIME).await;
     }
     stream.shutdown().await
@@ -109,12 +116,19 @@
                 sleep(HEARTBEAT).await;
             }
         });
-        Self { process, output, beating: beating.abort_handle() }
+        Self {
+            process,
+            output,
+            beating: beating.abort_handle(),
+        }
     }
 
     /// Adds what the server has run to the record.
     pub fn record_runs(&self, world: &World) {
-        for line in std::fs::read_to_string(&self.output).unwrap_or_default().lines() {
+        for line in std::fs::read_to_string(&self.output)
+            .unwrap_or_default()
+            .lines()
+        {
             world.log(line);
         }
     }
--- a/review/harness/src/processes.rs
+++ b/review/harness/src/processes.rs
@@ -13,7 +13,11 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::{io::{AsyncReadExt, AsyncWriteExt}, net::TcpStream, time::sleep},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::sleep,
+    },
 };
 
 /// The bounds in the settings that differ between cases.
@@ -61,12 +65,17 @@
 pub fn peak_memory_mb() -> Vec<(String, f64)> {
     let peak = |child: &Child| {
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:").map(str::to_owned))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:").map(str::to_owned))?;
         let kb: f64 = line.split_whitespace().next()?.parse().ok()?;
         Some(kb / 1_024.0)
     };
     let children = CHILDREN.lock().unwrap();
-    children.iter().filter_map(|(name, child)| Some((name.clone(), peak(child)?))).collect()
+    children
+        .iter()
+        .filter_map(|(name, child)| Some((name.clone(), peak(child)?)))
+        .collect()
 }
 
 /// Keeps a process of the case, so that it is ended with the others.
@@ -114,17 +123,46 @@
         for index in 0..count {
             let ip = self.world.front_ip(index);
             let listen = format!("front = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n");
-            let text = self.settings("front", "entry", index, &ip.to_string(), "", &listen, 260, bounds);
-            self.add("platform-entry", format!("front-{}-{index}", zone(index)), &text);
+            let text = self.settings(
+                "front",
+                "entry",
+                index,
+                &ip.to_string(),
+                "",
+                &listen,
+                260,
+                bounds,
+            );
+            self.add(
+                "platform-entry",
+                format!("front-{}-{index}", zone(index)),
+                &text,
+            );
         }
     }
 
     pub fn start_sides(&mut self, indices: Range<usize>, bounds: Bounds) {
         for index in indices {
             let ip = self.world.side_ip(index);
-            let app = format!("app = \"{}\"\nservice = \"{SERVICE}\"\n", self.world.engine_address(index));
-            let text = self.settings("side", "agent", index, &ip.to_string(), &app, "", 192, bounds);
-            self.add("platform-agent", format!("side-{}-{index}", zone(index)), &text);
+            let app = format!(
+                "app = \"{}\"\nservice = \"{SERVICE}\"\n",
+                self.world.engine_address(index)
+            );
+            let text = self.settings(
+                "side",
+                "agent",
+                index,
+                &ip.to_string(),
+                &app,
+                "",
+                192,
+                bounds,
+            );
+            self.add(
+                "platform-agent",
+                format!("side-{}-{index}", zone(index)),
+                &text,
+            );
         }
     }
 
@@ -144,8 +182,17 @@
         let [first, last] = INTERNAL_PORTS;
         let number = index / 3 + 1;
         let is_second = class == "front" && index == 0;
-        let store = if is_second { self.world.second_store_address() } else { self.world.store_address() };
-        let Bounds { drain_ms, stable_window_ms, config_apply_ms, version_ms } = bounds;
+        let store = if is_second {
+            self.world.second_store_address()
+        } else {
+            self.world.store_address()
+        };
+        let Bounds {
+            drain_ms,
+            stable_window_ms,
+            config_apply_ms,
+            version_ms,
+        } = bounds;
         format!(
             "node_name = \"{class}-{zone}-{number}\"\nrole = \"{role}\"\nmachine_class = \"{class}\"\n\
              serves = [\"{class}\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"baltic\"\n\
@@ -194,26 +241,39 @@
     pub fn start_all_again(&self) {
         for (index, process) in self.processes.iter().enumerate() {
             let text = fs::read_to_string(&process.settings).unwrap();
-            fs::write(&process.settings, text.replace("bootstrap = true", "bootstrap = false")).unwrap();
+            fs::write(
+                &process.settings,
+                text.replace("bootstrap = true", "bootstrap = false"),
+            )
+            .unwrap();
             self.start(index);
         }
     }
 
     fn start(&self, index: usize) {
         let process = &self.processes[index];
-        let output = fs::File::options().create(true).append(true).open(&process.output).unwrap();
+        let output = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&process.output)
+            .unwrap();
         let child = Command::new(&self.binary)
             .arg(process.role)
             .current_dir(&self.repository)
             .env_clear()
-            .envs(["PATH", "HOME", "LANG"].into_iter().filter_map(|name| Some((name, std::env::var_os(name)?))))
+            .envs(
+                ["PATH", "HOME", "LANG"]
+                    .into_iter()
+                    .filter_map(|name| Some((name, std::env::var_os(name)?))),
+            )
             .env("MAGNOLIASAIL_NODE_FILE", &process.settings)
             .stdin(Stdio::null())
             .stdout(output.try_clone().unwrap())
             .stderr(output)
             .spawn()
             .expect("the program starts");
-        self.world.log(format!("started {} pid={}", process.name, child.id()));
+        self.world
+            .log(format!("started {} pid={}", process.name, child.id()));
         CHILDREN.lock().unwrap().push((process.name.clone(), child));
     }
 }
@@ -235,7 +295,9 @@
 
 async fn is_ready(world: &World, index: usize) -> bool {
     let address = (world.front_ip(index), READY_PORT);
-    let Ok(mut stream) = TcpStream::connect(address).await else { return false };
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return false;
+    };
     let request = b"GET /readyz HTTP/1.1\r\nhost: ready\r\nconnection: close\r\n\r\n";
     if stream.write_all(request).await.is_err() {
         return false;
--- a/review/harness/src/setup.rs
+++ b/review/harness/src/setup.rs
@@ -47,7 +47,12 @@
 impl Setup {
     /// Starts everything, and waits until the fronts are ready and in touch. Returns `None` if they do not
     /// get ready.
-    pub async fn start(world: &Arc<World>, repository: &Path, folder: &Path, shape: Shape) -> Option<Self> {
+    pub async fn start(
+        world: &Arc<World>,
+        repository: &Path,
+        folder: &Path,
+        shape: Shape,
+    ) -> Option<Self> {
         let store = Store::start(world).await;
         store.put("op/config", &configuration(&shape));
         let mut engines = Vec::new();
@@ -115,7 +120,8 @@
             let mut number = 0u64;
             while Instant::now() < until {
                 // Neighbours in time use different adapters and fronts.
-                let adapter = &adapters[(number as usize * 7 + number as usize / adapters.len()) % adapters.len()];
+                let adapter = &adapters
+                    [(number as usize * 7 + number as usize / adapters.len()) % adapters.len()];
                 let request = setup.stream_call(adapter, deadline_ms);
                 let entry = setup.world.caller_address(number as usize % setup.fronts);
                 let (outcomes, world) = (Arc::clone(&outcomes), Arc::clone(&setup.world));
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -45,14 +45,20 @@
             changed: Notify::new(),
             turns_away: AtomicBool::new(false),
         });
-        for (address, is_second) in [(world.store_address(), false), (world.second_store_address(), true)] {
+        for (address, is_second) in [
+            (world.store_address(), false),
+            (world.second_store_address(), true),
+        ] {
             let listener = TcpListener::bind(address).await.expect("the store listens");
             let accepting = Arc::clone(&store);
             tokio::spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let store = Arc::clone(&accepting);
-                    let service = service_fn(move |request| Arc::clone(&store).handle(request, is_second));
-                    tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+                    let service =
+                        service_fn(move |request| Arc::clone(&store).handle(request, is_second));
+                    tokio::spawn(
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service),
+                    );
                 }
             });
         }
@@ -65,7 +71,10 @@
             let mut state = self.state.lock().unwrap();
             state.revision += 1;
             let revision = state.revision;
-            let created = state.items.get(key).map_or(json!(revision), |item| item["created_rev"].clone());
+            let created = state
+                .items
+                .get(key)
+                .map_or(json!(revision), |item| item["created_rev"].clone());
             let item = json!({"key": key, "value": STANDARD.encode(value.to_string()),
                 "revision": revision, "created_rev": created, "lease": 0});
             state.items.insert(key.to_owned(), item.clone());
@@ -92,7 +101,10 @@
         let value = json!({"model": model, "adapter": name, "version": version});
         let at = self.put(&format!("op/version/{model}.{name}"), &value);
         let mut versions = self.world.versions.lock().unwrap();
-        versions.entry(adapter.to_owned()).or_default().push((version, at));
+        versions
+            .entry(adapter.to_owned())
+            .or_default()
+            .push((version, at));
         drop(versions);
         self.world.log(format!("announced {adapter}@{version}"));
     }
@@ -106,10 +118,22 @@
         let prefix = query.get("path_prefix").cloned().unwrap_or_default();
         let (status, body) = match request.uri().path() {
             "/kv-key" => self.item(query.get("key").map_or("", String::as_str)),
-            "/kv-range" => (200, self.range(&prefix, query.get("after").map(String::as_str))),
+            "/kv-range" => (
+                200,
+                self.range(&prefix, query.get("after").map(String::as_str)),
+            ),
             "/kv-watch" => {
-                let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
-                (200, self.watch(&prefix, number("after"), number("wait_ms")).await)
+                let number = |name: &str| {
+                    query
+                        .get(name)
+                        .and_then(|text| text.parse().ok())
+                        .unwrap_or(0)
+                };
+                (
+                    200,
+                    self.watch(&prefix, number("after"), number("wait_ms"))
+                        .await,
+                )
             }
             _ => (404, json!({})),
         };
@@ -117,8 +141,12 @@
         let status = if is_turned_away { 503 } else { status };
         let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
         *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap();
-        response.headers_mut().insert("content-type", "application/json".parse().unwrap());
-        response.headers_mut().insert("store-era", "1".parse().unwrap());
+        response
+            .headers_mut()
+            .insert("content-type", "application/json".parse().unwrap());
+        response
+            .headers_mut()
+            .insert("store-era", "1".parse().unwrap());
         Ok(response)
     }
 
@@ -139,7 +167,9 @@
         let mut items: Vec<&Value> = state
             .items
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after))
+            .filter(|(key, _)| {
+                key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
+            })
             .map(|(_, item)| item)
             .take(PAGE_ITEMS + 1)
             .collect();
@@ -160,7 +190,11 @@
                     .log
                     .iter()
                     .filter(|event| event["revision"].as_u64() > Some(after))
-                    .filter(|event| event["key"].as_str().is_some_and(|key| key.starts_with(prefix)))
+                    .filter(|event| {
+                        event["key"]
+                            .as_str()
+                            .is_some_and(|key| key.starts_with(prefix))
+                    })
                     .collect();
                 if !events.is_empty() || Instant::now() >= deadline {
                     return json!({"events": events, "as_of": state.revision});
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -163,7 +163,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 pub fn zone(index: usize) -> String {
