feat(events): the logs tell apart why a stream was joined or looks complete

No line said on what evidence the end of a response without a length or chunks was believed, which start of a server a request was meant for, or how old the list was when the only listed software version was taken for the only one. New: 425 engine_restarted, 507 unframed_end with its evidence; 330, 501 and 511 name the start of the server; 520 names the age of the list and how many agents were asked. No decision changes.

--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -103,6 +103,8 @@
     EngineRegained = 422,
     /// An engine crashed while requests ran on it; the line has their fingerprints.
     EngineCrashed = 423,
+    /// An engine reports another start than before.
+    EngineRestarted = 425,
     /// A plain server broke off requests or is gone after some were cancelled; the line has their
     /// fingerprints.
     PlainServerCrashed = 424,
@@ -134,6 +136,8 @@
     ResponseTooLong = 505,
     /// Too many bytes waited for callers that read slowly, and a stream was broken off.
     BufferFull = 506,
+    /// A response without a length or chunks ended, and it was decided whether it is complete.
+    UnframedEnd = 507,
     /// The entry itself answered a request with an error.
     RequestRefused = 510,
     /// A stream was resumed at another server.
@@ -212,6 +216,8 @@
             | Self::VersionAnnounced
             | Self::EngineState
             | Self::EngineRegained
+            | Self::EngineRestarted
+            | Self::UnframedEnd
             | Self::QuarantineEnded
             | Self::CrashesDiscounted
             | Self::CallerLeft
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -89,6 +89,7 @@
                 if report.started_ms == state.engine_started_ms() {
                     state.crash_detector.borrow_mut().record_alive(requested_ms);
                 } else {
+                    log_restart(&state, report.started_ms);
                     state.record_engine_gone();
                 }
                 state.apply_report(&report, ticket);
@@ -121,6 +122,16 @@
     }
 }
 
+fn log_restart(state: &AgentState, started_ms: Option<u64>) {
+    emit(
+        EventId::EngineRestarted,
+        format_args!(
+            "started_ms={started_ms:?} before={:?}",
+            state.engine_started_ms()
+        ),
+    );
+}
+
 /// Records whether the engine answered a request for its report that was made at `requested_ms`.
 fn record_mark(
     state: &AgentState,
@@ -361,7 +372,7 @@
                 state.send_part(link, Part { attempt, bytes }).await;
             }
             Ok(None) => {
-                if !response.is_framed() && !state.is_engine_alive(run.engine_started_ms).await {
+                if !response.is_framed() && !is_unframed_end_complete(state, &run).await {
                     state.record_broken_off(key, &response.lost_end());
                     return AttemptEnd::Aborted;
                 }
@@ -380,6 +391,24 @@
     }
 }
 
+/// Decides whether a response without a length or chunks that has ended is complete.
+async fn is_unframed_end_complete(state: &AgentState, run: &EngineRun) -> bool {
+    let ended_ms = state.clock.now_ms();
+    let evidence = state.end_evidence(run.engine_started_ms).await;
+    let id = state.with_request(run.key, |request| request.metadata.id.clone());
+    emit(
+        EventId::UnframedEnd,
+        format_args!(
+            "request={} started_ms={:?} evidence={evidence} complete={} waited_ms={}",
+            id.flatten().as_deref().unwrap_or("-"),
+            run.engine_started_ms,
+            evidence.is_complete(),
+            state.clock.now_ms().saturating_sub(ended_ms)
+        ),
+    );
+    evidence.is_complete()
+}
+
 fn handle_send_error(state: &AgentState, key: u64, error: &SendError) -> AttemptEnd {
     state.record_broken_off(key, error);
     if error.is_unsent() {
--- a/crates/magnoliasail/src/gateway/entry/dispatch_log.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch_log.rs
@@ -19,11 +19,12 @@
         emit(
             EventId::AttemptFailed,
             format_args!(
-                "request={} fingerprint={:016x} server={} software_version={} outcome={outcome} left_ms={left_ms} sent={}",
+                "request={} fingerprint={:016x} server={} software_version={} started_ms={:?} outcome={outcome} left_ms={left_ms} sent={}",
                 self.id(),
                 self.outgoing.suspect.request,
                 pick.id,
                 pick.software_version.as_deref().unwrap_or("-"),
+                pick.started_ms,
                 self.servers_reached
             ),
         );
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -48,6 +48,8 @@
     /// The version that may go on with the stream; absent if unknown.
     pub(super) version: Option<VersionConstraint>,
     pub(super) source: OriginSource,
+    /// Number of agents that were asked.
+    pub(super) agents_asked: usize,
 }
 
 /// Finds out which software version of a service began the stream with this key.
@@ -57,25 +59,34 @@
         return OriginLookup {
             version: Some(VersionConstraint::Only(record.software_version)),
             source: OriginSource::OwnMemory,
+            agents_asked: 0,
         };
     }
     if let Some(lookup) = only_version(state, service) {
         return lookup;
     }
-    match ask_agents(state, service, key).await {
+    let (verdict, agents_asked) = ask_agents(state, service, key).await;
+    let lookup = match verdict {
         OriginVerdict::Known(version) => OriginLookup {
             version: Some(version),
             source: OriginSource::Agent,
+            agents_asked,
         },
         OriginVerdict::Conflicting => OriginLookup {
             version: None,
             source: OriginSource::Conflicting,
+            agents_asked,
         },
         // The agents may have told meanwhile which versions the service has had.
         OriginVerdict::Unknown => only_version(state, service).unwrap_or(OriginLookup {
             version: None,
             source: OriginSource::Unknown,
+            agents_asked,
         }),
+    };
+    OriginLookup {
+        agents_asked,
+        ..lookup
     }
 }
 
@@ -90,14 +101,16 @@
     Some(OriginLookup {
         version: Some(versions.only_version(service, now_ms)?),
         source: OriginSource::OnlyVersion,
+        agents_asked: 0,
     })
 }
 
-/// Asks all linked agents for the origin of a stream, and returns what they say together.
+/// Asks all linked agents for the origin of a stream, and returns what they say together and how many were
+/// asked.
 ///
 /// Agents to which this entry is still connecting are asked as soon as their links are up. The answers of all
 /// are awaited, because the first may be an older record than another.
-async fn ask_agents(state: &EntryState, service: &str, key: u64) -> OriginVerdict {
+async fn ask_agents(state: &EntryState, service: &str, key: u64) -> (OriginVerdict, usize) {
     let deadline = Instant::now() + MAX_QUERY_WAIT;
     let mut asked = HashSet::new();
     let mut evidence = OriginEvidence::default();
@@ -118,7 +131,7 @@
             Err(_) => {}
         }
     }
-    evidence.verdict()
+    (evidence.verdict(), asked.len())
 }
 
 /// Asks the agents with a link that are not in `asked`, and adds them.
@@ -166,6 +179,7 @@
 
 /// Logs the result of a lookup that started at `started_at`.
 pub(super) fn log_lookup(
+    state: &EntryState,
     metadata: &RequestMetadata,
     key: u64,
     lookup: &OriginLookup,
@@ -175,13 +189,15 @@
         Some(VersionConstraint::Only(Some(version))) => version,
         _ => "-",
     };
+    let list_age_ms = state.store_freshness.get().age_ms(state.clock.now_ms());
     emit(
         EventId::OriginLookup,
         format_args!(
-            "request={} resumes={} stream_key={key:016x} software_version={version} source={} waited_ms={}",
+            "request={} resumes={} stream_key={key:016x} software_version={version} source={} list_age_ms={list_age_ms:?} agents_asked={} waited_ms={}",
             metadata.id.as_deref().unwrap_or("-"),
             metadata.resumes.as_deref().unwrap_or("-"),
             lookup.source,
+            lookup.agents_asked,
             started_at.elapsed().as_millis()
         ),
     );
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -252,10 +252,11 @@
         emit(
             EventId::StreamResumed,
             format_args!(
-                "request={} server={} software_version={} after={:?} left_ms={}",
+                "request={} server={} software_version={} started_ms={:?} after={:?} left_ms={}",
                 self.dispatch.id(),
                 started.in_flight.server(),
                 started.in_flight.software_version().unwrap_or("-"),
+                started.in_flight.pick().started_ms,
                 self.last_event_id,
                 self.dispatch.left_ms()
             ),
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -124,10 +124,11 @@
                 emit(
                     EventId::ServerListed,
                     format_args!(
-                        "server={} address={} software_version={} draining={} revision={}",
+                        "server={} address={} software_version={} started_ms={:?} draining={} revision={}",
                         entry.id,
                         entry.address,
                         entry.software_version.as_deref().unwrap_or("-"),
+                        entry.started_ms,
                         entry.is_draining,
                         change.revision
                     ),
--- a/crates/magnoliasail/src/gateway/entry/stream_origin.rs
+++ b/crates/magnoliasail/src/gateway/entry/stream_origin.rs
@@ -30,7 +30,7 @@
         };
         let started_at = Instant::now();
         let lookup = find_origin(&self.state, &self.route.service, key).await;
-        log_lookup(metadata, key, &lookup, started_at);
+        log_lookup(&self.state, metadata, key, &lookup, started_at);
         let Some(version) = lookup.version else {
             return Err(self.refusal(RefusalCause::VersionUnknown, u64::MAX));
         };
