--- /dev/null
+++ b/crates/magnoliasail/tests/stale_software_versions.rs
@@ -0,0 +1,202 @@
+//! Tests that a stream holds events of one software version while the list of servers that an entry has
+//! read is older than the servers.
+
+mod common;
+
+use {
+    self::common::{assert_no_violations, run_with_fleet, small_fleet},
+    magnoliasail_soak::{
+        Call, CallKind, Caller, Fleet, FleetSettings, Outcome, PROPAGATION_TIME, ProxyMode,
+        ServerFaults,
+    },
+    std::time::{Duration, Instant},
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+const STREAMS: u32 = 12;
+const ADAPTERS: u32 = 4;
+/// Delay of each event that keeps streams running until their server or entry fails.
+const LONG_STREAM: ServerFaults = ServerFaults {
+    error_share: 0.0,
+    aborted_share: 0.0,
+    unanswered_share: 0.0,
+    refused_share: 0.0,
+    delay_ms: 0,
+    event_delay_ms: 350,
+    idle_timeout_ms: 0,
+    paused_share: 0.0,
+    retry_after_ms: 0,
+    is_pause_unproven: false,
+};
+
+fn stream(name: &str, number: u32) -> Call {
+    Call {
+        id: format!("{name}-{number}"),
+        kind: CallKind::ResumableStream,
+        adapter: format!("base/a{}", number % ADAPTERS),
+        content: format!("{name}-{number}"),
+        deadline: Duration::from_millis(2_900),
+        ..Call::default()
+    }
+}
+
+type Task = JoinHandle<(Outcome, Option<Call>)>;
+
+/// Starts streams at an entry. Each task returns the outcome, and the call that resumes the stream if it
+/// broke off.
+fn start_streams(fleet: &Fleet, entry: u8, name: &str) -> Vec<Task> {
+    (0..STREAMS)
+        .map(|number| {
+            let mut caller = Caller::new(fleet.entry_address(entry), fleet.ledger.clone());
+            let call = stream(name, number);
+            tokio::spawn(async move {
+                let outcome = caller.call(&call).await;
+                (outcome, caller.resumed_call(&call, outcome))
+            })
+        })
+        .collect()
+}
+
+/// Waits until a server has run streams of this name.
+async fn wait_for_run(fleet: &Fleet, name: &str, server: &str) {
+    const POLL: Duration = Duration::from_millis(10);
+    let deadline = Instant::now() + Duration::from_secs(8);
+    while !has_run(fleet, name, server) {
+        assert!(Instant::now() < deadline, "{}", fleet.output());
+        sleep(POLL).await;
+    }
+}
+
+fn has_run(fleet: &Fleet, name: &str, server: &str) -> bool {
+    (0..STREAMS).any(|number| {
+        let runs = fleet.ledger.runs(&stream(name, number).id);
+        runs.iter().any(|run| run.server == server)
+    })
+}
+
+async fn end(tasks: Vec<Task>) -> Vec<(Outcome, Option<Call>)> {
+    let mut ended = Vec::new();
+    for task in tasks {
+        ended.push(task.await.expect("the caller does not panic"));
+    }
+    ended
+}
+
+/// Gives an engine other software in place: it is back under its id.
+async fn upgrade_in_place(fleet: &Fleet, engine: usize) {
+    let server = &fleet.servers[engine];
+    server.crash_keeping_id();
+    server.set_software_version("v2");
+    server.start().await.expect("the server starts");
+}
+
+/// The row of the upgraded engine is written late, so that the entry still lists the software that it had.
+#[test]
+fn stream_is_not_resumed_at_an_engine_that_started_anew_with_other_software() {
+    run_with_fleet(small_fleet(170), |fleet| async move {
+        let engines = &fleet.servers[..2];
+        engines
+            .iter()
+            .for_each(|engine| engine.set_faults(LONG_STREAM));
+        let tasks = start_streams(&fleet, 0, "first");
+        wait_for_run(&fleet, "first", &engines[1].id()).await;
+        sleep(Duration::from_millis(800)).await;
+        upgrade_in_place(&fleet, 0).await;
+        // The agent sees the new start, and the engine gets its model.
+        sleep(Duration::from_millis(700)).await;
+        engines[1].crash();
+        let outcomes = end(tasks).await;
+        assert!(
+            outcomes
+                .iter()
+                .any(|(outcome, _)| *outcome != Outcome::Served),
+            "no stream broke off: {outcomes:?}"
+        );
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Streams that begin at an upgraded engine whose row is written late are not recorded under the software
+/// that it had.
+#[test]
+fn stream_that_an_upgraded_engine_began_is_not_resumed_at_its_former_software() {
+    run_with_fleet(small_fleet(171), |fleet| async move {
+        let engines = &fleet.servers[..2];
+        engines
+            .iter()
+            .for_each(|engine| engine.set_faults(LONG_STREAM));
+        upgrade_in_place(&fleet, 0).await;
+        sleep(Duration::from_millis(700)).await;
+        let tasks = start_streams(&fleet, 0, "first");
+        sleep(Duration::from_millis(1_000)).await;
+        engines[0].crash();
+        end(tasks).await;
+        assert_no_violations(&fleet);
+        // Once the row is listed, the engine serves.
+        upgrade_in_place(&fleet, 0).await;
+        fleet.publish_server(0);
+        let tasks = start_streams(&fleet, 0, "later");
+        sleep(PROPAGATION_TIME).await;
+        end(tasks).await;
+        let server = engines[0].id();
+        let tasks = start_streams(&fleet, 0, "last");
+        end(tasks).await;
+        assert!(has_run(&fleet, "last", &server), "{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
+
+/// The store turns an entry away while engines of other software take the place of some. Streams that begin
+/// there through another entry are resumed at this one.
+#[test]
+fn stream_is_not_joined_to_the_only_software_that_a_cut_off_entry_has_listed() {
+    let settings = FleetSettings {
+        entries: 2,
+        engines: 4,
+        plain_servers: 1,
+        ..small_fleet(172)
+    };
+    run_with_fleet(settings, |mut fleet| async move {
+        let engines = 4;
+        let replaced = [0, 2];
+        // The proxies of the processes follow those of the agents; entries come first.
+        let cut_off = 1;
+        fleet.proxies[engines + cut_off].set_mode(ProxyMode::Blocked);
+        fleet.proxies[engines + cut_off].reset_connections();
+        for engine in replaced {
+            fleet.remove_server(engine);
+            let server = &fleet.servers[engine];
+            server.crash();
+            server.set_software_version("v2");
+            server.start().await.expect("the server starts");
+            fleet.publish_server(engine);
+        }
+        sleep(PROPAGATION_TIME).await;
+        let servers = &fleet.servers[..engines];
+        servers
+            .iter()
+            .for_each(|engine| engine.set_faults(LONG_STREAM));
+        let tasks = start_streams(&fleet, 0, "first");
+        let replaced_id = fleet.servers[replaced[0]].id();
+        wait_for_run(&fleet, "first", &replaced_id).await;
+        sleep(Duration::from_millis(900)).await;
+        fleet.kill(0);
+        let resumed: Vec<Call> = end(tasks)
+            .await
+            .into_iter()
+            .filter_map(|(_, call)| call)
+            .collect();
+        assert!(!resumed.is_empty(), "{}", fleet.output());
+        let servers = &fleet.servers[..engines];
+        servers
+            .iter()
+            .for_each(|engine| engine.set_faults(ServerFaults::default()));
+        let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
+        let mut served = 0;
+        for call in &resumed {
+            served += usize::from(caller.call(call).await == Outcome::Served);
+        }
+        assert_no_violations(&fleet);
+        assert!(served > 0, "{}", fleet.output());
+    });
+}
--- a/crates/magnoliasail/tests/unframed_responses.rs
+++ b/crates/magnoliasail/tests/unframed_responses.rs
@@ -4,7 +4,7 @@
 
 use {
     self::common::{assert_no_violations, run_with_fleet, small_fleet},
-    magnoliasail_soak::{Call, CallKind, Caller, Fleet, Outcome, ServerFaults},
+    magnoliasail_soak::{BackendServer, Call, CallKind, Caller, Fleet, Outcome, ServerFaults},
     std::time::Duration,
     tokio::time::sleep,
 };
@@ -22,8 +22,13 @@
     }
 }
 
-/// Starts streams, crashes an engine while they run, and returns their outcomes.
-async fn outcomes_beside_a_crash(fleet: &Fleet, kind: CallKind) -> Vec<Outcome> {
+/// Starts streams, crashes an engine while they run, and returns their outcomes. `before_crash` is called
+/// some reports before.
+async fn outcomes_beside_a_crash(
+    fleet: &Fleet,
+    kind: CallKind,
+    before_crash: impl FnOnce(&BackendServer),
+) -> Vec<Outcome> {
     let mut tasks = Vec::new();
     for number in 0..STREAMS {
         let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
@@ -38,7 +43,9 @@
             caller.call(&call).await
         }));
     }
-    sleep(Duration::from_millis(700)).await;
+    sleep(Duration::from_millis(350)).await;
+    before_crash(&fleet.servers[0]);
+    sleep(Duration::from_millis(350)).await;
     fleet.servers[0].crash_keeping_id();
     let mut outcomes = Vec::new();
     for task in tasks {
@@ -71,7 +78,21 @@
     for kind in [CallKind::Stream, CallKind::ResumableStream] {
         run_with_fleet(small_fleet(99), |fleet| async move {
             set_unframed(&fleet, 100);
-            let outcomes = outcomes_beside_a_crash(&fleet, kind).await;
+            let outcomes = outcomes_beside_a_crash(&fleet, kind, |_| ()).await;
+            assert_no_violations(&fleet);
+            assert!(outcomes.contains(&Outcome::Served), "{outcomes:?}");
+        });
+    }
+}
+
+/// Guards against a stream that looks complete because its engine, which was leaving, exited between two
+/// events.
+#[test]
+fn stream_whose_leaving_engine_exits_between_events_never_looks_complete() {
+    for kind in [CallKind::Stream, CallKind::ResumableStream] {
+        run_with_fleet(small_fleet(173), |fleet| async move {
+            set_unframed(&fleet, 100);
+            let outcomes = outcomes_beside_a_crash(&fleet, kind, BackendServer::set_leaving).await;
             assert_no_violations(&fleet);
             assert!(outcomes.contains(&Outcome::Served), "{outcomes:?}");
         });
