fix(agent): the end of an unframed response counts only if a later report shows its engine alive

Callers got streams that ended early and looked complete: an engine that drains or leaves exits, its machine closes its connections normally, and a response with neither a length nor chunks then ends as a complete one does.

Now the same proof is asked of every engine: a report requested after the end names the start that sent the response, or a refusal arrives on a connection that was opened before the end. Without it the response is broken off, and a resumable stream continues elsewhere.

--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -1,13 +1,16 @@
 //! Communication with the model engine: requests, orders and reports.
 
 use {
-    super::{report_mark::ReportMark, state::AgentState},
+    super::{
+        report_mark::{EndEvidence, ReportAnswer, ReportMark},
+        state::AgentState,
+    },
     crate::{
         events::{EventId, emit},
         gateway::{
             header_codec::encode_headers,
             metrics::Stage,
-            pool::{SendError, ServerResponse},
+            pool::{OpenedAt, SendError, ServerResponse},
             stall::with_stall_reports,
         },
     },
@@ -25,7 +28,7 @@
     },
     snafu::{ResultExt, Snafu},
     std::{rc::Rc, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Time between comparisons of the engine's state with the one that entries have.
@@ -47,7 +50,10 @@
     #[snafu(display("the engine responded to the request for its report with status {status}"))]
     Status { status: StatusCode },
     #[snafu(display("the engine refused the request for its report and asked for a pause"))]
-    Paused,
+    Paused {
+        /// When the connection was opened on which it refused.
+        opened_at: Instant,
+    },
     #[snafu(display("{source}"))]
     Malformed { source: DecodeError },
 }
@@ -61,7 +67,7 @@
     const fn missing_report(&self) -> MissingReport {
         match self {
             Self::Unreachable { source } if source.is_pool_exhausted() => MissingReport::NotSent,
-            Self::Paused => MissingReport::Paused,
+            Self::Paused { .. } => MissingReport::Paused,
             _ => MissingReport::Unanswered,
         }
     }
@@ -74,9 +80,10 @@
     loop {
         let ticket = state.scheduler.borrow().report_ticket();
         let requested_ms = state.clock.now_ms();
+        let requested_at = Instant::now();
         let mut is_paused = false;
         let result = request_report(&state).await;
-        record_mark(&state, requested_ms, &result);
+        record_mark(&state, requested_at, &result);
         match result {
             Ok(ReceivedReport {
                 report,
@@ -97,7 +104,7 @@
                 state.apply_rate(report.started_ms, rate, RateSource::Report, requested_ms);
             }
             Err(error) => {
-                is_paused = matches!(error, ReportError::Paused);
+                is_paused = matches!(error, ReportError::Paused { .. });
                 if watch.record_missing(error.missing_report()) {
                     emit(EventId::EngineLost, &error);
                     state.mark_engine_unreachable();
@@ -132,25 +139,22 @@
     );
 }
 
-/// Records whether the engine answered a request for its report that was made at `requested_ms`.
+/// Records how the engine answered a request for its report that was made at `requested_at`.
 fn record_mark(
     state: &AgentState,
-    requested_ms: u64,
+    requested_at: Instant,
     result: &Result<ReceivedReport, ReportError>,
 ) {
-    let (is_answered, started_ms) = match result {
-        Ok(received) => (true, received.report.started_ms),
-        Err(error) => match error.missing_report() {
-            MissingReport::NotSent => return,
-            MissingReport::Paused => (true, state.engine_started_ms()),
-            MissingReport::Unanswered => (false, None),
-        },
+    let answer = match result {
+        Ok(received) => ReportAnswer::Started(received.report.started_ms),
+        Err(ReportError::Paused { opened_at }) => ReportAnswer::Refused(*opened_at),
+        Err(error) if error.missing_report() == MissingReport::NotSent => return,
+        Err(_) => ReportAnswer::Unanswered,
     };
-    state.last_report.send_replace(ReportMark {
-        requested_ms,
-        is_answered,
-        started_ms,
-    });
+    state.last_report.send_replace(Some(ReportMark {
+        requested_at,
+        answer,
+    }));
 }
 
 /// Keeps the entries informed of the engine's state until the process exits.
@@ -190,8 +194,9 @@
         });
     }
     state.apply_notice(started_ms, notice);
-    if notice.pause.is_some() {
-        return PausedSnafu.fail();
+    let opened_at = response.extensions().get::<OpenedAt>();
+    if let (Some(_), Some(&OpenedAt(opened_at))) = (notice.pause, opened_at) {
+        return PausedSnafu { opened_at }.fail();
     }
     StatusSnafu { status }.fail()
 }
@@ -391,22 +396,22 @@
     }
 }
 
-/// Decides whether a response without a length or chunks that has ended is complete.
+/// Decides whether a response without a length or chunks that has just ended is complete.
 async fn is_unframed_end_complete(state: &AgentState, run: &EngineRun) -> bool {
-    let ended_ms = state.clock.now_ms();
-    let evidence = state.end_evidence(run.engine_started_ms).await;
+    let ended_at = Instant::now();
+    let evidence = state.end_evidence(run.engine_started_ms, ended_at).await;
+    let is_complete = evidence == EndEvidence::Alive;
     let id = state.with_request(run.key, |request| request.metadata.id.clone());
     emit(
         EventId::UnframedEnd,
         format_args!(
-            "request={} started_ms={:?} evidence={evidence} complete={} waited_ms={}",
+            "request={} started_ms={:?} evidence={evidence} complete={is_complete} waited_ms={}",
             id.flatten().as_deref().unwrap_or("-"),
             run.engine_started_ms,
-            evidence.is_complete(),
-            state.clock.now_ms().saturating_sub(ended_ms)
+            ended_at.elapsed().as_millis()
         ),
     );
-    evidence.is_complete()
+    is_complete
 }
 
 fn handle_send_error(state: &AgentState, key: u64, error: &SendError) -> AttemptEnd {
--- a/crates/magnoliasail/src/gateway/agent/report_mark.rs
+++ b/crates/magnoliasail/src/gateway/agent/report_mark.rs
@@ -1,65 +1,78 @@
-//! Whether the engine was alive at a time, as its reports show.
+//! What the engine's reports prove: which start of it was alive at a time.
+//!
+//! A report is younger than its request and older than its answer. So what a report shows is used only for
+//! what happened before it was requested, such as the end of a response.
 
 use {
     super::state::AgentState,
     std::time::Duration,
     strum::{Display, IntoStaticStr},
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout},
 };
 
 /// Longest wait for a report: that of two requests without an answer.
 const MAX_WAIT: Duration = Duration::from_millis(1_100);
 
 /// The outcome of the latest request for a report.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct ReportMark {
-    pub(super) requested_ms: u64,
-    /// Whether the engine answered the request, even if it did not give a report.
-    pub(super) is_answered: bool,
-    /// The start time of the engine.
-    pub(super) started_ms: Option<u64>,
+    pub(super) requested_at: Instant,
+    pub(super) answer: ReportAnswer,
+}
+
+/// How the engine answered a request for a report.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum ReportAnswer {
+    /// With a report, which names the start of the engine.
+    Started(Option<u64>),
+    /// With a refusal, on a connection that was opened at this time.
+    Refused(Instant),
+    /// Not at all.
+    Unanswered,
 }
 
 /// What is known of the engine after the end of a response without a length or chunks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum EndEvidence {
-    /// The engine was leaving, and was not asked.
-    Leaving,
     /// The start that sent the response is alive.
     Alive,
     /// Another start of the engine is alive.
     OtherStart,
-    /// The engine did not answer.
-    Unanswered,
-}
-
-impl EndEvidence {
-    /// Returns whether the response counts as complete.
-    pub(super) const fn is_complete(self) -> bool {
-        matches!(self, Self::Leaving | Self::Alive)
-    }
+    /// Nothing shows which start is alive, if any.
+    Unproven,
 }
 
 impl AgentState {
-    /// Finds out whether the start `started_ms` of the engine is still alive, which a report that is
-    /// requested from now on shows.
+    /// Finds out whether the start `started_ms` of the engine was still alive after a response of it had ended
+    /// at `ended_at`.
     ///
-    /// A response with neither a length nor chunks ends with its connection, and the crash of its engine
-    /// ends it in the same way. An engine that is about to exit completes its responses but may give no
-    /// reports.
-    pub(super) async fn end_evidence(&self, started_ms: Option<u64>) -> EndEvidence {
-        if self.scheduler.borrow().is_ending() {
-            return EndEvidence::Leaving;
+    /// A response with neither a length nor chunks ends with its connection, and the end of its engine ends it
+    /// in the same way, also that of an engine which drains or leaves.
+    pub(super) async fn end_evidence(
+        &self,
+        started_ms: Option<u64>,
+        ended_at: Instant,
+    ) -> EndEvidence {
+        match self.answer_after(ended_at).await {
+            ReportAnswer::Started(alive_ms) if alive_ms == started_ms => EndEvidence::Alive,
+            ReportAnswer::Started(_) => EndEvidence::OtherStart,
+            ReportAnswer::Refused(opened_at) if opened_at < ended_at => EndEvidence::Alive,
+            ReportAnswer::Refused(_) | ReportAnswer::Unanswered => EndEvidence::Unproven,
         }
-        let now_ms = self.clock.now_ms();
+    }
+
+    /// Requests a report, unless one was requested after `at`, and returns its answer.
+    async fn answer_after(&self, at: Instant) -> ReportAnswer {
         let mut marks = self.last_report.subscribe();
-        self.report_requested.notify_one();
-        let later_mark = marks.wait_for(|mark| mark.requested_ms > now_ms);
-        match timeout(MAX_WAIT, later_mark).await {
-            Ok(Ok(mark)) if mark.is_answered && mark.started_ms == started_ms => EndEvidence::Alive,
-            Ok(Ok(mark)) if mark.is_answered => EndEvidence::OtherStart,
-            _ => EndEvidence::Unanswered,
+        let is_later = |mark: &Option<ReportMark>| mark.is_some_and(|mark| mark.requested_at > at);
+        if !is_later(&marks.borrow()) {
+            self.report_requested.notify_one();
         }
+        let answer = match timeout(MAX_WAIT, marks.wait_for(is_later)).await {
+            Ok(Ok(mark)) => mark.map(|mark| mark.answer),
+            _ => None,
+        };
+        answer.unwrap_or(ReportAnswer::Unanswered)
     }
 }
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -77,7 +77,7 @@
     /// Whether a task waits for the time at which the engine's rate allows the next request.
     pub(super) has_rate_wakeup: Cell<bool>,
     pub(super) quarantine: RefCell<Quarantine>,
-    pub(super) last_report: watch::Sender<ReportMark>,
+    pub(super) last_report: watch::Sender<Option<ReportMark>>,
     /// Notified when the next report should be requested at once.
     pub(super) report_requested: Notify,
     /// Queued and running requests by their keys.
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -129,8 +129,15 @@
 /// Adaptive limit on the idle time of connections, shared by the pools of one process.
 pub(super) type SharedIdleLimit = Rc<RefCell<IdleLimit>>;
 
-struct IdleConnection {
+/// An open connection to the server.
+struct Connection {
     sender: Sender,
+    /// When it was opened. All that arrives on it comes from the process that accepted it.
+    opened_at: Instant,
+}
+
+struct IdleConnection {
+    connection: Connection,
     idle_since: Instant,
     /// Idle time after which the connection is not reused.
     max_idle_time: Duration,
@@ -153,10 +160,14 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
     limit: ByteLimit,
-    sender: Sender,
+    connection: Connection,
     pool: Rc<Pool>,
 }
 
+/// When the connection was opened on which a response arrived; an extension of the response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OpenedAt(pub(super) Instant);
+
 impl Pool {
     /// Creates a pool of at most `max_open` connections, of which none is open yet.
     pub(super) fn new(
@@ -192,12 +203,12 @@
     ) -> Result<ServerResponse, SendError> {
         let mut request = request.map(Full::new);
         loop {
-            let (mut sender, idle_time) = match self.take_idle(is_idempotent).await {
-                Some((sender, idle_time)) => (sender, Some(idle_time)),
+            let (mut connection, idle_time) = match self.take_idle(is_idempotent).await {
+                Some((connection, idle_time)) => (connection, Some(idle_time)),
                 None => (self.open().await?, None),
             };
             let sent_at = Instant::now();
-            let response = match sender.try_send_request(request).await {
+            let response = match connection.sender.try_send_request(request).await {
                 Ok(response) => response,
                 Err(mut failure) => match failure.take_message() {
                     // The idle connection had been closed; nothing was sent on it.
@@ -227,13 +238,13 @@
                 headers: head.headers,
                 body,
                 limit: ByteLimit::new(MAX_BODY_BYTES),
-                sender,
+                connection,
                 pool: Rc::clone(self),
             });
         }
     }
 
-    /// Sends an idempotent request and returns the complete response.
+    /// Sends an idempotent request and returns the complete response, with [`OpenedAt`] among its extensions.
     ///
     /// # Errors
     ///
@@ -246,11 +257,12 @@
     ) -> Result<Response<Bytes>, SendError> {
         let exchange = async {
             let response = self.send(request, None, true).await?;
-            let status = response.status;
+            let (status, opened_at) = (response.status, response.opened_at());
             let (headers, body) = response.collect().await?;
             let mut response = Response::new(body);
             *response.status_mut() = status;
             *response.headers_mut() = headers;
+            response.extensions_mut().insert(OpenedAt(opened_at));
             Ok(response)
         };
         timeout(limit, exchange)
@@ -263,19 +275,19 @@
 
     /// Takes the most recently used idle connection that may be reused, and returns it with its
     /// idle time. Connections that have been idle for too long are closed.
-    async fn take_idle(&self, is_idempotent: bool) -> Option<(Sender, Duration)> {
+    async fn take_idle(&self, is_idempotent: bool) -> Option<(Connection, Duration)> {
         loop {
-            let connection = self.idle.borrow_mut().pop()?;
+            let idle = self.idle.borrow_mut().pop()?;
             let max_idle_time = if is_idempotent {
-                connection.max_idle_time
+                idle.max_idle_time
             } else {
-                connection.max_idle_time.min(self.idle_limit())
+                idle.max_idle_time.min(self.idle_limit())
             };
-            let idle_time = connection.idle_since.elapsed();
-            let mut sender = connection.sender;
+            let idle_time = idle.idle_since.elapsed();
+            let mut connection = idle.connection;
             // A connection that was just released becomes ready once its task has run.
-            if idle_time < max_idle_time && sender.ready().await.is_ok() {
-                return Some((sender, idle_time));
+            if idle_time < max_idle_time && connection.sender.ready().await.is_ok() {
+                return Some((connection, idle_time));
             }
         }
     }
@@ -301,7 +313,7 @@
         );
     }
 
-    async fn open(&self) -> Result<Sender, SendError> {
+    async fn open(&self) -> Result<Connection, SendError> {
         let open = self.open_count.get();
         if open >= self.max_open.get() {
             return Err(SendError::Exhausted {
@@ -313,6 +325,7 @@
         let stream = connect(self.address)
             .await
             .map_err(|source| SendError::Unconnected { source })?;
+        let opened_at = Instant::now();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -326,12 +339,12 @@
             let _ = connection.await;
             drop(guard);
         });
-        Ok(sender)
+        Ok(Connection { sender, opened_at })
     }
 
     /// Returns a connection to the pool, unless the server closes it.
-    fn keep_idle(&self, sender: Sender, headers: &HeaderMap) {
-        if headers::closes_connection(headers) || sender.is_closed() {
+    fn keep_idle(&self, connection: Connection, headers: &HeaderMap) {
+        if headers::closes_connection(headers) || connection.sender.is_closed() {
             return;
         }
         let max_idle_time =
@@ -341,7 +354,7 @@
                     .min(MAX_IDLE_TIME)
             });
         self.idle.borrow_mut().push(IdleConnection {
-            sender,
+            connection,
             idle_since: Instant::now(),
             max_idle_time,
         });
@@ -370,6 +383,11 @@
         }
     }
 
+    /// Returns when the connection was opened on which the response arrives.
+    pub(super) const fn opened_at(&self) -> Instant {
+        self.connection.opened_at
+    }
+
     /// Returns whether the response has a length or chunks, so that its end shows that it is complete.
     pub(super) fn is_framed(&self) -> bool {
         self.headers.contains_key(CONTENT_LENGTH) || self.headers.contains_key(TRANSFER_ENCODING)
@@ -385,7 +403,7 @@
 
     /// Returns the connection to the pool. The body must have been read to its end.
     pub(super) fn release(self) {
-        self.pool.keep_idle(self.sender, &self.headers);
+        self.pool.keep_idle(self.connection, &self.headers);
     }
 
     /// Reads the complete body, and returns the connection to the pool.
@@ -394,7 +412,7 @@
         while let Some(part) = self.next_part().await? {
             body.extend_from_slice(&part);
         }
-        self.pool.keep_idle(self.sender, &self.headers);
+        self.pool.keep_idle(self.connection, &self.headers);
         Ok((self.headers, body.freeze()))
     }
 
