fix(gateway): a stream runs at a start of a server, not at its id

Callers got streams that hold events of two software versions while servers were upgraded in place. A server that starts again under its id with other software passed as one of the old version until the row was read: streams were resumed there, and streams that began there were recorded under the version that it had had.

The version is known of one start only, the one that the row names. So a request of a stream that may be resumed names that start. Its agent refuses it as not run if the last report names another (other_start), reports its engine's start to entries, which then leave the engine out, and forwards the head of the response only if the connection on which it came is of that start: the report before names it, and so does one that was requested after the connection was opened.

--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -95,4 +95,6 @@
     RateLimited = 12,
     /// Another engine may start the request sooner.
     LateHere = 13,
+    /// The engine has another start than the one that the request is meant for.
+    OtherStart = 14,
 }
--- a/crates/magnoliasail-core/src/gateway/message/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/message/mod.rs
@@ -153,6 +153,10 @@
     /// Whether the agent may hand the request back if another engine may start it sooner.
     #[prost(bool, tag = "16")]
     pub may_move: bool,
+    /// The only start of the server that may run the request, as the server states it, because the software
+    /// version of that start is the one that the request needs or is recorded with; absent if any may.
+    #[prost(uint64, optional, tag = "17")]
+    pub required_start_ms: Option<u64>,
 }
 
 /// Identifies a request that may have crashed a server, for all attempts of its caller.
@@ -391,9 +395,22 @@
     /// none.
     #[prost(uint32, tag = "17")]
     pub rate_interval_us: u32,
+    /// The start time of the engine that its last report stated; absent before the first report.
+    #[prost(uint64, optional, tag = "18")]
+    pub started_ms: Option<u64>,
 }
 
 impl EngineState {
+    /// Returns whether the engine may be the start of a server that the list names. Its software version is
+    /// known only of that start.
+    #[must_use]
+    pub fn may_be_start(&self, listed_ms: Option<u64>) -> bool {
+        match (self.started_ms, listed_ms) {
+            (Some(started_ms), Some(listed_ms)) => started_ms == listed_ms,
+            _ => true,
+        }
+    }
+
     /// Returns the expected time until the first event of a request of this rank that is sent after
     /// `sent` others with `sent_tokens` prompt tokens in total, which the state does not include yet.
     #[must_use]
@@ -457,7 +474,8 @@
         let is_load_different = self.load.abs_diff(other.load) > min_load_difference;
         is_time_different
             || is_load_different
-            || (self.slots, self.entries) != (other.slots, other.entries)
+            || (self.slots, self.entries, self.started_ms)
+                != (other.slots, other.entries, other.started_ms)
     }
 }
 
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -241,6 +241,20 @@
         self.with(State::reset);
     }
 
+    /// Starts the server again in an instant, under its id and with all that it holds, but with other software.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server's address cannot be bound.
+    pub async fn replace_software(&self, version: &str) -> io::Result<()> {
+        self.abort_tasks();
+        self.with(|state| {
+            state.incarnation += 1;
+            version.clone_into(&mut state.software_version);
+        });
+        self.start().await
+    }
+
     /// Adds what crashes the server when it begins to run a request with it.
     pub fn set_poison(&self, poison: &Poison) {
         self.with(|state| state.poisons.push(poison.clone()));
--- a/crates/magnoliasail/src/gateway/agent/active_request.rs
+++ b/crates/magnoliasail/src/gateway/agent/active_request.rs
@@ -28,6 +28,13 @@
 }
 
 impl AgentState {
+    /// Returns whether the engine has another start than the request may run at.
+    pub(super) fn has_other_start(&self, submit: &Submit) -> bool {
+        submit
+            .required_start_ms
+            .is_some_and(|required_ms| self.engine_started_ms() != Some(required_ms))
+    }
+
     /// Submits a request from an entry to the scheduler, or refuses it while the agent drains.
     pub(super) fn submit(self: &Rc<Self>, link: LinkId, submit: Submit) {
         self.metrics.requests.inc();
@@ -39,6 +46,12 @@
             self.refuse(link, submit.attempt, EngineRefusal::Quarantined, left_ms);
             return;
         }
+        if self.has_other_start(&submit) {
+            // The entry may know of a start that no report has named yet.
+            self.report_requested.notify_one();
+            self.refuse(link, submit.attempt, EngineRefusal::OtherStart, 0);
+            return;
+        }
         let now_ms = self.clock.now_ms();
         let headers = header_codec::decode_headers(&submit.headers);
         let metadata = headers::request_metadata(&headers);
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -230,6 +230,12 @@
     let started_ms = state.clock.now_ms();
     let engine_started_ms = state.engine_started_ms();
     let stall_limits = state.stall_limits(key);
+    let has_other_start = state.with_request(key, |request| state.has_other_start(&request.submit));
+    if has_other_start == Some(true) {
+        state.refuse(link, attempt, EngineRefusal::OtherStart, 0);
+        state.finish(key, None);
+        return;
+    }
     let end = match build_request(&state, key) {
         Some((request, id)) => {
             let response = state.request_pool.send(request, id.as_deref(), false);
@@ -362,6 +368,17 @@
     let head_time_ms = state.clock.now_ms().saturating_sub(run.sent_ms);
     state.metrics.observe_stage(Stage::EngineHead, head_time_ms);
     state.record_head(key, head_time_ms);
+    let required_start_ms = state
+        .with_request(key, |request| request.submit.required_start_ms)
+        .flatten();
+    if let Some(started_ms) = required_start_ms
+        && !state
+            .is_connected_to_start(started_ms, response.opened_at())
+            .await
+    {
+        state.record_broken_off(key, &response.sent_by_other_start());
+        return AttemptEnd::Aborted;
+    }
     state.send(link, ToEntryKind::Head(head));
     let mut origin = state
         .with_request(key, |request| request.submit.origin.clone())
--- a/crates/magnoliasail/src/gateway/agent/outgoing.rs
+++ b/crates/magnoliasail/src/gateway/agent/outgoing.rs
@@ -132,6 +132,7 @@
             rate_interval_us: scheduler
                 .rate()
                 .map_or(0, |rate| clamped(rate.interval_us())),
+            started_ms: scheduler.started_ms(),
         }
     }
 }
--- a/crates/magnoliasail/src/gateway/agent/report_mark.rs
+++ b/crates/magnoliasail/src/gateway/agent/report_mark.rs
@@ -1,7 +1,7 @@
-//! What the engine's reports prove: which start of it was alive at a time.
+//! What the engine's reports prove: which start of it was alive at a time, and which start sent a response.
 //!
 //! A report is younger than its request and older than its answer. So what a report shows is used only for
-//! what happened before it was requested, such as the end of a response.
+//! what happened before it was requested: the end of a response, or the opening of a connection.
 
 use {
     super::state::AgentState,
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Returns whether what arrives on a connection that was opened at `opened_at` comes from the start
+    /// `started_ms` of the engine, which an earlier report has named.
+    ///
+    /// If a report that was requested after the opening still names this start, no other can have accepted the
+    /// connection.
+    pub(super) async fn is_connected_to_start(&self, started_ms: u64, opened_at: Instant) -> bool {
+        let answer = self.answer_after(opened_at).await;
+        matches!(answer, ReportAnswer::Started(Some(alive_ms)) if alive_ms == started_ms)
+    }
+
     /// Requests a report, unless one was requested after `at`, and returns its answer.
     async fn answer_after(&self, at: Instant) -> ReportAnswer {
         let mut marks = self.last_report.subscribe();
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -61,10 +61,15 @@
 }
 
 impl OutgoingRequest {
+    /// Returns whether the software version of the server matters, because the stream may be resumed.
+    pub(super) fn needs_known_version(&self) -> bool {
+        self.kind == RequestKind::ResumableStream
+    }
+
     /// Returns the origin of the stream if a server of this software version begins it, or `None` if
     /// the caller cannot resume it.
     pub(super) fn origin(&self, software_version: Option<&str>) -> Option<StreamOrigin> {
-        if self.kind != RequestKind::ResumableStream {
+        if !self.needs_known_version() {
             return None;
         }
         Some(StreamOrigin {
@@ -189,6 +194,10 @@
             .map(|account| account.name.to_string()),
         minor_rank: outgoing.minor_rank,
         may_move: options.may_move,
+        required_start_ms: outgoing
+            .needs_known_version()
+            .then_some(pick.started_ms)
+            .flatten(),
     };
     let Some((number, updates)) = link.submit(submit, outgoing.metadata.prompt_tokens, now_ms)
     else {
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -76,6 +76,7 @@
             EngineRefusal::Paused => Self::ServersPaused,
             EngineRefusal::RateLimited => Self::ServersLimited,
             EngineRefusal::Quarantined => Self::Quarantined,
+            EngineRefusal::OtherStart => Self::NoServer,
             _ => Self::Overloaded,
         }
     }
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -249,6 +249,9 @@
                     model.is_none_or(|model| link.holding(model) == Holding::Resident);
                 Some((server, link, link.usable_state()?, holds_model))
             })
+            .filter(|(server, _, state, _)| {
+                !outgoing.needs_known_version() || state.may_be_start(server.entry.started_ms)
+            })
             .collect();
         let is_model_resident = usable.iter().any(|&(.., holds_model)| holds_model);
         usable
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -401,6 +401,14 @@
         }
     }
 
+    /// Returns the error of a response that another start of the server has sent, or may have.
+    pub(super) fn sent_by_other_start(&self) -> SendError {
+        SendError::Truncated {
+            address: self.pool.address,
+            cause: "no report shows that the required start of the server sent it".to_owned(),
+        }
+    }
+
     /// Returns the connection to the pool. The body must have been read to its end.
     pub(super) fn release(self) {
         self.pool.keep_idle(self.connection, &self.headers);
--- a/crates/magnoliasail/tests/stale_software_versions.rs
+++ b/crates/magnoliasail/tests/stale_software_versions.rs
@@ -116,6 +116,28 @@
     });
 }
 
+/// The engine is back at once with all that it held, and is idle, so that its agent has not noticed yet
+/// either.
+#[test]
+fn stream_that_an_engine_began_since_its_last_report_is_not_recorded_under_its_former_software() {
+    run_with_fleet(small_fleet(174), |fleet| async move {
+        let engines = &fleet.servers[..2];
+        end(start_streams(&fleet, 0, "before")).await;
+        // Reports of the requests' ends are over by then.
+        sleep(Duration::from_millis(400)).await;
+        engines
+            .iter()
+            .for_each(|engine| engine.set_faults(LONG_STREAM));
+        let replaced = engines[0].replace_software("v2").await;
+        replaced.expect("the server starts");
+        let tasks = start_streams(&fleet, 0, "first");
+        sleep(Duration::from_millis(1_000)).await;
+        engines[0].crash();
+        end(tasks).await;
+        assert_no_violations(&fleet);
+    });
+}
+
 /// Streams that begin at an upgraded engine whose row is written late are not recorded under the software
 /// that it had.
 #[test]
