fix(entry): the only version that an entry has listed is checked with agents before a stream goes on

Callers got streams that hold events of two software versions after they resumed at another entry. An entry that knew one version took it for the only one before it asked anybody, however old its list was: the rows that it has not read yet, or that the store withholds from it, may name another one (event 520: source=only_version list_age_ms=3969 agents_asked=0).

Every entry tells all agents of a version as soon as it has listed it, before it sends requests there. So an entry now asks eight agents, the same for a stream at every entry, which answer with what they know of the stream and of the versions. The only version is taken if at least half of them answer and none knows another; else all agents are asked, and without proof the request is refused as not run. A request with the id of a last event but without that of its first attempt is looked up too.

--- a/crates/magnoliasail-core/src/gateway/message/origin.rs
+++ b/crates/magnoliasail-core/src/gateway/message/origin.rs
@@ -1,6 +1,9 @@
 //! The software version that began a stream: records of it, and answers to queries for them.
 
-use {super::super::OriginRecord, prost::Message};
+use {
+    super::{super::OriginRecord, ServiceVersions},
+    prost::Message,
+};
 
 /// Which software version began a stream. A caller that resumes the stream needs the same version.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -30,19 +33,24 @@
     /// The time since the origin was recorded, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
+    /// The software versions that services have had recently, as far as the agent knows.
+    #[prost(message, repeated, tag = "5")]
+    pub versions: Vec<ServiceVersions>,
 }
 
 impl OriginAnswer {
-    /// Encodes what an agent knows of the stream with this key.
+    /// Encodes what an agent knows of the stream with this key, and of the versions of services.
     #[must_use]
-    pub fn new(key: u64, record: Option<OriginRecord>) -> Self {
+    pub fn new(key: u64, record: Option<OriginRecord>, versions: Vec<ServiceVersions>) -> Self {
         match record {
             None => Self {
                 key,
+                versions,
                 ..Self::default()
             },
             Some(record) => Self {
                 key,
+                versions,
                 is_forwarded: record.is_forwarded,
                 age_ms: record.age_ms,
                 origin: Some(StreamOrigin {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -113,7 +113,7 @@
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
     origin_evidence::{OriginEvidence, OriginRecord, OriginVerdict},
-    origin_replicas::{ReplicaCandidate, pick_replicas},
+    origin_replicas::{ReplicaCandidate, pick_replicas, pick_witnesses},
     pacer::Pacer,
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     quarantine::Quarantine,
--- a/crates/magnoliasail-core/src/gateway/origin_evidence.rs
+++ b/crates/magnoliasail-core/src/gateway/origin_evidence.rs
@@ -22,6 +22,8 @@
 /// events that were only made are proof as long as they agree.
 #[derive(Clone, Debug, Default)]
 pub struct OriginEvidence {
+    /// Number of agents that have answered.
+    answers: usize,
     latest_forwarded: Option<OriginRecord>,
     begun: Option<Option<Arc<str>>>,
     is_conflicting: bool,
@@ -39,6 +41,21 @@
 }
 
 impl OriginEvidence {
+    /// Adds the answer of one agent, with its record if it has one.
+    pub fn add_answer(&mut self, record: Option<OriginRecord>) {
+        self.answers += 1;
+        if let Some(record) = record {
+            self.add(record);
+        }
+    }
+
+    /// Returns whether enough agents have answered, of those that were asked, to conclude something from what
+    /// none of them knows. An entry that is cut off from a few agents has told the others.
+    #[must_use]
+    pub const fn is_representative(&self, asked: usize) -> bool {
+        self.answers > 0 && self.answers * 2 >= asked
+    }
+
     /// Adds the record of one process.
     pub fn add(&mut self, record: OriginRecord) {
         if !record.is_forwarded {
@@ -63,8 +80,8 @@
 
     /// Returns what the records say together.
     #[must_use]
-    pub fn verdict(self) -> OriginVerdict {
-        match (self.latest_forwarded, self.begun) {
+    pub fn verdict(&self) -> OriginVerdict {
+        match (self.latest_forwarded.clone(), self.begun.clone()) {
             (Some(record), _) => {
                 OriginVerdict::Known(VersionConstraint::Only(record.software_version))
             }
--- a/crates/magnoliasail-core/src/gateway/origin_replicas.rs
+++ b/crates/magnoliasail-core/src/gateway/origin_replicas.rs
@@ -8,6 +8,9 @@
 /// Number of agents that receive the origin of a stream, besides that of the running engine.
 const REPLICAS: usize = 2;
 
+/// Number of agents that are asked before the only version that an entry knows is taken for the only one.
+const WITNESSES: usize = 8;
+
 /// An agent that can keep the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaCandidate {
@@ -38,3 +41,16 @@
         .map(|candidate| candidate.vm)
         .collect()
 }
+
+/// Picks the agents that are asked whether a service has had other software versions than the one that an
+/// entry knows, before a stream with this key goes on at that one.
+///
+/// An entry tells all agents of a version before it sends requests to its servers, so that a few agents know
+/// what each of the others knows.
+#[must_use]
+pub fn pick_witnesses(stream_key: u64, mut linked: Vec<IpAddr>) -> Vec<IpAddr> {
+    let key = stream_key.to_string();
+    linked.sort_by_cached_key(|vm| Reverse(score(&key, &vm.to_string())));
+    linked.truncate(WITNESSES);
+    linked
+}
--- a/crates/magnoliasail-core/tests/gateway/stream_origins.rs
+++ b/crates/magnoliasail-core/tests/gateway/stream_origins.rs
@@ -5,8 +5,9 @@
         OriginEvidence, OriginRecord, OriginVerdict, RequestMetadata, StreamOrigins,
         VersionConstraint, VersionHistory,
         message::{ListedVersion, OriginAnswer, ServiceVersions, StreamOrigin},
+        pick_witnesses,
     },
-    std::sync::Arc,
+    std::{net::IpAddr, sync::Arc},
 };
 
 const NOW_MS: u64 = 100_000;
@@ -182,10 +183,10 @@
 fn answer_carries_the_record_of_an_agent() {
     let known = record("v1", true, 30);
     assert_eq!(
-        OriginAnswer::new(1, Some(known.clone())).record(),
+        OriginAnswer::new(1, Some(known.clone()), Vec::new()).record(),
         Some(known)
     );
-    assert_eq!(OriginAnswer::new(1, None).record(), None);
+    assert_eq!(OriginAnswer::new(1, None, Vec::new()).record(), None);
 }
 
 /// A process that starts after the servers of the old version have left sees only the new version.
@@ -261,3 +262,34 @@
         .sum::<usize>();
     assert!(kept < COUNT as usize / 100, "{kept} versions are kept");
 }
+
+#[test]
+fn a_few_silent_agents_do_not_keep_the_others_from_showing_that_there_is_no_other_version() {
+    for (answers, asked, is_representative) in [
+        (0, 0, false),
+        (0, 8, false),
+        (3, 8, false),
+        (4, 8, true),
+        (1, 1, true),
+    ] {
+        let mut evidence = OriginEvidence::default();
+        for _ in 0..answers {
+            evidence.add_answer(None);
+        }
+        assert_eq!(
+            evidence.is_representative(asked),
+            is_representative,
+            "{answers} of {asked}"
+        );
+    }
+}
+
+#[test]
+fn witnesses_of_a_stream_are_few_and_the_same_for_every_entry() {
+    let agents: Vec<IpAddr> = (1..=200).map(|host| [10, 0, 0, host].into()).collect();
+    let reversed = agents.iter().rev().copied().collect();
+    let witnesses = pick_witnesses(7, agents.clone());
+    assert_eq!(witnesses, pick_witnesses(7, reversed));
+    assert_eq!(witnesses.len(), 8);
+    assert_ne!(witnesses, pick_witnesses(8, agents));
+}
--- a/crates/magnoliasail/src/gateway/agent/origins.rs
+++ b/crates/magnoliasail/src/gateway/agent/origins.rs
@@ -32,7 +32,9 @@
     pub(super) fn answer_origin(&self, link: LinkId, key: u64) {
         let now_ms = self.clock.now_ms();
         let record = self.origins.borrow().get(key, now_ms);
-        self.send(link, ToEntryKind::Origin(OriginAnswer::new(key, record)));
+        let versions = self.versions.borrow().snapshot(now_ms);
+        let answer = OriginAnswer::new(key, record, versions);
+        self.send(link, ToEntryKind::Origin(answer));
     }
 
     /// Tells an entry which software versions services have had.
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -10,7 +10,7 @@
         },
     },
     magnoliasail_core::gateway::{
-        EngineRefusal, Holding, Holdings, OriginRecord, QuotaGrant, QuotaQuestion, UnreportedWork,
+        EngineRefusal, Holding, Holdings, QuotaGrant, QuotaQuestion, UnreportedWork,
         message::{
             AskQuota, AskSend, EngineState, Head, OriginAnswer, Part, SendAnswer, StreamOrigin,
             Submit, ToAgent, ToAgentKind, ToEntry, ToEntryKind,
@@ -91,7 +91,7 @@
     buffered: Rc<BufferBudget>,
     next_attempt: Cell<u64>,
     /// Queries for the origins of streams that the agent has not answered, by stream key.
-    origin_queries: RefCell<HashMap<u64, Vec<mpsc::Sender<OriginRecord>>>>,
+    origin_queries: RefCell<HashMap<u64, Vec<mpsc::Sender<OriginAnswer>>>>,
     /// Questions whether a request may be sent that the agent has not answered.
     send_questions: Questions<SendAnswer>,
     /// Questions for units of quotas that the agent has not answered.
@@ -261,9 +261,9 @@
         let _ = self.send(ToAgentKind::RememberOrigin(origin));
     }
 
-    /// Asks the agent for the origin of a stream. The answer goes to `answers`, which is dropped
-    /// without one if the agent does not know the origin or cannot be asked.
-    pub(super) fn find_origin(&self, key: u64, answers: mpsc::Sender<OriginRecord>) {
+    /// Asks the agent for the origin of a stream. The answer goes to `answers`, which is dropped without one if
+    /// the agent cannot be asked.
+    pub(super) fn find_origin(&self, key: u64, answers: mpsc::Sender<OriginAnswer>) {
         if !self.send(ToAgentKind::FindOrigin(key)) {
             return;
         }
@@ -299,12 +299,9 @@
 
     fn answer_origin_queries(&self, answer: &OriginAnswer) {
         let senders = self.origin_queries.borrow_mut().remove(&answer.key);
-        let Some(record) = answer.record() else {
-            return;
-        };
         for sender in senders.unwrap_or_default() {
-            // A full queue has the records of more agents than keep one stream.
-            let _ = sender.try_send(record.clone());
+            // The queue has room for all agents that were asked.
+            let _ = sender.try_send(answer.clone());
         }
     }
 
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -8,8 +8,9 @@
     super::state::EntryState,
     crate::events::{EventId, emit},
     magnoliasail_core::gateway::{
-        OriginEvidence, OriginRecord, OriginVerdict, ReplicaCandidate, RequestMetadata,
-        VersionConstraint, message::StreamOrigin, pick_replicas,
+        OriginEvidence, OriginVerdict, ReplicaCandidate, RequestMetadata, VersionConstraint,
+        message::{OriginAnswer, StreamOrigin},
+        pick_replicas, pick_witnesses,
     },
     std::{collections::HashSet, net::IpAddr, sync::Arc, time::Duration},
     strum::{Display, IntoStaticStr},
@@ -21,8 +22,6 @@
 
 /// Longest wait for the answers of agents: several round trips between data centres.
 const MAX_QUERY_WAIT: Duration = Duration::from_millis(250);
-/// Maximum number of records of a stream that wait to be read; few agents keep one.
-const MAX_RECORDS: usize = 64;
 /// Time between checks for links that have come up.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -53,6 +52,10 @@
 }
 
 /// Finds out which software version of a service began the stream with this key.
+///
+/// The list that this entry has read may be older than the stream, in particular while the store turns the
+/// entry away. So what it knows is not enough to take a version for the only one: a few agents, which hear of
+/// a new version from every entry, must know of no other.
 pub(super) async fn find_origin(state: &EntryState, service: &str, key: u64) -> OriginLookup {
     let now_ms = state.clock.now_ms();
     if let Some(record) = state.origins.borrow().get(key, now_ms) {
@@ -62,90 +65,121 @@
             agents_asked: 0,
         };
     }
-    if let Some(lookup) = only_version(state, service) {
-        return lookup;
-    }
-    let (verdict, agents_asked) = ask_agents(state, service, key).await;
-    let lookup = match verdict {
-        OriginVerdict::Known(version) => OriginLookup {
-            version: Some(version),
-            source: OriginSource::Agent,
-            agents_asked,
-        },
-        OriginVerdict::Conflicting => OriginLookup {
-            version: None,
-            source: OriginSource::Conflicting,
-            agents_asked,
-        },
-        // The agents may have told meanwhile which versions the service has had.
-        OriginVerdict::Unknown => only_version(state, service).unwrap_or(OriginLookup {
-            version: None,
-            source: OriginSource::Unknown,
-            agents_asked,
-        }),
-    };
-    OriginLookup {
-        agents_asked,
-        ..lookup
+    if only_version(state, service).is_some() {
+        let witnesses = pick_witnesses(key, state.linked_agents());
+        let survey = Survey::of(state, service, key, Some(&witnesses)).await;
+        let lookup = survey.lookup(state, service);
+        if lookup.source != OriginSource::Unknown {
+            return lookup;
+        }
     }
+    let survey = Survey::of(state, service, key, None).await;
+    survey.lookup(state, service)
 }
 
-/// Returns the only version that the service has had since the oldest resumable stream began, if this is
-/// known to be the only one.
-fn only_version(state: &EntryState, service: &str) -> Option<OriginLookup> {
+/// Returns the only version that the service has had since the oldest resumable stream began, as far as this
+/// entry knows.
+fn only_version(state: &EntryState, service: &str) -> Option<VersionConstraint> {
     let now_ms = state.clock.now_ms();
     let versions = state.versions.borrow();
     if !versions.covers_resumable_streams(service, now_ms) {
         return None;
     }
-    Some(OriginLookup {
-        version: Some(versions.only_version(service, now_ms)?),
-        source: OriginSource::OnlyVersion,
-        agents_asked: 0,
-    })
+    versions.only_version(service, now_ms)
 }
 
-/// Asks all linked agents for the origin of a stream, and returns what they say together and how many were
-/// asked.
-///
-/// Agents to which this entry is still connecting are asked as soon as their links are up. The answers of all
-/// are awaited, because the first may be an older record than another.
-async fn ask_agents(state: &EntryState, service: &str, key: u64) -> (OriginVerdict, usize) {
-    let deadline = Instant::now() + MAX_QUERY_WAIT;
-    let mut asked = HashSet::new();
-    let mut evidence = OriginEvidence::default();
-    let (sender, mut answers) = mpsc::channel(MAX_RECORDS);
-    let mut sender = Some(sender);
-    while Instant::now() < deadline {
-        if let Some(sender) = &sender {
-            ask_connected_agents(state, key, sender, &mut asked);
+/// What agents have answered to a query for the origin of a stream.
+struct Survey {
+    evidence: OriginEvidence,
+    asked: HashSet<IpAddr>,
+}
+
+impl Survey {
+    /// Asks the linked agents, or of these only the ones on the VMs `among`, and waits for the answers of all,
+    /// because the first may be an older record than another.
+    ///
+    /// Agents to which this entry is still connecting are asked as soon as their links are up. What the agents
+    /// know of the versions of services is added to what this entry knows.
+    async fn of(state: &EntryState, service: &str, key: u64, among: Option<&[IpAddr]>) -> Self {
+        let deadline = Instant::now() + MAX_QUERY_WAIT;
+        let mut survey = Self {
+            evidence: OriginEvidence::default(),
+            asked: HashSet::new(),
+        };
+        let capacity = state.links.borrow().len().max(1) * 2;
+        let (sender, mut answers) = mpsc::channel(capacity);
+        let mut sender = Some(sender);
+        while Instant::now() < deadline {
+            if let Some(sender) = &sender {
+                survey.ask_connected_agents(state, key, among, sender);
+            }
+            let may_connect =
+                among.is_none() && state.has_starting_engine(service, &VersionConstraint::Any);
+            if !may_connect {
+                // The channel then closes when all agents have answered.
+                sender = None;
+            }
+            let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
+            match timeout_at(poll_end, answers.recv()).await {
+                Ok(Some(answer)) => survey.add(state, &answer),
+                Ok(None) => break,
+                Err(_) => {}
+            }
         }
-        if !state.has_starting_engine(service, &VersionConstraint::Any) {
-            // The channel then closes when all agents have answered.
-            sender = None;
+        survey
+    }
+
+    /// Asks the agents with a link that were not asked, and counts them as asked.
+    fn ask_connected_agents(
+        &mut self,
+        state: &EntryState,
+        key: u64,
+        among: Option<&[IpAddr]>,
+        sender: &mpsc::Sender<OriginAnswer>,
+    ) {
+        for (&vm, link) in state.links.borrow().iter() {
+            let is_among = among.is_none_or(|among| among.contains(&vm));
+            if is_among && link.is_up() && self.asked.insert(vm) {
+                link.find_origin(key, sender.clone());
+            }
         }
-        let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
-        match timeout_at(poll_end, answers.recv()).await {
-            Ok(Some(record)) => evidence.add(record),
-            Ok(None) => break,
-            Err(_) => {}
+    }
+
+    fn add(&mut self, state: &EntryState, answer: &OriginAnswer) {
+        for versions in &answer.versions {
+            state.add_versions(versions);
         }
+        self.evidence.add_answer(answer.record());
     }
-    (evidence.verdict(), asked.len())
-}
 
-/// Asks the agents with a link that are not in `asked`, and adds them.
-fn ask_connected_agents(
-    state: &EntryState,
-    key: u64,
-    sender: &mpsc::Sender<OriginRecord>,
-    asked: &mut HashSet<IpAddr>,
-) {
-    for (&vm, link) in state.links.borrow().iter() {
-        if link.is_up() && asked.insert(vm) {
-            link.find_origin(key, sender.clone());
+    /// Returns what the answers show, together with what this entry knows by now.
+    fn lookup(&self, state: &EntryState, service: &str) -> OriginLookup {
+        let (version, source) = match self.evidence.verdict() {
+            OriginVerdict::Known(version) => (Some(version), OriginSource::Agent),
+            OriginVerdict::Conflicting => (None, OriginSource::Conflicting),
+            OriginVerdict::Unknown => match self.confirmed_only_version(state, service) {
+                Some(version) => (Some(version), OriginSource::OnlyVersion),
+                None => (None, OriginSource::Unknown),
+            },
+        };
+        OriginLookup {
+            version,
+            source,
+            agents_asked: self.asked.len(),
         }
     }
+
+    /// Returns the only version that this entry knows, if the agents know of no other. Where no engine serves,
+    /// there are no agents to ask.
+    fn confirmed_only_version(
+        &self,
+        state: &EntryState,
+        service: &str,
+    ) -> Option<VersionConstraint> {
+        let has_agents = state.table.borrow().engine(service).is_some();
+        let is_confirmed = self.evidence.is_representative(self.asked.len());
+        only_version(state, service).filter(|_| is_confirmed || !has_agents)
+    }
 }
 
 /// Sends the origin of a stream that `server` runs to agents on other VMs than those of the servers
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -308,6 +308,13 @@
         self.links.borrow().get(&address).map(Rc::clone)
     }
 
+    /// Returns the VMs of the agents with a link that is up.
+    pub(super) fn linked_agents(&self) -> Vec<IpAddr> {
+        let links = self.links.borrow();
+        let linked = links.iter().filter(|(_, link)| link.is_up());
+        linked.map(|(&vm, _)| vm).collect()
+    }
+
     /// Queues a message for the agent on a VM; returns `false` if its link is down or its queue is full.
     pub(super) fn send_to_agent(&self, vm: IpAddr, kind: ToAgentKind) -> bool {
         let link = self.links.borrow().get(&vm).map(Rc::clone);
--- a/crates/magnoliasail/src/gateway/entry/stream_origin.rs
+++ b/crates/magnoliasail/src/gateway/entry/stream_origin.rs
@@ -10,7 +10,7 @@
         origin_lookup::{find_origin, log_lookup, replicate_origin},
         refusal::{Refusal, RefusalCause},
     },
-    magnoliasail_core::gateway::{RequestKind, VersionConstraint},
+    magnoliasail_core::gateway::VersionConstraint,
     tokio::time::Instant,
 };
 
@@ -22,7 +22,8 @@
     /// Returns a refusal if this version is unknown, or no server has it.
     pub(super) async fn restrict_to_origin(&mut self) -> Result<(), Refusal> {
         let metadata = &self.outgoing.metadata;
-        if self.outgoing.kind != RequestKind::ResumableStream || metadata.resumes.is_none() {
+        let is_resumed = metadata.resumes.is_some() || metadata.last_event_id.is_some();
+        if !self.outgoing.needs_known_version() || !is_resumed {
             return Ok(());
         }
         let Some(key) = metadata.stream_key() else {
