fix(entry): the end of an unframed response of a plain server counts only if a later health check is answered

Callers got parts of answers as complete successes: a plain server was killed while it sent a body with neither a length nor chunks, and its machine closed the connection normally. Same cause as at engines: the end was believed without anything later that showed its server alive.

The entry now sends a health check after such an end, on a connection that was open before it if there is one, else on a new one, which must be answered by a server of the same id. Without an answer the response is broken off: a safe request is sent once more, any other gets 502. A server that names a rate is checked only within that rate.

Remaining window: a server that ends and answers again under its id within the round trip of the check.

--- a/crates/magnoliasail-core/src/gateway/configuration.rs
+++ b/crates/magnoliasail-core/src/gateway/configuration.rs
@@ -103,6 +103,8 @@
 pub struct ServiceLimits {
     /// The name that routes refer to.
     pub name: Arc<str>,
+    /// The path at which each server answers health checks; empty if there is none.
+    pub health_path: Arc<str>,
     /// The maximum number of connections that each server accepts from all callers together.
     pub max_connections: usize,
     /// The limits of each engine, for services whose servers are model engines.
--- a/crates/magnoliasail-core/tests/gateway/routes.rs
+++ b/crates/magnoliasail-core/tests/gateway/routes.rs
@@ -100,6 +100,7 @@
     let mut table = RouteTable::default();
     let limits = |name: &str, max_connections| ServiceLimits {
         name: name.into(),
+        health_path: "/health".into(),
         max_connections,
         engine: None,
     };
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -484,6 +484,7 @@
         let server = self.clone();
         let answer = match request.uri().path() {
             "/report" => Ok(self.report()),
+            "/healthz" => Ok(self.health()),
             "/order" => Ok(self.handle_order(request, vm).await),
             _ => {
                 self.check_rate();
@@ -495,6 +496,15 @@
         answer.map(|answer| self.add_leaving_header(answer, vm))
     }
 
+    /// Returns the answer to a health check.
+    fn health(&self) -> Response<Body> {
+        let mut response = text_response(StatusCode::OK, String::new());
+        if let Ok(id) = self.id().parse() {
+            response.headers_mut().insert("instance-id", id);
+        }
+        response
+    }
+
     /// Records a violation if more requests arrive than the server has named.
     fn check_rate(&self) {
         let excess = self.with(|state| state.rate.as_mut()?.record_arrival());
--- a/crates/magnoliasail-soak/src/standin/runs.rs
+++ b/crates/magnoliasail-soak/src/standin/runs.rs
@@ -84,11 +84,28 @@
         if is_aborted {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        Ok(with_response_headers(
-            text_response(StatusCode::OK, format!("answer of {id}")),
-            &id,
-            &server,
-        ))
+        let answer = self.plain_answer(format!("answer of {id}"));
+        Ok(with_response_headers(answer, &id, &server))
+    }
+
+    /// Returns the answer of a plain server: in two parts if it has no length.
+    fn plain_answer(&self, text: String) -> Response<Body> {
+        let (is_unframed, event_delay_ms) =
+            self.with(|state| (state.has_unframed_answers, state.faults.event_delay_ms));
+        if !is_unframed {
+            return text_response(StatusCode::OK, text);
+        }
+        let (parts, body) = stream_body(EVENT_QUEUE_CAPACITY);
+        let task = tokio::spawn(async move {
+            let (first, second) = text.split_at(text.len() / 2);
+            // The caller may have disconnected.
+            let _ = parts.write(first.to_owned().into()).await;
+            sleep(Duration::from_millis(event_delay_ms)).await;
+            let _ = parts.write(second.to_owned().into()).await;
+            parts.end();
+        });
+        self.track_task(task.abort_handle());
+        Response::new(BoxBody::new(body.map_err(io::Error::other)))
     }
 
     /// Returns a refusal if the server cannot run the request. A refused request has not run.
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        end_check::EndCheck,
         engine_link::{AttemptUpdate, EngineLink},
         state::{EntryState, PickedServer, retry_jitter_ms},
     },
@@ -129,7 +130,7 @@
 pub(super) enum Attempt {
     Engine(EngineAttempt),
     /// An attempt at a plain server; `None` once the response was read to its end.
-    Plain(Option<ServerResponse>),
+    Plain(Option<ServerResponse>, Box<EndCheck>),
 }
 
 /// An attempt at an engine; dropping it cancels the request at the agent.
@@ -149,9 +150,9 @@
 ///
 /// Notifies `stalled` each time that the server has sent nothing for a while.
 pub(super) async fn start_attempt(
-    state: &EntryState,
+    state: &Rc<EntryState>,
     pick: &PickedServer,
-    outgoing: &OutgoingRequest,
+    outgoing: &Rc<OutgoingRequest>,
     options: AttemptOptions,
     stalled: &Notify,
 ) -> StartOutcome {
@@ -253,9 +254,9 @@
 }
 
 async fn start_at_plain_server(
-    state: &EntryState,
+    state: &Rc<EntryState>,
     pick: &PickedServer,
-    outgoing: &OutgoingRequest,
+    outgoing: &Rc<OutgoingRequest>,
     options: AttemptOptions,
     stalled: &Notify,
 ) -> StartOutcome {
@@ -300,10 +301,15 @@
             if headers::proves_not_run(response.status, &response.headers) {
                 return StartOutcome::RefusedByServer;
             }
+            let check = Box::new(EndCheck::new(
+                Rc::clone(state),
+                pick.clone(),
+                Rc::clone(outgoing),
+            ));
             StartOutcome::Started {
                 status: response.status,
                 headers: headers::forwarded_to_caller(&response.headers),
-                attempt: Attempt::Plain(Some(response)),
+                attempt: Attempt::Plain(Some(response), check),
             }
         }
         Err(error) if error.is_unsent() => {
@@ -361,18 +367,27 @@
                 )
                 | None => BodyUpdate::Aborted,
             },
-            Self::Plain(response_slot) => {
+            Self::Plain(response_slot, check) => {
                 let Some(response) = response_slot else {
                     return BodyUpdate::Aborted;
                 };
                 match response.next_part().await {
                     Ok(Some(bytes)) => BodyUpdate::Part(bytes),
-                    Ok(None) => {
+                    Ok(None) if response.is_framed() => {
                         if let Some(response) = response_slot.take() {
                             response.release();
                         }
                         BodyUpdate::End
                     }
+                    Ok(None) => {
+                        // Its connection has ended, and leaves its place to that of the check.
+                        response_slot.take();
+                        if check.is_complete().await {
+                            BodyUpdate::End
+                        } else {
+                            BodyUpdate::Aborted
+                        }
+                    }
                     Err(_) => BodyUpdate::Aborted,
                 }
             }
--- /dev/null
+++ b/crates/magnoliasail/src/gateway/entry/end_check.rs
@@ -0,0 +1,110 @@
+//! Whether a plain server was alive after the end of a response without a length or chunks.
+//!
+//! Such a response ends with its connection, and the crash of its server ends it in the same way. A health check
+//! that is sent after the end tells them apart.
+
+use {
+    super::{
+        attempt::OutgoingRequest,
+        state::{EntryState, PickedServer},
+    },
+    crate::{
+        events::{EventId, emit},
+        gateway::pool::SendError,
+    },
+    magnoliasail_platform::headers,
+    std::{rc::Rc, sync::Arc, time::Duration},
+    strum::{Display, IntoStaticStr},
+    tokio::time::{Instant, timeout},
+};
+
+/// Longest wait for the answer to a health check.
+const MAX_WAIT: Duration = Duration::from_millis(1_100);
+
+/// Checks the end of one response of a plain server.
+pub(super) struct EndCheck {
+    state: Rc<EntryState>,
+    pick: PickedServer,
+    outgoing: Rc<OutgoingRequest>,
+}
+
+/// What is known of a plain server after the end of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum EndEvidence {
+    /// The process that sent the response has answered on another of its connections.
+    SameProcess,
+    /// A server with its id has answered on a new connection.
+    SameId,
+    /// Nothing shows that the server is alive.
+    Unproven,
+}
+
+impl EndCheck {
+    pub(super) const fn new(
+        state: Rc<EntryState>,
+        pick: PickedServer,
+        outgoing: Rc<OutgoingRequest>,
+    ) -> Self {
+        Self {
+            state,
+            pick,
+            outgoing,
+        }
+    }
+
+    /// Decides whether a response that has just ended is complete.
+    pub(super) async fn is_complete(&self) -> bool {
+        let ended_at = Instant::now();
+        let evidence = timeout(MAX_WAIT, self.evidence(ended_at)).await;
+        let evidence = evidence.unwrap_or(EndEvidence::Unproven);
+        let is_complete = evidence != EndEvidence::Unproven;
+        emit(
+            EventId::UnframedEnd,
+            format_args!(
+                "request={} server={} evidence={evidence} complete={is_complete} waited_ms={}",
+                self.outgoing.metadata.id.as_deref().unwrap_or("-"),
+                self.pick.id,
+                ended_at.elapsed().as_millis()
+            ),
+        );
+        is_complete
+    }
+
+    async fn evidence(&self, ended_at: Instant) -> EndEvidence {
+        /// Connections that may turn out to be closed, because they had been idle, before a new one is opened.
+        const MAX_LOST_CONNECTIONS: usize = 3;
+        let Some(path) = self.health_path() else {
+            return EndEvidence::Unproven;
+        };
+        // A health check counts towards the rate that the server names.
+        if self
+            .state
+            .permit_send(&self.pick, &self.outgoing)
+            .await
+            .is_err()
+        {
+            return EndEvidence::Unproven;
+        }
+        let pool = self.state.pool(&self.pick.service, self.pick.address);
+        for _ in 0..=MAX_LOST_CONNECTIONS {
+            let request =
+                headers::health_check(&path, &self.pick.address.to_string(), &self.pick.id);
+            return match pool.send(request, None, true).await {
+                Err(SendError::ConnectionLost { .. }) => continue,
+                Err(_) => EndEvidence::Unproven,
+                Ok(response) if response.opened_at() < ended_at => EndEvidence::SameProcess,
+                Ok(response) if headers::is_expected_server(response.status) => EndEvidence::SameId,
+                Ok(_) => EndEvidence::Unproven,
+            };
+        }
+        EndEvidence::Unproven
+    }
+
+    fn health_path(&self) -> Option<Arc<str>> {
+        let table = self.state.table.borrow();
+        let service = table.service(&self.pick.service)?;
+        let path = Arc::clone(&service.health_path);
+        (!path.is_empty()).then_some(path)
+    }
+}
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -14,6 +14,7 @@
 mod configuration_copies;
 mod dispatch;
 mod dispatch_log;
+mod end_check;
 mod engine_link;
 mod fetch_permits;
 mod in_flight;
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -388,9 +388,16 @@
         self.connection.opened_at
     }
 
-    /// Returns whether the response has a length or chunks, so that its end shows that it is complete.
+    /// Returns whether the response has a length or chunks, or cannot have a body, so that its end shows that it
+    /// is complete.
     pub(super) fn is_framed(&self) -> bool {
-        self.headers.contains_key(CONTENT_LENGTH) || self.headers.contains_key(TRANSFER_ENCODING)
+        let has_no_body = matches!(
+            self.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+        has_no_body
+            || self.headers.contains_key(CONTENT_LENGTH)
+            || self.headers.contains_key(TRANSFER_ENCODING)
     }
 
     /// Returns the error of a response that ended with its connection because its server is gone.
--- a/crates/magnoliasail/tests/unframed_responses.rs
+++ b/crates/magnoliasail/tests/unframed_responses.rs
@@ -4,6 +4,7 @@
 
 use {
     self::common::{assert_no_violations, run_with_fleet, small_fleet},
+    hyper::StatusCode,
     magnoliasail_soak::{BackendServer, Call, CallKind, Caller, Fleet, Outcome, ServerFaults},
     std::time::Duration,
     tokio::time::sleep,
@@ -98,3 +99,58 @@
         });
     }
 }
+
+/// Calls plain servers whose answers take a while, and crashes one of them meanwhile. Returns the outcomes.
+async fn outcomes_beside_a_plain_crash(fleet: &Fleet, kind: CallKind) -> Vec<Outcome> {
+    let plain_servers = &fleet.servers[ENGINES..];
+    for server in plain_servers {
+        server.set_unframed_answers();
+        server.set_faults(ServerFaults {
+            event_delay_ms: 400,
+            ..ServerFaults::default()
+        });
+    }
+    let mut tasks = Vec::new();
+    for number in 0..STREAMS {
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        tasks.push(tokio::spawn(async move {
+            let call = Call {
+                id: format!("{kind:?}-{number}"),
+                kind,
+                content: format!("{number}"),
+                ..Call::default()
+            };
+            caller.call(&call).await
+        }));
+    }
+    sleep(Duration::from_millis(200)).await;
+    plain_servers[0].crash();
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        outcomes.push(task.await.expect("the caller does not panic"));
+    }
+    outcomes
+}
+
+/// Guards against a body that looks complete because its plain server crashed between two parts.
+#[test]
+fn body_whose_plain_server_crashes_between_two_parts_never_looks_complete() {
+    run_with_fleet(small_fleet(175), |fleet| async move {
+        let outcomes = outcomes_beside_a_plain_crash(&fleet, CallKind::Safe).await;
+        assert_no_violations(&fleet);
+        let is_served = |outcome: &Outcome| *outcome == Outcome::Served;
+        assert!(outcomes.iter().all(is_served), "{outcomes:?}");
+    });
+}
+
+/// Such a request may have run, so that it is neither sent again nor reported as not run.
+#[test]
+fn unsafe_request_whose_plain_server_crashes_in_its_body_is_answered_as_broken_off() {
+    run_with_fleet(small_fleet(176), |fleet| async move {
+        let outcomes = outcomes_beside_a_plain_crash(&fleet, CallKind::Unsafe).await;
+        assert_no_violations(&fleet);
+        assert!(outcomes.contains(&Outcome::Served), "{outcomes:?}");
+        let broken_off = Outcome::Failed(StatusCode::BAD_GATEWAY);
+        assert!(outcomes.contains(&broken_off), "{outcomes:?}");
+    });
+}
