--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        end_check::EndCheck,
+        end_check::{EndCheck, EndEvidence},
         engine_link::{AttemptUpdate, EngineLink},
         state::{EntryState, PickedServer, retry_jitter_ms},
     },
@@ -124,6 +124,8 @@
     End,
     /// The body ends early.
     Aborted,
+    /// The body has ended, and nothing shows whether early.
+    Unproven,
 }
 
 /// An attempt whose response has started; dropping it cancels the request.
@@ -382,10 +384,10 @@
                     Ok(None) => {
                         // Its connection has ended, and leaves its place to that of the check.
                         response_slot.take();
-                        if check.is_complete().await {
-                            BodyUpdate::End
-                        } else {
-                            BodyUpdate::Aborted
+                        match check.run().await {
+                            evidence if evidence.is_complete() => BodyUpdate::End,
+                            EndEvidence::Gone => BodyUpdate::Aborted,
+                            _ => BodyUpdate::Unproven,
                         }
                     }
                     Err(_) => BodyUpdate::Aborted,
--- a/crates/magnoliasail/src/gateway/entry/collected_response.rs
+++ b/crates/magnoliasail/src/gateway/entry/collected_response.rs
@@ -12,11 +12,24 @@
 /// Largest body of a response that is read completely.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
-/// Reads a response to its end; returns `None` if it ended early or is too long.
+/// Why there is no complete response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Incomplete {
+    /// It ended early or is too long.
+    BrokenOff,
+    /// Whether it ended early is unknown, which says nothing against the request.
+    Unproven,
+}
+
+/// Reads a response to its end.
+///
+/// # Errors
+///
+/// Returns why it does not count as complete.
 pub(super) async fn collect_response(
     state: &Rc<EntryState>,
     started: StartedResponse,
-) -> Option<Response<ResponseBody>> {
+) -> Result<Response<ResponseBody>, Incomplete> {
     let StartedResponse {
         status,
         headers,
@@ -29,14 +42,18 @@
             BodyUpdate::Part(bytes) => {
                 if let Err(error) = body.push(&bytes) {
                     state.record_overlong_response(&in_flight, error);
-                    return None;
+                    return Err(Incomplete::BrokenOff);
                 }
             }
             BodyUpdate::Stalled => {}
             BodyUpdate::End => break,
             BodyUpdate::Aborted => {
                 in_flight.end();
-                return None;
+                return Err(Incomplete::BrokenOff);
+            }
+            BodyUpdate::Unproven => {
+                in_flight.end();
+                return Err(Incomplete::Unproven);
             }
         }
     }
@@ -46,5 +63,5 @@
     let mut response = Response::new(ResponseBody::held(body, held));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    Some(response)
+    Ok(response)
 }
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         attempt::{Attempt, OutgoingRequest, StartOutcome},
-        collected_response::collect_response,
+        collected_response::{Incomplete, collect_response},
         in_flight::InFlightGuard,
         quota_charge::QuotaCharge,
         refusal::{Refusal, RefusalCause, refusal_response},
@@ -184,15 +184,18 @@
             let pick = started.in_flight.pick().clone();
             self.responding_server = Some(RespondingServer::new(&started.in_flight));
             let notice = headers::server_notice(status, &started.headers);
-            let complete = collect_response(&self.state, started).await;
-            if complete.is_none() {
-                self.record_broken_off(&pick);
-            } else {
-                self.state.record_completion(&self.outgoing, status);
-                if is_server_error && notice.pause.is_none() {
-                    self.record_failure(&pick.id);
+            let collected = collect_response(&self.state, started).await;
+            match collected {
+                Err(Incomplete::BrokenOff) => self.record_broken_off(&pick),
+                Err(Incomplete::Unproven) => {}
+                Ok(_) => {
+                    self.state.record_completion(&self.outgoing, status);
+                    if is_server_error && notice.pause.is_none() {
+                        self.record_failure(&pick.id);
+                    }
                 }
             }
+            let complete = collected.ok();
             if (is_server_error || complete.is_none()) && self.try_retry() {
                 let cause = if complete.is_some() {
                     RetryCause::ServerError
--- a/crates/magnoliasail/src/gateway/entry/end_check.rs
+++ b/crates/magnoliasail/src/gateway/entry/end_check.rs
@@ -31,15 +31,24 @@
 /// What is known of a plain server after the end of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum EndEvidence {
+pub(super) enum EndEvidence {
     /// The process that sent the response has answered on another of its connections.
     SameProcess,
     /// A server with its id has answered on a new connection.
     SameId,
-    /// Nothing shows that the server is alive.
+    /// No server is reached any more.
+    Gone,
+    /// Nothing shows whether the server is alive.
     Unproven,
 }
 
+impl EndEvidence {
+    /// Returns whether the response is complete.
+    pub(super) const fn is_complete(self) -> bool {
+        matches!(self, Self::SameProcess | Self::SameId)
+    }
+}
+
 impl EndCheck {
     pub(super) const fn new(
         state: Rc<EntryState>,
@@ -53,22 +62,22 @@
         }
     }
 
-    /// Decides whether a response that has just ended is complete.
-    pub(super) async fn is_complete(&self) -> bool {
+    /// Finds out whether the server is alive after a response that has just ended.
+    pub(super) async fn run(&self) -> EndEvidence {
         let ended_at = Instant::now();
         let evidence = timeout(MAX_WAIT, self.evidence(ended_at)).await;
         let evidence = evidence.unwrap_or(EndEvidence::Unproven);
-        let is_complete = evidence != EndEvidence::Unproven;
         emit(
             EventId::UnframedEnd,
             format_args!(
-                "request={} server={} evidence={evidence} complete={is_complete} waited_ms={}",
+                "request={} server={} evidence={evidence} complete={} waited_ms={}",
                 self.outgoing.metadata.id.as_deref().unwrap_or("-"),
                 self.pick.id,
+                evidence.is_complete(),
                 ended_at.elapsed().as_millis()
             ),
         );
-        is_complete
+        evidence
     }
 
     async fn evidence(&self, ended_at: Instant) -> EndEvidence {
@@ -92,13 +101,14 @@
                 headers::health_check(&path, &self.pick.address.to_string(), &self.pick.id);
             return match pool.send(request, None, true).await {
                 Err(SendError::ConnectionLost { .. }) => continue,
+                Err(error) if error.is_connection_refused() => EndEvidence::Gone,
                 Err(_) => EndEvidence::Unproven,
                 Ok(response) if response.opened_at() < ended_at => EndEvidence::SameProcess,
                 Ok(response) if headers::is_expected_server(response.status) => EndEvidence::SameId,
                 Ok(_) => EndEvidence::Unproven,
             };
         }
-        EndEvidence::Unproven
+        EndEvidence::Gone
     }
 
     fn health_path(&self) -> Option<Arc<str>> {
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -159,7 +159,9 @@
                 BodyUpdate::End if !self.splitter.has_partial_event() => {
                     return RelayOutcome::Complete;
                 }
-                BodyUpdate::End | BodyUpdate::Aborted => self.resume().await.map(|()| None),
+                BodyUpdate::End | BodyUpdate::Aborted | BodyUpdate::Unproven => {
+                    self.resume().await.map(|()| None)
+                }
             };
             match resumption {
                 Ok(update) => pending = update,
@@ -222,7 +224,7 @@
         };
         let has_partial_event = self.splitter.has_partial_event();
         let has_failed = |update: &_| match update {
-            BodyUpdate::Aborted => true,
+            BodyUpdate::Aborted | BodyUpdate::Unproven => true,
             BodyUpdate::End => has_partial_event,
             BodyUpdate::Part(_) | BodyUpdate::Stalled => false,
         };
