perf(entry): the list is read again soon after an agent reports another start of its engine

Agents report the new start at once; the entry now ends its pause between two reads then, but not within 300 ms of the last.

--- a/crates/magnoliasail/src/gateway/agent/operator_observer.rs
+++ b/crates/magnoliasail/src/gateway/agent/operator_observer.rs
@@ -48,7 +48,9 @@
         WatchTiming {
             long_poll: LONG_POLL,
             pause: WATCH_PAUSE,
+            min_pause: WATCH_PAUSE,
         },
+        Rc::default(),
         Rc::new(observer),
     );
     tokio::task::spawn_local(follower.run());
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -85,6 +85,8 @@
     state_changed_at: Cell<Instant>,
     /// Notified when the engine starts or stops accepting requests.
     changes: Rc<Notify>,
+    /// Notified when the engine has started anew.
+    list_outdated: Rc<Notify>,
     holdings: RefCell<Holdings>,
     attempts: RefCell<HashMap<u64, OpenAttempt>>,
     /// The budget of the process.
@@ -105,6 +107,7 @@
     pub(super) fn open(
         address: SocketAddr,
         changes: Rc<Notify>,
+        list_outdated: Rc<Notify>,
         notices: mpsc::Sender<LinkNotice>,
         buffered: Rc<BufferBudget>,
     ) -> Rc<Self> {
@@ -116,6 +119,7 @@
             unreported: Cell::default(),
             state_changed_at: Cell::new(Instant::now()),
             changes,
+            list_outdated,
             holdings: RefCell::default(),
             attempts: RefCell::default(),
             buffered,
@@ -184,6 +188,10 @@
         let old = self.state.replace(state);
         self.state_received_at.set(Instant::now());
         self.unreported.set(UnreportedWork::default());
+        let has_restarted = old.started_ms.is_some() && state.started_ms != old.started_ms;
+        if has_restarted && state.started_ms.is_some() {
+            self.list_outdated.notify_one();
+        }
         let availability = |state: EngineState| (state.is_serving, state.ready_in_ms > 0);
         if availability(old) != availability(state) {
             self.state_changed_at.set(Instant::now());
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -78,6 +78,8 @@
     pub(super) quotas: RefCell<AccountQuotas>,
     /// Notified of changes for which a request may wait.
     pub(super) changes: Rc<Notify>,
+    /// Notified when an agent reports another start of its engine, which the list that was read may not name.
+    pub(super) list_outdated: Rc<Notify>,
 }
 
 /// A server that was picked for a request.
@@ -129,6 +131,7 @@
             store_freshness: Cell::default(),
             quotas: RefCell::default(),
             changes: Rc::default(),
+            list_outdated: Rc::default(),
         })
     }
 
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -33,6 +33,8 @@
 /// Each call to the store has a cost, and some server changes at nearly any time, because its entry
 /// names the adapters that it has.
 const MAX_PAUSE_MS: u64 = 2_000;
+/// Pause after each read even if an agent has reported a start of its engine that may not be listed yet.
+const MIN_PAUSE: Duration = Duration::from_millis(300);
 /// Longest time between checks for links to open or close.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -55,7 +57,9 @@
         WatchTiming {
             long_poll: LONG_POLL,
             pause: Duration::from_millis(pause_ms.min(MAX_PAUSE_MS)),
+            min_pause: MIN_PAUSE,
         },
+        Rc::clone(&state.list_outdated),
         Rc::new(StoreObserver(Rc::clone(state))),
     );
     tokio::task::spawn_local(follower.run());
@@ -183,7 +187,9 @@
             let changes = Rc::clone(&state.changes);
             let notices = state.link_notices.clone();
             let buffered = Rc::clone(&state.buffered);
-            EngineLink::open(SocketAddr::new(address, port), changes, notices, buffered)
+            let list_outdated = Rc::clone(&state.list_outdated);
+            let address = SocketAddr::new(address, port);
+            EngineLink::open(address, changes, list_outdated, notices, buffered)
         });
     }
 }
--- a/crates/magnoliasail/src/gateway/follower.rs
+++ b/crates/magnoliasail/src/gateway/follower.rs
@@ -21,7 +21,10 @@
     rand::Rng,
     snafu::Snafu,
     std::{rc::Rc, time::Duration},
-    tokio::time::sleep,
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 
 /// Time beyond the long poll after which a watch without a response times out.
@@ -91,6 +94,8 @@
     pub(super) long_poll: Duration,
     /// Pause after each successful read, which limits the rate of calls, as each has a cost.
     pub(super) pause: Duration,
+    /// The part of the pause that is kept even if something is known to have changed.
+    pub(super) min_pause: Duration,
 }
 
 /// Follows the keys that start with a prefix.
@@ -98,8 +103,9 @@
     pool: Rc<Pool>,
     host: String,
     prefix: &'static str,
-    long_poll: Duration,
-    pause: Duration,
+    timing: WatchTiming,
+    /// Notified when something is known to have changed.
+    outdated: Rc<Notify>,
     observer: Rc<O>,
     follow: StoreFollow,
 }
@@ -110,14 +116,15 @@
         host: &str,
         prefix: &'static str,
         timing: WatchTiming,
+        outdated: Rc<Notify>,
         observer: Rc<O>,
     ) -> Self {
         Self {
             pool,
             host: host.to_owned(),
             prefix,
-            long_poll: timing.long_poll,
-            pause: timing.pause,
+            timing,
+            outdated,
             observer,
             follow: StoreFollow::default(),
         }
@@ -138,7 +145,7 @@
                         emit(EventId::StoreRegained, format_args!("{}", self.location()));
                     }
                     self.observer.on_caught_up();
-                    sleep(self.pause).await;
+                    self.pause().await;
                     continue;
                 }
                 Err(FollowError::NewEra) => {
@@ -165,6 +172,15 @@
         }
     }
 
+    /// Waits until the next read is due.
+    async fn pause(&self) {
+        let WatchTiming {
+            pause, min_pause, ..
+        } = self.timing;
+        sleep(min_pause.min(pause)).await;
+        let _ = timeout(pause.saturating_sub(min_pause), self.outdated.notified()).await;
+    }
+
     /// Reads a page of the list or a batch of changes, and reports its changes.
     async fn read(&mut self, is_lost: bool) -> Result<ReadEnd, FollowError> {
         let (request, limit) = self.next_request(is_lost);
@@ -199,7 +215,7 @@
                 let wait = if is_lost {
                     LOST_STORE_POLL
                 } else {
-                    self.long_poll
+                    self.timing.long_poll
                 };
                 let wait_ms = wait.as_millis() as u64;
                 let request = watch_request(&self.host, self.prefix, revision, wait_ms);
