test(soak): servers are upgraded in place, and taken away while their answers have no length

The soak's servers restarted with the software that they had, and only framed answers were cut when they left, so that no seed could show streams that are joined or look complete. Two faults more: a server is back under its id with other software and a row that names the new start late; a server that sends unframed answers says that it leaves and is gone within 1.5 s. Seeds that were recorded without them keep their schedule (replaces_servers).

--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod poison_callers;
 mod proxy;
 mod soak;
+mod software_faults;
 mod standin;
 
 pub use self::{
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -65,6 +65,9 @@
     pub restores_store: bool,
     /// Whether callers send a request, and prompts with a part, that crash servers.
     pub has_poison: bool,
+    /// Whether servers are upgraded in place and taken away at short notice. Without it, a seed has the schedule
+    /// that it had before these faults existed.
+    pub replaces_servers: bool,
 }
 
 impl SoakSettings {
@@ -86,6 +89,7 @@
             callers_per_entry: 4,
             restores_store: true,
             has_poison: true,
+            replaces_servers: true,
         }
     }
 }
@@ -109,7 +113,7 @@
 #[derive(Debug)]
 pub struct Soak {
     settings: SoakSettings,
-    random: Pcg64Mcg,
+    pub(crate) random: Pcg64Mcg,
     pub(crate) announcements: Announcements,
     pub(crate) fleet: Fleet,
     schedule: Vec<String>,
@@ -217,7 +221,9 @@
         let server = self.random.random_range(0..self.fleet.servers.len());
         let proxy = self.random.random_range(0..self.fleet.proxies.len());
         let duration = Duration::from_millis(self.random.random_range(100..1_500));
-        let kinds = 14 + u8::from(self.settings.restores_store);
+        let kinds = 14
+            + u8::from(self.settings.restores_store)
+            + 2 * u8::from(self.settings.replaces_servers);
         match self.random.random_range(0..kinds) {
             0 => {
                 self.record_fault(format!("kill process {process}"));
@@ -321,6 +327,8 @@
                 self.publish_next_configuration();
                 self.fleet.store.compact();
             }
+            14 if self.settings.replaces_servers => self.upgrade_in_place(server, duration).await?,
+            15 if self.settings.replaces_servers => self.take_away(server, duration).await?,
             _ => self.restore_store_from_copy(server, duration).await,
         }
         Ok(())
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -267,9 +267,9 @@
         self.with(|state| state.abandoned_streams)
     }
 
-    /// Makes the server answer requests with neither a length nor chunks.
-    pub fn set_unframed_answers(&self) {
-        self.with(|state| state.has_unframed_answers = true);
+    /// Sets whether the server answers requests with neither a length nor chunks.
+    pub fn set_unframed_answers(&self, is_unframed: bool) {
+        self.with(|state| state.has_unframed_answers = is_unframed);
     }
 
     /// Makes the server send answers without end, except to its agent's reports and orders.
--- a/crates/magnoliasail/tests/soak.rs
+++ b/crates/magnoliasail/tests/soak.rs
@@ -62,6 +62,7 @@
     let settings = SoakSettings {
         restores_store: false,
         has_poison: false,
+        replaces_servers: false,
         ..settings(12, 92)
     };
     assert_no_violations(&run_soak(settings));
--- a/crates/magnoliasail/tests/unframed_responses.rs
+++ b/crates/magnoliasail/tests/unframed_responses.rs
@@ -15,7 +15,7 @@
 
 fn set_unframed(fleet: &Fleet, event_delay_ms: u64) {
     for engine in &fleet.servers[..ENGINES] {
-        engine.set_unframed_answers();
+        engine.set_unframed_answers(true);
         engine.set_faults(ServerFaults {
             event_delay_ms,
             ..ServerFaults::default()
@@ -104,7 +104,7 @@
 async fn outcomes_beside_a_plain_crash(fleet: &Fleet, kind: CallKind) -> Vec<Outcome> {
     let plain_servers = &fleet.servers[ENGINES..];
     for server in plain_servers {
-        server.set_unframed_answers();
+        server.set_unframed_answers(true);
         server.set_faults(ServerFaults {
             event_delay_ms: 400,
             ..ServerFaults::default()
