--- a/crates/magnoliasail/src/gateway/entry/end_check.rs
+++ b/crates/magnoliasail/src/gateway/entry/end_check.rs
@@ -12,6 +12,7 @@
         events::{EventId, emit},
         gateway::pool::SendError,
     },
+    magnoliasail_core::gateway::{Ineligibility, VersionConstraint},
     magnoliasail_platform::headers,
     std::{rc::Rc, sync::Arc, time::Duration},
     strum::{Display, IntoStaticStr},
@@ -86,7 +87,11 @@
         let Some(path) = self.health_path() else {
             return EndEvidence::Unproven;
         };
-        // A health check counts towards the rate that the server names.
+        // A health check is a request too: none is sent in a pause, and it counts towards the rate that the server
+        // names.
+        if self.is_paused() {
+            return EndEvidence::Unproven;
+        }
         if self
             .state
             .permit_send(&self.pick, &self.outgoing)
@@ -111,6 +116,15 @@
         EndEvidence::Gone
     }
 
+    fn is_paused(&self) -> bool {
+        let now_ms = self.state.clock.now_ms();
+        let directory = self.state.directory.borrow();
+        let checked = directory
+            .get(&self.pick.id)
+            .map(|server| server.check(&VersionConstraint::Any, now_ms));
+        matches!(checked, Some(Err(Ineligibility::Paused { .. })))
+    }
+
     fn health_path(&self) -> Option<Arc<str>> {
         let table = self.state.table.borrow();
         let service = table.service(&self.pick.service)?;
