fix(entry): a request without the id of its first attempt is not refused for an unknown version

The check of the only version had been extended to requests that name a last event and no first attempt. Such requests are unrestricted again, as they were.

--- a/crates/magnoliasail/src/gateway/entry/stream_origin.rs
+++ b/crates/magnoliasail/src/gateway/entry/stream_origin.rs
@@ -22,8 +22,7 @@
     /// Returns a refusal if this version is unknown, or no server has it.
     pub(super) async fn restrict_to_origin(&mut self) -> Result<(), Refusal> {
         let metadata = &self.outgoing.metadata;
-        let is_resumed = metadata.resumes.is_some() || metadata.last_event_id.is_some();
-        if !self.outgoing.needs_known_version() || !is_resumed {
+        if !self.outgoing.needs_known_version() || metadata.resumes.is_none() {
             return Ok(());
         }
         let Some(key) = metadata.stream_key() else {
