test(soak): a server that a poison has crashed writes its row again when it is back

The poison had crashed engines, which started again under their ids, and their rows went on naming the start before, so that no entry knew the software version of the new one. Servers write their rows at every heartbeat; the stand-in now writes it when it is back.

--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -14,7 +14,7 @@
         client_account::ClientAccount,
         ledger::Ledger,
         proxy::Proxy,
-        standin::{BackendServer, ServerKind, Store},
+        standin::{BackendServer, Listing, ServerKind, Store},
     },
     serde_json::{Value, json},
     std::{
@@ -307,14 +307,17 @@
         } else {
             &self.plain_service
         };
-        let zone = format!("dc-{}", server % 2);
-        let (key, value) =
-            self.servers[server].store_entry(self.listed_address(server), service, &zone);
-        self.store.put(&key, &value);
+        self.servers[server].set_listing(Some(Listing {
+            store: self.store.clone(),
+            address: self.listed_address(server),
+            service: service.to_owned(),
+            data_centre: format!("dc-{}", server % 2),
+        }));
     }
 
     /// Removes a server's entry from the store.
     pub fn remove_server(&self, server: usize) {
+        self.servers[server].set_listing(None);
         let (key, _) = self.servers[server].store_entry(self.listed_address(server), "", "");
         self.store.remove(&key);
     }
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -11,6 +11,7 @@
         poison::Poison,
         rate_check::RateCheck,
         statements::{Statements, VmKey},
+        store::Store,
     },
     crate::ledger::Ledger,
     bytes::Bytes,
@@ -149,6 +150,17 @@
     pub(super) state: Arc<Mutex<State>>,
     pub(super) tasks: Arc<Mutex<Vec<AbortHandle>>>,
     pub(super) acceptor: Arc<Mutex<Option<AbortHandle>>>,
+    /// Where the server's row was written last, unless it was removed since.
+    listing: Arc<Mutex<Option<Listing>>>,
+}
+
+/// The place of a server's row in the store, and what the row says beside the server's own state.
+#[derive(Clone, Debug)]
+pub(crate) struct Listing {
+    pub(crate) store: Store,
+    pub(crate) address: SocketAddr,
+    pub(crate) service: String,
+    pub(crate) data_centre: String,
 }
 
 pub(super) type Body = BoxBody<Bytes, io::Error>;
@@ -187,6 +199,7 @@
             state: Arc::new(Mutex::new(state)),
             tasks: Arc::default(),
             acceptor: Arc::default(),
+            listing: Arc::default(),
         }
     }
 
@@ -294,10 +307,30 @@
             if server.with(|state| state.incarnation) == incarnation + 1 {
                 // The address stays this server's own, so that nothing else can have bound it.
                 let _ = server.start().await;
+                server.write_row();
             }
         });
     }
 
+    /// Lists the server in the store, where a server that has crashed writes its row again, or nowhere.
+    pub(crate) fn set_listing(&self, listing: Option<Listing>) {
+        *self.listing.lock().unwrap_or_else(PoisonError::into_inner) = listing;
+        self.write_row();
+    }
+
+    fn write_row(&self) {
+        let listing = self
+            .listing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        if let Some(listing) = listing {
+            let (key, row) =
+                self.store_entry(listing.address, &listing.service, &listing.data_centre);
+            listing.store.put(&key, &row);
+        }
+    }
+
     fn abort_tasks(&self) {
         for task in self
             .tasks
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -17,4 +17,7 @@
     store::{EraHeader, Store, StoreMode},
 };
 
-pub(crate) use self::answers::{adapter_name, event_count, stream_event};
+pub(crate) use self::{
+    answers::{adapter_name, event_count, stream_event},
+    backend_server::Listing,
+};
