fix(named-rates): agents grant a named rate once, whatever lists of agents the entries know

Cause: an entry asks the agent that ranks first in its own list. Entries with different lists ask different agents, and each agent granted the whole rate; none of them can know of the other.

Now a question names the entry's view: the fingerprint of its list, and how many entries there are. An agent that grants follows the views of all linked entries and grants the part of the rate that those make up which ask it. An entry has one view at a time and entries with the same view ask the same agent, so that the parts add up to the rate. Entries without requests count where they would ask, so that a single busy entry has the whole rate while the lists agree.

Shown: `agents_that_entries_with_different_lists_rank_first_grant_one_rate_together` held for 20 s of random search (ARBTEST_BUDGET_MS=20000).

--- a/crates/magnoliasail-core/src/gateway/grant_agent.rs
+++ b/crates/magnoliasail-core/src/gateway/grant_agent.rs
@@ -2,7 +2,8 @@
 //!
 //! All entries ask the agent with the highest rank for this start of the server, among those that the
 //! list names. An entry whose link to it is down asks the next one, which grants a part only, since other
-//! entries may still reach the first.
+//! entries may still reach the first. [`GrantViews`](super::GrantViews) limits what agents grant while the
+//! entries' lists differ.
 
 use {
     super::RequestRate,
@@ -30,6 +31,8 @@
     pub vm: IpAddr,
     /// The whole rate of the server, or a part of it.
     pub rate: RequestRate,
+    /// Whether another agent ranks first, which cannot be reached.
+    pub is_substitute: bool,
 }
 
 /// Picks the agent that grants requests to the server with this start; returns `None` if the links to all
@@ -50,6 +53,7 @@
     Some(GrantAgent {
         vm: candidates[index].vm,
         rate,
+        is_substitute: index > 0,
     })
 }
 
--- a/crates/magnoliasail-core/src/gateway/message/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/message/mod.rs
@@ -14,13 +14,19 @@
     versions::{ListedVersion, ServiceVersions},
 };
 
-use prost::{Message, Oneof, bytes::Bytes};
+use {
+    crate::gateway::GrantView,
+    prost::{Message, Oneof, bytes::Bytes},
+};
 
 /// A message from an entry.
 #[derive(Clone, PartialEq, Message)]
 pub struct ToAgent {
     /// The content of the message; absent if the sender uses a kind unknown here.
-    #[prost(oneof = "ToAgentKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "ToAgentKind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub kind: Option<ToAgentKind>,
 }
 
@@ -67,6 +73,39 @@
     /// Permits fetches from the weight store.
     #[prost(message, tag = "12")]
     FetchPermits(FetchPermits),
+    /// Tells an agent that follows views which agents the entry may ask to send requests.
+    #[prost(message, tag = "13")]
+    View(View),
+}
+
+/// Which agents an entry may ask to send requests to plain servers.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct View {
+    /// The fingerprint of the agents, see
+    /// [`agent_list_fingerprint`](crate::gateway::agent_list_fingerprint).
+    #[prost(fixed64, tag = "1")]
+    pub agents: u64,
+    /// The number of entries, as agents have reported it recently.
+    #[prost(uint32, tag = "2")]
+    pub entry_count: u32,
+}
+
+impl From<GrantView> for View {
+    fn from(view: GrantView) -> Self {
+        Self {
+            agents: view.agents,
+            entry_count: view.entry_count,
+        }
+    }
+}
+
+impl From<View> for GrantView {
+    fn from(view: View) -> Self {
+        Self {
+            agents: view.agents,
+            entry_count: view.entry_count,
+        }
+    }
 }
 
 /// A question whether a request may be sent to a plain server that names a rate.
@@ -85,8 +124,18 @@
     /// The time for which the request may wait, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub max_wait_ms: u64,
+    /// Which agents the entry ranks; absent from entries of an older release.
+    #[prost(message, optional, tag = "5")]
+    pub view: Option<View>,
+    /// Whether the entry ranks another agent first, which it cannot reach.
+    #[prost(bool, tag = "6")]
+    pub is_substitute: bool,
 }
 
+/// Asks an entry to tell its [`View`], now and whenever it changes, until the link ends.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct FollowView {}
+
 /// The answer to [`AskSend`].
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct SendAnswer {
@@ -232,7 +281,7 @@
     /// The content of the message; absent if the sender uses a kind unknown here.
     #[prost(
         oneof = "ToEntryKind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub kind: Option<ToEntryKind>,
 }
@@ -295,6 +344,9 @@
     /// Tells what the engine fetches from the weight store and what it waits for.
     #[prost(message, tag = "18")]
     Fetches(EngineFetches),
+    /// Asks the entry to tell its view.
+    #[prost(message, tag = "19")]
+    FollowView(FollowView),
 }
 
 /// Refusal of an attempt, which has not run and will not run.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod fingerprint;
 mod freshness;
 mod grant_agent;
+mod grant_views;
 mod holdings;
 mod host_copies;
 mod idle_limit;
@@ -61,6 +62,7 @@
 mod quota_share;
 mod rate_limit;
 mod recent_crashes;
+mod recent_maximum;
 mod replacements;
 mod request_metadata;
 mod request_rate;
@@ -109,6 +111,7 @@
     },
     freshness::Freshness,
     grant_agent::{GrantAgent, GrantCandidate, pick_grant_agent, rate_without_agent},
+    grant_views::{GrantView, GrantViews, GrantedRate, RateQuestion, agent_list_fingerprint},
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
@@ -122,6 +125,7 @@
     quota_lease::{QuotaLease, QuotaStep},
     quota_share::{QUOTA_SHARES, QuotaShare, pick_quota_agent, quota_share_key},
     rate_limit::{RateChange, RateLimit, RateSource},
+    recent_maximum::RecentMaximum,
     request_metadata::RequestMetadata,
     request_rate::{RateStatement, RequestRate},
     retry_budget::RetryBudget,
--- a/crates/magnoliasail-core/src/gateway/request_rate.rs
+++ b/crates/magnoliasail-core/src/gateway/request_rate.rs
@@ -39,6 +39,18 @@
         self.interval_us
     }
 
+    /// Returns the part of the rate that `count` of `total` senders may use together.
+    #[must_use]
+    pub const fn part(self, count: u64, total: u64) -> Self {
+        if count == 0 {
+            return Self::from_interval_us(MAX_INTERVAL_US);
+        }
+        if count >= total {
+            return self;
+        }
+        Self::from_interval_us(self.interval_us.saturating_mul(total).div_ceil(count))
+    }
+
     /// Returns the share of the rate that each of `count` senders may use.
     #[must_use]
     pub const fn divided_by(self, count: u64) -> Self {
--- a/crates/magnoliasail-core/src/gateway/send_grants.rs
+++ b/crates/magnoliasail-core/src/gateway/send_grants.rs
@@ -72,6 +72,13 @@
         }
     }
 
+    /// Drops the times before `before_ms` at which a server could have got requests.
+    pub fn drop_saved(&mut self, server_start: u64, before_ms: TimeMs) {
+        if let Some(server) = self.servers.get_mut(&server_start) {
+            server.pacer.drop_saved(before_ms);
+        }
+    }
+
     /// Returns the number of servers that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod holdings;
 mod idle_limit;
 mod load_replay;
+mod named_rate_fleet;
 mod origin_replicas;
 mod placement;
 mod quarantine;
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -93,6 +93,8 @@
     ServerRateNamed = 335,
     /// A backend server names no rate of requests any more.
     ServerRateLifted = 336,
+    /// An agent grants another part of a named rate than before.
+    RateDivided = 337,
     /// The operator announced a version of an adapter.
     VersionAnnounced = 340,
     /// An engine started or stopped accepting requests.
@@ -209,6 +211,7 @@
             | Self::ServerPaused
             | Self::ServerRateNamed
             | Self::ServerRateLifted
+            | Self::RateDivided
             | Self::VersionAnnounced
             | Self::EngineState
             | Self::EngineRegained
--- a/crates/magnoliasail/src/gateway/agent/entry_link.rs
+++ b/crates/magnoliasail/src/gateway/agent/entry_link.rs
@@ -62,6 +62,11 @@
             Some(ToAgentKind::FetchPermits(permits)) => {
                 receiving_state.apply_fetch_permits(id, &permits);
             }
+            Some(ToAgentKind::View(view)) => {
+                let now_ms = receiving_state.clock.now_ms();
+                let mut views = receiving_state.grant_views.borrow_mut();
+                views.set(id, view.into(), now_ms);
+            }
             None => {}
         })
         .await;
--- a/crates/magnoliasail/src/gateway/agent/rates.rs
+++ b/crates/magnoliasail/src/gateway/agent/rates.rs
@@ -3,15 +3,21 @@
 
 use {
     super::state::{AgentState, LinkId},
-    crate::gateway::announcement::record_rate,
+    crate::{
+        events::{EventId, emit},
+        gateway::announcement::record_rate,
+    },
     magnoliasail_core::gateway::{
-        RateSource, RateStatement, RequestRate,
-        message::{AskSend, SendAnswer, ToEntryKind},
+        GrantView, RateQuestion, RateSource, RateStatement, RequestRate, SendGrant,
+        message::{AskSend, FollowView, SendAnswer, ToEntryKind},
     },
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
+/// Time after which an entry may ask again while others have not told their views.
+const SURVEY_RETRY_MS: u64 = 20;
+
 impl AgentState {
     /// Applies what the engine said about its rate in the response to a request that was sent at `sent_ms` to
     /// the start `started_ms` of it.
@@ -45,12 +51,20 @@
     /// Answers an entry that asks to send a request to a plain server.
     pub(super) fn answer_send(&self, link: LinkId, question: AskSend) {
         let now_ms = self.clock.now_ms();
-        let grant = self.send_grants.borrow_mut().ask(
-            question.server_start,
-            RequestRate::from_interval_us(question.interval_us),
-            question.max_wait_ms,
-            now_ms,
-        );
+        if self.grant_views.borrow_mut().start_survey(now_ms) {
+            self.broadcast(&ToEntryKind::FollowView(FollowView {}));
+        }
+        let rate = self.granted_rate(link, &question, now_ms);
+        let grant = rate.map(|rate| {
+            let mut grants = self.send_grants.borrow_mut();
+            let changed_ms = self.grant_views.borrow().changed_ms();
+            grants.drop_saved(question.server_start, changed_ms);
+            grants.ask(question.server_start, rate, question.max_wait_ms, now_ms)
+        });
+        let grant = grant.unwrap_or(SendGrant {
+            is_granted: false,
+            wait_ms: SURVEY_RETRY_MS,
+        });
         let answer = SendAnswer {
             question: question.question,
             is_granted: grant.is_granted,
@@ -59,6 +73,31 @@
         self.send(link, ToEntryKind::SendAnswer(answer));
     }
 
+    /// Returns the rate that this agent may grant, or `None` while entries have not told their views.
+    fn granted_rate(&self, link: LinkId, question: &AskSend, now_ms: u64) -> Option<RequestRate> {
+        let rate_question = RateQuestion {
+            server_start: question.server_start,
+            rate: RequestRate::from_interval_us(question.interval_us),
+            view: question.view.map(GrantView::from).unwrap_or_default(),
+            is_substitute: question.is_substitute,
+        };
+        let mut views = self.grant_views.borrow_mut();
+        let granted = views.rate(link, &rate_question, now_ms)?;
+        if granted.is_changed {
+            emit(
+                EventId::RateDivided,
+                format_args!(
+                    "server_start={:016x} interval_us={} asking={} entries={}",
+                    question.server_start,
+                    granted.rate.interval_us(),
+                    granted.asking,
+                    granted.entry_count
+                ),
+            );
+        }
+        Some(granted.rate)
+    }
+
     /// Starts the task that starts waiting requests when the engine's rate allows the next one, unless it
     /// runs already.
     pub(super) fn schedule_rate_wakeup(self: &Rc<Self>, now_ms: u64) {
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -23,10 +23,10 @@
     hyper::StatusCode,
     magnoliasail_core::gateway::{
         AdapterVersion, Announcement, Configuration, CrashDetector, EngineAction, EngineRefusal,
-        EngineReport, EngineScheduler, HoldingsTracker, Order, OrderOutcome, Quarantine,
-        QuotaGrants, SchedulerSettings, SendGrants, ServerLoad, ServerNotice, StreamOrigins,
-        VersionHistory,
-        message::{ConfigurationCopy, EngineState, ToEntry, ToEntryKind},
+        EngineReport, EngineScheduler, GrantViews, HoldingsTracker, Order, OrderOutcome,
+        Quarantine, QuotaGrants, SchedulerSettings, SendGrants, ServerLoad, ServerNotice,
+        StreamOrigins, VersionHistory,
+        message::{ConfigurationCopy, EngineState, FollowView, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::settings::NodeSettings,
     magnoliasail_wire::Outbox,
@@ -71,6 +71,8 @@
     pub(super) crash_detector: RefCell<CrashDetector>,
     /// When plain servers that name a rate may get their next requests.
     pub(super) send_grants: RefCell<SendGrants>,
+    /// Which agents the entries may ask for these.
+    pub(super) grant_views: RefCell<GrantViews>,
     pub(super) quota_grants: RefCell<QuotaGrants>,
     /// The newest configuration that was read from the store, with its version.
     pub(super) configuration: RefCell<Option<(u64, ConfigurationCopy)>>,
@@ -128,6 +130,7 @@
             scheduler: RefCell::new(EngineScheduler::new(scheduler)),
             crash_detector: RefCell::default(),
             send_grants: RefCell::default(),
+            grant_views: RefCell::default(),
             quota_grants: RefCell::default(),
             configuration: RefCell::default(),
             has_rate_wakeup: Cell::new(false),
@@ -169,6 +172,10 @@
         self.links.borrow_mut().insert(link, outbox);
         let holdings = self.holdings.borrow().snapshot();
         self.send(link, ToEntryKind::Holdings(holdings));
+        let now_ms = self.clock.now_ms();
+        if self.grant_views.borrow_mut().add_entry(link, now_ms) {
+            self.send(link, ToEntryKind::FollowView(FollowView {}));
+        }
         self.send_versions(link);
         self.broadcast_engine_state();
         link
@@ -178,6 +185,8 @@
     pub(super) fn remove_link(self: &Rc<Self>, link: LinkId) {
         self.links.borrow_mut().remove(&link);
         self.remove_fetch_entry(link);
+        let now_ms = self.clock.now_ms();
+        self.grant_views.borrow_mut().remove_entry(link, now_ms);
         let keys: Vec<u64> = self
             .active_requests
             .borrow()
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -254,6 +254,13 @@
         self.outbox.borrow().is_some()
     }
 
+    /// Returns the number of entries that the agent reports, or `None` if it has not reported it on a link
+    /// that is up.
+    pub(super) fn reported_entries(&self) -> Option<u32> {
+        let entries = self.state.get().entries;
+        (entries > 0).then_some(entries)
+    }
+
     /// Asks the agent to remember the origin of a stream, if the link is up.
     pub(super) fn remember_origin(&self, origin: StreamOrigin) {
         // If the message is not sent, the origin may be unknown later; a request that resumes the
@@ -347,6 +354,7 @@
                 self.notify(LinkNotice::Fetches(self.address.ip(), fetches));
             }
             ToEntryKind::Versions(versions) => self.notify(LinkNotice::Versions(versions)),
+            ToEntryKind::FollowView(_) => self.notify(LinkNotice::FollowView(self.address.ip())),
             ToEntryKind::Origin(answer) => self.answer_origin_queries(&answer),
             ToEntryKind::Holdings(update) => self.holdings.borrow_mut().apply(&update),
             ToEntryKind::Refused(refused) => {
--- a/crates/magnoliasail/src/gateway/entry/link_notice.rs
+++ b/crates/magnoliasail/src/gateway/entry/link_notice.rs
@@ -32,6 +32,8 @@
     Versions(ServiceVersions),
     /// The agent on this VM tells what its engine fetches.
     Fetches(IpAddr, EngineFetches),
+    /// The agent on this VM follows the view of this entry.
+    FollowView(IpAddr),
     /// The link to the agent on this VM has ended.
     Down(IpAddr),
 }
@@ -53,7 +55,11 @@
             LinkNotice::QuarantinesSent => state.mark_quarantines_known(),
             LinkNotice::Completed(notice) => state.apply_completion(notice),
             LinkNotice::Fetches(vm, fetches) => state.apply_fetches(vm, &fetches),
-            LinkNotice::Down(vm) => state.remove_fetches(vm),
+            LinkNotice::FollowView(vm) => state.follow_grant_view(vm),
+            LinkNotice::Down(vm) => {
+                state.remove_fetches(vm);
+                state.unfollow_grant_view(vm);
+            }
             LinkNotice::Versions(versions) => state.add_versions(&versions),
             LinkNotice::Configuration(copy) => state.apply_configuration_copy(&copy),
         }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -16,6 +16,7 @@
 mod dispatch_log;
 mod engine_link;
 mod fetch_permits;
+mod grant_view;
 mod in_flight;
 mod link_notice;
 mod origin_lookup;
--- a/crates/magnoliasail/src/gateway/entry/send_permit.rs
+++ b/crates/magnoliasail/src/gateway/entry/send_permit.rs
@@ -108,6 +108,8 @@
             server_start,
             interval_us: agent.rate.interval_us(),
             max_wait_ms,
+            view: Some(self.grant_view().into()),
+            is_substitute: agent.is_substitute,
         })
     }
 
@@ -115,7 +117,8 @@
     /// share.
     fn grant_without_agent(&self, pick: &PickedServer, rate: RequestRate) -> SendGrant {
         const US_PER_MS: u64 = 1_000;
-        let share = rate_without_agent(rate, self.entry_count());
+        let entry_count = self.entry_count().max(self.grant_view().entry_count);
+        let share = rate_without_agent(rate, entry_count);
         let interval_ms = share.interval_us().div_ceil(US_PER_MS);
         let now_ms = self.clock.now_ms();
         let is_granted = self
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        attempt::OutgoingRequest, engine_link::EngineLink, in_flight::InFlightGuard,
-        link_notice::LinkNotice, quota::AccountQuotas, refusal::RefusalCause,
+        attempt::OutgoingRequest, engine_link::EngineLink, grant_view::OwnView,
+        in_flight::InFlightGuard, link_notice::LinkNotice, quota::AccountQuotas,
+        refusal::RefusalCause,
     },
     crate::{
         events::{EventId, emit},
@@ -76,6 +77,7 @@
     pub(super) is_store_lost: Cell<bool>,
     pub(super) store_freshness: Cell<StoreFreshness>,
     pub(super) quotas: RefCell<AccountQuotas>,
+    pub(super) own_view: RefCell<OwnView>,
     /// Notified of changes for which a request may wait.
     pub(super) changes: Rc<Notify>,
 }
@@ -128,6 +130,7 @@
             is_store_lost: Cell::new(false),
             store_freshness: Cell::default(),
             quotas: RefCell::default(),
+            own_view: RefCell::default(),
             changes: Rc::default(),
         })
     }
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -185,4 +185,6 @@
             EngineLink::open(SocketAddr::new(address, port), changes, notices, buffered)
         });
     }
+    drop(links);
+    state.refresh_grant_view();
 }
