fix(agent): an agent holds requests within the budget of bytes that entries have

Cause: entries count the bytes that they hold against a quarter of the process's memory, agents counted nothing. The budgets of the entries do not help: they add up at the agent.

An agent now holds each accepted request, with its headers, against the same budget (`BufferBudget`), until its response has ended. What does not fit is refused at once as not run (`EngineRefusal::BuffersFull`, counted by its reason) with a time to retry; the entry asks another agent or refuses the request. An entry's own refusal for this reason names a time too; it named none.

Not covered: the message that a link reads counts towards no budget, at most one body for each entry.

--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -95,4 +95,6 @@
     RateLimited = 12,
     /// Another engine may start the request sooner.
     LateHere = 13,
+    /// The agent holds too many bytes of other requests to take this one.
+    BuffersFull = 14,
 }
--- a/crates/magnoliasail/src/gateway/agent/active_request.rs
+++ b/crates/magnoliasail/src/gateway/agent/active_request.rs
@@ -2,11 +2,16 @@
 
 use {
     super::state::{AgentState, LinkId},
-    crate::gateway::header_codec,
+    crate::gateway::{
+        buffer_budget::{FULL_RETRY_MS, HeldBytes},
+        header_codec,
+    },
     magnoliasail_core::gateway::{
         AdapterReadiness, EngineRefusal, EngineRequest, RequestMetadata, message::Submit,
     },
     magnoliasail_platform::headers,
+    prost::Message,
+    rand::Rng,
     std::rc::Rc,
     tokio::task::AbortHandle,
 };
@@ -25,10 +30,13 @@
     pub(super) deadline_ms: u64,
     /// The task that runs the request; absent while the request is queued.
     pub(super) task: Option<AbortHandle>,
+    /// What counts towards the budget of the process while the request is kept.
+    _held: HeldBytes,
 }
 
 impl AgentState {
-    /// Submits a request from an entry to the scheduler, or refuses it while the agent drains.
+    /// Submits a request from an entry to the scheduler, or refuses it while the agent drains or holds too many
+    /// bytes of others.
     pub(super) fn submit(self: &Rc<Self>, link: LinkId, submit: Submit) {
         self.metrics.requests.inc();
         if self.is_draining.get() {
@@ -39,6 +47,16 @@
             self.refuse(link, submit.attempt, EngineRefusal::Quarantined, left_ms);
             return;
         }
+        let Ok(held) = self.buffered.hold(submit.encoded_len()) else {
+            let retry_after_ms = rand::rng().random_range(FULL_RETRY_MS);
+            self.refuse(
+                link,
+                submit.attempt,
+                EngineRefusal::BuffersFull,
+                retry_after_ms,
+            );
+            return;
+        };
         let now_ms = self.clock.now_ms();
         let headers = header_codec::decode_headers(&submit.headers);
         let metadata = headers::request_metadata(&headers);
@@ -80,6 +98,7 @@
             arrived_ms: now_ms,
             deadline_ms,
             task: None,
+            _held: held,
         };
         self.active_requests.borrow_mut().insert(key, request);
         self.update_scheduler(|scheduler, now_ms, actions| {
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -15,6 +15,7 @@
         events::{EventId, emit},
         gateway::{
             announcement::record_notice,
+            buffer_budget::BufferBudget,
             metrics::{GatewayMetrics, Stage},
             pool::{Pool, SharedIdleLimit},
             steady_clock::SteadyClock,
@@ -67,6 +68,8 @@
     /// Connections to the engine for reports and orders.
     pub(super) control_pool: Rc<Pool>,
     pub(super) engine_address: SocketAddr,
+    /// The bytes that are held for requests.
+    pub(super) buffered: Rc<BufferBudget>,
     pub(super) scheduler: RefCell<EngineScheduler>,
     pub(super) crash_detector: RefCell<CrashDetector>,
     /// When plain servers that name a rate may get their next requests.
@@ -119,6 +122,7 @@
             ..SchedulerSettings::default()
         };
         let idle_limit = SharedIdleLimit::default();
+        let buffered = BufferBudget::new(settings.max_buffered_bytes());
         let versions = VersionHistory::new(settings.is_first_start);
         Rc::new(Self {
             settings,
@@ -127,6 +131,7 @@
             request_pool: Pool::new(backend, MAX_REQUEST_CONNECTIONS, Rc::clone(&idle_limit)),
             control_pool: Pool::new(backend, MAX_CONTROL_CONNECTIONS, idle_limit),
             engine_address: backend,
+            buffered,
             scheduler: RefCell::new(EngineScheduler::new(scheduler)),
             crash_detector: RefCell::default(),
             send_grants: RefCell::default(),
--- a/crates/magnoliasail/src/gateway/buffer_budget.rs
+++ b/crates/magnoliasail/src/gateway/buffer_budget.rs
@@ -5,9 +5,12 @@
 
 use {
     super::byte_limit::{ByteLimit, TooLong},
-    std::{cell::Cell, rc::Rc},
+    std::{cell::Cell, ops::Range, rc::Rc},
 };
 
+/// Range of the retry delay for callers of requests that do not fit into the budget of a process.
+pub(super) const FULL_RETRY_MS: Range<u64> = 500..1_500;
+
 /// A limit on bytes that are held at the same time.
 #[derive(Debug)]
 pub(super) struct BufferBudget {
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -39,7 +39,7 @@
     BodyBroken,
     /// The body did not arrive before the caller's deadline.
     BodyTooSlow,
-    /// The entry holds too many bytes for others to take the body.
+    /// The entry, or each agent that was asked, holds too many bytes for others to take the body.
     BuffersFull,
     /// No server of the service is available for the request.
     NoServer,
@@ -76,6 +76,7 @@
             EngineRefusal::Paused => Self::ServersPaused,
             EngineRefusal::RateLimited => Self::ServersLimited,
             EngineRefusal::Quarantined => Self::Quarantined,
+            EngineRefusal::BuffersFull => Self::BuffersFull,
             _ => Self::Overloaded,
         }
     }
@@ -145,7 +146,7 @@
             }
             Self::BodyTooLong => "the body exceeds the operator's limit; send a smaller one",
             Self::BodyTooSlow => "the body did not arrive in time; send the request again",
-            Self::BuffersFull => "this entry holds too many bodies; retry later",
+            Self::BuffersFull => "too many bodies are held for other requests; retry later",
             Self::BodyBroken => "the body is incomplete; send the request again",
             Self::NoServer => "no server is available for the request; retry later",
             Self::VersionGone => {
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -10,7 +10,11 @@
         startup_wait::wait_until_initialized,
         state::EntryState,
     },
-    crate::gateway::{buffer_budget::HeldBytes, metrics::GatewayMetrics, phase::Phase},
+    crate::gateway::{
+        buffer_budget::{FULL_RETRY_MS, HeldBytes},
+        metrics::GatewayMetrics,
+        phase::Phase,
+    },
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::{
@@ -54,13 +58,17 @@
     let mut response = match prepare(&state, request, metadata).await {
         Ok(dispatch) => dispatch.run().await,
         Err(cause) => {
-            let retry_ms = if state.is_store_lost.get() {
+            let startup_retry_ms = if state.is_store_lost.get() {
                 STORE_LOST_RETRY_MS
             } else {
                 STARTUP_RETRY_MS
             };
-            let retry_after_ms = (cause == RefusalCause::NoConfiguration)
-                .then(|| rand::rng().random_range(retry_ms));
+            let retry_ms = match cause {
+                RefusalCause::NoConfiguration => Some(startup_retry_ms),
+                RefusalCause::BuffersFull => Some(FULL_RETRY_MS),
+                _ => None,
+            };
+            let retry_after_ms = retry_ms.map(|range_ms| rand::rng().random_range(range_ms));
             log_refusal(id.as_deref(), None, cause, retry_after_ms, 0);
             metrics.count_refusal(cause.into());
             refusal_response(cause, retry_after_ms)
--- a/crates/magnoliasail/tests/slow_readers.rs
+++ b/crates/magnoliasail/tests/slow_readers.rs
@@ -94,7 +94,10 @@
             let read = timeout(Duration::from_secs(10), stream.read(&mut response)).await;
             if let Ok(Ok(length)) = read {
                 let response = String::from_utf8_lossy(&response[..length]);
-                refused += u32::from(response.contains("buffers_full"));
+                let is_refused = response.contains("buffers_full");
+                let has_retry_time = response.to_lowercase().contains("\r\nretry-after: ");
+                assert_eq!(is_refused, has_retry_time, "{response}");
+                refused += u32::from(is_refused);
             }
         }
         assert!(
