refactor(named-rates): fingerprint of a list without sorting; forget agents that are not linked

The fingerprint is taken at each check of the links, ten times a second and more. The tests of `named_rate_fleet` and `named_rates` hold as before.

--- a/crates/magnoliasail-core/src/gateway/grant_views.rs
+++ b/crates/magnoliasail-core/src/gateway/grant_views.rs
@@ -10,11 +10,8 @@
 use {
     super::{RequestRate, expiring_map::ExpiringMap},
     crate::TimeMs,
-    std::{
-        collections::{BTreeSet, HashMap},
-        net::IpAddr,
-    },
-    xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed},
+    std::{collections::HashMap, net::IpAddr},
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// Time in which entries answer when they are asked for their views for the first time.
@@ -175,15 +172,14 @@
     }
 }
 
-/// Returns the fingerprint of a list of agents by their VMs, in any order.
+/// Returns the fingerprint of a list of agents by their VMs, each of which it names once, in any order.
 #[must_use]
 pub fn agent_list_fingerprint(vms: impl Iterator<Item = IpAddr>) -> u64 {
-    let mut hasher = Xxh3::new();
-    for vm in vms.collect::<BTreeSet<IpAddr>>() {
-        hasher.update(vm.to_string().as_bytes());
-        hasher.update(b",");
-    }
-    hasher.digest()
+    let fingerprints = vms.map(|vm| match vm {
+        IpAddr::V4(address) => xxh3_64(&address.octets()),
+        IpAddr::V6(address) => xxh3_64(&address.octets()),
+    });
+    fingerprints.fold(0, u64::wrapping_add)
 }
 
 fn view_key(server_start: u64, view: GrantView) -> u64 {
--- a/crates/magnoliasail/src/gateway/entry/grant_view.rs
+++ b/crates/magnoliasail/src/gateway/entry/grant_view.rs
@@ -46,6 +46,7 @@
         let reported = links.values().filter_map(|link| link.reported_entries());
         let mut own = self.own_view.borrow_mut();
         let entry_count = own.entry_counts.record(reported.max(), now_ms);
+        own.told.retain(|vm, _| links.contains_key(vm));
         own.view = GrantView {
             agents: agent_list_fingerprint(links.keys().copied()),
             entry_count: entry_count.unwrap_or(0),
