--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -97,4 +97,6 @@
     LateHere = 13,
     /// The engine has another start than the one that the request is meant for.
     OtherStart = 14,
+    /// The agent holds too many bytes of other requests to take this one.
+    BuffersFull = 16,
 }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -17,6 +17,7 @@
 mod end_check;
 mod engine_link;
 mod fetch_permits;
+mod grant_view;
 mod in_flight;
 mod link_notice;
 mod origin_lookup;
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -192,4 +192,6 @@
             EngineLink::open(address, changes, list_outdated, notices, buffered)
         });
     }
+    drop(links);
+    state.refresh_grant_view();
 }
