fix(gateway): announce versions in quick succession without putting replacements off

Callers got answers of an adapter version for seconds after newer ones were announced: while versions of one adapter followed each other by a second, an engine with a long delay never replaced it.

Cause: the time at which an adapter is due was kept by name, and each announcement set it anew.

Now the due time follows from what is loaded: the announcement of the first version after the loaded one, plus the delay of the engine. Later announcements cannot change it. The announcements are kept by adapter, 16 at most, and those that are as old as the delay are dropped but for the newest. Of several due adapters, those for which requests wait come first, then those that have been outdated for longest; one that has no slot is no longer taken for due, which cost an order each time.

Evidence: versions_announced_in_quick_succession_do_not_put_the_replacement_off (one engine in virtual time, a version each second, delay 1,900 ms) failed before: "a run began Some(13850) ms after a newer version was announced"; 2,150 ms are allowed, and it passes now.

--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -88,6 +88,11 @@
         self.slots.get(adapter).map(|slot| slot.version)
     }
 
+    /// Returns the full names of the adapters that have a slot, with their versions.
+    pub fn versions(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.slots.iter().map(|(name, slot)| (name, slot.version))
+    }
+
     /// Returns whether a running request uses an adapter.
     #[must_use]
     pub fn is_in_use(&self, adapter: &str) -> bool {
--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -144,13 +144,6 @@
             })
     }
 
-    /// Issues the order to replace a loaded adapter by its newer version.
-    pub(super) fn order_replacement(&mut self, now_ms: TimeMs) -> Option<Order> {
-        let name = self.replacements.take_due(now_ms)?;
-        let is_outdated = self.adapters.version(&name)? < self.replacements.newest(&name);
-        is_outdated.then(|| self.order_adapter(&name, now_ms))
-    }
-
     /// Issues the order to load the newest version of an adapter.
     pub(super) fn order_adapter(&mut self, name: &Arc<str>, now_ms: TimeMs) -> Order {
         let newest = self.replacements.newest(name);
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -12,7 +12,7 @@
     super::{
         AdapterSlots, Announcement, Eligibility, EngineAction, EngineLimits, EngineReport,
         EngineRequest, OrderKind, OrderOutcome, RateChange, RateSource, RateStatement, RequestRate,
-        SchedulerSettings, ServerNotice, SlotState, VersionedAdapter, WorkTime, adapter_key,
+        SchedulerSettings, ServerNotice, VersionedAdapter, WorkTime, adapter_key,
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
@@ -233,14 +233,6 @@
         started.is_some()
     }
 
-    /// Records the announcement of an adapter version. A loaded older version is replaced after a
-    /// delay that differs between engines, because an adapter cannot serve while it is replaced.
-    pub fn announce(&mut self, announced: &super::AdapterVersion, now_ms: TimeMs) {
-        let spread_ms = self.settings.replacement_spread_ms.max(1);
-        let due_ms = now_ms + self.settings.engine_seed % spread_ms;
-        self.replacements.announce(announced, due_ms);
-    }
-
     /// Applies a report that was requested with `ticket`.
     pub fn apply_report(
         &mut self,
@@ -402,21 +394,7 @@
                 self.fetches.record_ended(load_ms);
             }
         }
-        self.schedule_replacements(&loaded, now_ms);
-    }
-
-    /// Schedules the replacement of loaded adapters that are older than announced.
-    fn schedule_replacements(
-        &mut self,
-        loaded: &HashMap<Arc<str>, VersionedAdapter>,
-        now_ms: TimeMs,
-    ) {
-        for (name, adapter) in loaded {
-            if self.adapters.state(name) != Some(SlotState::Loading) {
-                self.replacements
-                    .schedule_if_outdated(name, adapter.version, now_ms);
-            }
-        }
+        self.replacements.update(&self.adapters);
     }
 
     /// Resets the engine's state after a restart, which loses all models and adapters.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod engine_report;
 mod engine_request;
 mod engine_scheduler;
+mod engine_versions;
 mod engine_watch;
 mod event_stream;
 mod expected_waits;
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod idle_limit;
 mod load_replay;
 mod origin_replicas;
+mod outdated_adapters;
 mod placement;
 mod quarantine;
 mod quarantine_fleet;
