fix(gateway): begin no request on an older adapter version past its bound

Callers got answers of an older version past `version_ms` after a newer one was announced, where replacing took longer than that: all adapters announced at once, a slow weight store, orders that could not be given.

Cause: a loaded version served until its replacement was ordered, whenever that was.

Now `version_ms` of the settings bounds how long an outdated adapter may serve, from the announcement of the first version after the loaded one, less what a read of the store may take (0.8 s), the way to the engine (0.3 s) and the prompts that the engine reads first. After it, requests for the adapter wait within their objective, are handed back to their entry if another engine may serve them sooner, or are refused as not run with the expected time of the replacement (reason `outdated_adapter`). An announcement that a process reads at its start has no known time, and leaves none. Settings without `version_ms` change nothing.

Tests: outdated_adapters. With `LatestStarts::allows` taken out, no_request_begins_on_an_older_version_past_its_bound_however_long_replacements_take and requests_start_on_an_outdated_adapter_only_if_their_prompts_are_read_in_time fail (as before the change); with the time of the read in place of an unknown one, versions_from_before_the_start_of_a_process_leave_no_time_for_older_ones; without the refusal of what waits, a_request_waits_for_a_replacement_only_within_its_objective.

--- a/crates/magnoliasail-core/src/gateway/engine_queue.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_queue.rs
@@ -248,7 +248,7 @@
     }
 
     /// Returns the tokens of the prompts that the engine is reading.
-    fn reading_tokens(&self) -> u64 {
+    pub(super) fn reading_tokens(&self) -> u64 {
         let reading = self.running.values().filter(|run| run.is_reading);
         reading
             .map(|run| run.request.prompt_tokens)
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         AdapterSlots, EngineAction, EngineRefusal, EngineRequest, EngineScheduler, Ineligibility,
-        SlotState, base_models::BaseModels,
+        SlotState, base_models::BaseModels, latest_starts::LatestStarts,
     },
     crate::TimeMs,
 };
@@ -45,7 +45,11 @@
             return Some((EngineRefusal::ModelAbsent, ready_in_ms));
         }
         let model_ms = ready_in_ms.unwrap_or(0);
-        let load_ms = self.expected_load_ms(request);
+        let replacement_ms = self.replacement_wait_ms(request, now_ms);
+        if replacement_ms > 0 && now_ms + replacement_ms > request.objective_ms {
+            return Some((EngineRefusal::OutdatedAdapter, replacement_ms));
+        }
+        let load_ms = self.expected_load_ms(request).max(replacement_ms);
         let own_load_ms = request
             .adapter
             .as_ref()
@@ -131,11 +135,13 @@
             && self.adapters.loading() < self.max_loads(now_ms);
         let is_slowed = self.max_reading_tokens(now_ms) < u64::MAX;
         let ready_ms = self.models.ready_ms();
+        let latest_starts = self.latest_starts(now_ms);
         let without_room = self
             .queue
             .without_room(self.limits.batch_slots, now_ms, |request| {
-                is_loaded(&self.models, &self.adapters, request)
+                is_loaded(&self.models, &self.adapters, request) && latest_starts.allows(request)
             });
+        let replacement_ms = self.load_times.mean_fetch_ms() as u64;
         let rejected = self.queue.reject_where(|request| {
             let is_expired = now_ms + MIN_RUN_MS >= request.deadline_ms;
             let objective_ms = request.objective_ms.saturating_sub(request.arrived_ms);
@@ -145,16 +151,18 @@
                 .as_ref()
                 .is_none_or(|adapter| adapters.state(adapter).is_some());
             let since_ms = request.arrived_ms.max(ready_ms);
-            let is_slot_overdue = !has_slot && now_ms > since_ms + max_wait_ms;
+            let is_overdue = now_ms > since_ms + max_wait_ms;
+            let is_outdated = has_slot && is_held_back(adapters, &latest_starts, request);
             // More urgent requests may have taken the times for which it has waited.
             let is_rate_overdue = rate_wait_ms > 0 && now_ms > request.objective_ms;
             let is_stuck = request.may_move
                 && is_held_up(request, now_ms)
-                && (!(has_slot || waits_for_permits) || is_slowed);
+                && (!(has_slot || waits_for_permits) || is_outdated || is_slowed);
             refusal_reason(eligibility, request, now_ms)
                 .or_else(|| is_rate_overdue.then_some(EngineRefusal::RateLimited))
                 .or_else(|| is_expired.then_some(EngineRefusal::Expired))
-                .or_else(|| is_slot_overdue.then_some(EngineRefusal::NoSlot))
+                .or_else(|| (!has_slot && is_overdue).then_some(EngineRefusal::NoSlot))
+                .or_else(|| (is_outdated && is_overdue).then_some(EngineRefusal::OutdatedAdapter))
                 .or_else(|| is_stuck.then_some(EngineRefusal::LateHere))
                 .or_else(|| {
                     let is_without_room = without_room.contains_key(&request.key);
@@ -169,6 +177,7 @@
                 retry_after_ms: match reason {
                     EngineRefusal::Paused => pause_left_ms,
                     EngineRefusal::RateLimited => rate_wait_ms,
+                    EngineRefusal::OutdatedAdapter => replacement_ms,
                     EngineRefusal::Overloaded => without_room.get(&key).copied().unwrap_or(0),
                     _ => 0,
                 },
@@ -177,6 +186,19 @@
     }
 }
 
+/// Returns whether the adapter of a request is loaded in a version on which the request may not begin any more.
+fn is_held_back(
+    adapters: &AdapterSlots,
+    latest_starts: &LatestStarts,
+    request: &EngineRequest,
+) -> bool {
+    let state = request
+        .adapter
+        .as_ref()
+        .and_then(|adapter| adapters.state(adapter));
+    state == Some(SlotState::Resident) && !latest_starts.allows(request)
+}
+
 /// Returns whether the engine has what a request needs, so that the request can start.
 pub(super) fn is_loaded(
     models: &BaseModels,
--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -95,4 +95,6 @@
     RateLimited = 12,
     /// Another engine may start the request sooner.
     LateHere = 13,
+    /// The engine has an older version of the adapter, and replaces it too late for the request.
+    OutdatedAdapter = 14,
 }
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -347,7 +347,10 @@
 
     fn start(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         let (models, adapters) = (&self.models, &self.adapters);
-        let can_serve = |request: &EngineRequest| is_loaded(models, adapters, request);
+        let latest_starts = self.latest_starts(now_ms);
+        let can_serve = |request: &EngineRequest| {
+            is_loaded(models, adapters, request) && latest_starts.allows(request)
+        };
         let max_started = self.eligibility.limit().available(now_ms);
         let max_reading_tokens = self.max_reading_tokens(now_ms);
         let started = self.queue.start(
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 mod holdings;
 mod host_copies;
 mod idle_limit;
+mod latest_starts;
 mod load_times;
 mod order;
 mod order_tracker;
--- a/crates/magnoliasail-core/src/gateway/scheduler_settings.rs
+++ b/crates/magnoliasail-core/src/gateway/scheduler_settings.rs
@@ -11,6 +11,9 @@
     pub initial_run_ms: f64,
     /// The time over which the engines spread the replacement of an adapter, in milliseconds.
     pub replacement_spread_ms: u64,
+    /// The time after the announcement of a version in which requests may begin on older ones, in
+    /// milliseconds; unlimited if absent.
+    pub max_outdated_ms: Option<u64>,
     /// A hash that differs between engines. It picks this engine's delay within the spread, and the
     /// base model to load.
     pub engine_seed: u64,
@@ -23,6 +26,7 @@
             model_load_gap_ms: 2_500,
             initial_run_ms: 450.0,
             replacement_spread_ms: 2_000,
+            max_outdated_ms: None,
             engine_seed: 0,
         }
     }
--- a/crates/magnoliasail/src/gateway/agent/operator_observer.rs
+++ b/crates/magnoliasail/src/gateway/agent/operator_observer.rs
@@ -21,6 +21,8 @@
 const LONG_POLL: Duration = Duration::from_millis(4_500);
 /// Pause between reads, well below the time within which a change must take effect.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// Time within which a write has been read: the pause, and a slow read.
+pub(super) const MAX_READ_LAG_MS: u64 = 800;
 
 /// Applies configurations and announcements of adapter versions.
 struct OperatorObserver {
@@ -29,6 +31,8 @@
     version: Cell<Option<u64>>,
     /// The newest era of the store that a response has named.
     era: Cell<Option<u64>>,
+    /// Whether all that was written before the start of this process has been read.
+    has_caught_up: Cell<bool>,
 }
 
 /// Starts to follow the operator's keys. Does nothing if the store's address is invalid.
@@ -40,6 +44,7 @@
         state: Rc::clone(state),
         version: Cell::new(None),
         era: Cell::new(None),
+        has_caught_up: Cell::new(false),
     };
     let follower = Follower::new(
         pool,
@@ -107,7 +112,8 @@
                             announced.model, announced.adapter, announced.version, change.revision
                         ),
                     );
-                    self.state.announce_version(&announced);
+                    self.state
+                        .announce_version(&announced, self.has_caught_up.get());
                 }
                 Err(error) => emit(
                     EventId::ConfigurationRejected,
@@ -134,5 +140,7 @@
         self.state.metrics.store_troubles.inc();
     }
 
-    fn on_caught_up(&self) {}
+    fn on_caught_up(&self) {
+        self.has_caught_up.set(true);
+    }
 }
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -9,6 +9,7 @@
         active_request::ActiveRequest,
         engine::{run_request, send_order},
         fetches::FetchEntries,
+        operator_observer::MAX_READ_LAG_MS,
         report_mark::ReportMark,
     },
     crate::{
@@ -113,6 +114,9 @@
 impl AgentState {
     pub(super) fn new(settings: Rc<NodeSettings>, backend: SocketAddr) -> Rc<Self> {
         let scheduler = SchedulerSettings {
+            max_outdated_ms: settings
+                .version_ms
+                .map(|version_ms| version_ms.saturating_sub(MAX_READ_LAG_MS)),
             engine_seed: xxh3_64(settings.vm_name.as_bytes()),
             ..SchedulerSettings::default()
         };
@@ -274,10 +278,16 @@
         }
     }
 
-    /// Passes the announcement of an adapter version to the scheduler.
-    pub(super) fn announce_version(self: &Rc<Self>, announced: &AdapterVersion) {
+    /// Passes the announcement of an adapter version to the scheduler. `is_new` says whether it was made just
+    /// now, and not at an unknown time before this process has read the store.
+    pub(super) fn announce_version(&self, announced: &AdapterVersion, is_new: bool) {
         let now_ms = self.clock.now_ms();
-        self.scheduler.borrow_mut().announce(announced, now_ms);
+        let mut scheduler = self.scheduler.borrow_mut();
+        if is_new {
+            scheduler.announce(announced, now_ms);
+        } else {
+            scheduler.announce_earlier(announced, now_ms);
+        }
     }
 
     /// Applies a report that was requested with `ticket`.
