fix(gateway): order due replacements before requests for these adapters start

Cause: `advance` started requests first and gave the order after them.

Test: replacements_that_are_due_at_the_end_of_a_pause_precede_the_requests_that_waited. With the old order it fails: "after a pause of 3 s: Run { version: 1, at_ms: 106000 }".

--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -320,19 +320,20 @@
         self.advance(now_ms, actions);
     }
 
-    /// Refuses waiting requests that cannot finish in time, and starts those that can start and
-    /// orders the next load if the engine may get new work.
+    /// Refuses waiting requests that cannot finish in time, and orders the next load and starts the
+    /// requests that can start if the engine may get new work.
     pub fn advance(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         self.refuse_waiting(now_ms, actions);
         if self.eligibility.check(now_ms).is_err() {
             return;
         }
-        self.start(now_ms, actions);
+        // An adapter that is due for replacement must not get new requests before.
         if self.orders.is_ready()
             && let Some(order) = self.next_order(now_ms)
         {
             actions.push(EngineAction::Order(order));
         }
+        self.start(now_ms, actions);
     }
 
     /// Returns whether a base model is loaded or being loaded.
--- a/crates/magnoliasail-core/tests/gateway/outdated_adapters.rs
+++ b/crates/magnoliasail-core/tests/gateway/outdated_adapters.rs
@@ -4,7 +4,7 @@
     super::fake_engine::{FakeEngine, MODEL, limits},
     magnoliasail_core::gateway::{
         AdapterVersion, EngineAction, EngineRefusal, EngineRequest, EngineScheduler,
-        SchedulerSettings,
+        RequestedPause, SchedulerSettings, ServerNotice,
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -400,3 +400,27 @@
     assert_eq!(play.older_runs(2, announced_ms), 0);
     assert_eq!(play.runs.last().expect("a run").version, 2);
 }
+
+/// An engine gets neither requests nor orders in a pause.
+#[test]
+fn replacements_that_are_due_at_the_end_of_a_pause_precede_the_requests_that_waited() {
+    for (pause_s, announced_after_ms) in [(9.0, 1_000), (3.0, 500)] {
+        let mut play = Play::with_settings(1, 50, bounded());
+        play.advance_by(3_000);
+        let notice = ServerNotice {
+            pause: Some(RequestedPause::from_seconds(Some(pause_s))),
+            ..ServerNotice::default()
+        };
+        play.step(|scheduler, now_ms, actions| {
+            scheduler.apply_notice(notice, Some(1), now_ms, actions);
+        });
+        let pause_ms = (pause_s * 1_000.0) as u64;
+        let end_ms = play.now_ms + pause_ms;
+        play.advance_by(announced_after_ms);
+        play.announce(0, 2);
+        play.advance_by(pause_ms + 1_000 - announced_after_ms);
+        let is_after = |run: &&Run| run.at_ms >= end_ms;
+        let first = play.runs.iter().find(is_after).expect("a run");
+        assert_eq!(first.version, 2, "after a pause of {pause_s} s: {first:?}");
+    }
+}
