fix(gateway): count adapters in the memory for weights as well as in places

Engines crashed and callers were refused where large adapters fill the memory of an engine before its places: the operator's `weights_mb` and `adapter_mb` were read and used for base models only.

Now a load is ordered only if a place is free and the adapter fits beside the loaded base models and the adapters that have a place, those in transit included. Waits for a place, room for fetches and evictions use the same count. An adapter that does not fit even alone is refused at once (`no_slot`) and evicts none. Without `weights_mb` or `adapter_mb`, or where places bind first, the count is that of places as before.

Tests: with the memory taken out of `has_room`, memory_that_holds_fewer_adapters_than_there_are_slots_bounds_the_loads (3 loads for 2) and random_inputs_never_exceed_the_memory_of_the_engine fail, as before the change; without `can_hold`, an_adapter_that_the_memory_can_never_hold_is_refused_and_evicts_none and no_adapter_is_evicted_for_one_that_the_memory_can_no_longer_hold; if a memory of 0 counts as one, without_a_known_memory_only_the_slots_bound_the_loads.

--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -4,7 +4,7 @@
 //! counts as taken from the load order until the engine itself no longer reports the adapter.
 
 use {
-    super::VersionedAdapter,
+    super::{VersionedAdapter, adapter_version::model_of},
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
 };
@@ -49,6 +49,15 @@
         self.slots.len()
     }
 
+    /// Returns the number of slots that adapters of a base model take.
+    #[must_use]
+    pub fn taken_of(&self, model: &str) -> usize {
+        self.slots
+            .keys()
+            .filter(|name| model_of(name) == model)
+            .count()
+    }
+
     /// Returns the number of loads in progress.
     #[must_use]
     pub fn loading(&self) -> usize {
--- a/crates/magnoliasail-core/src/gateway/adapter_version.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_version.rs
@@ -41,3 +41,8 @@
 pub(super) fn adapter_name(model: &str, adapter: &str) -> Arc<str> {
     format!("{model}/{adapter}").into()
 }
+
+/// Returns the name of the base model in the full name of an adapter.
+pub(super) fn model_of(adapter: &str) -> &str {
+    adapter.split_once('/').map_or(adapter, |(model, _)| model)
+}
--- a/crates/magnoliasail-core/src/gateway/configuration.rs
+++ b/crates/magnoliasail-core/src/gateway/configuration.rs
@@ -1,6 +1,9 @@
 //! The operator's configuration: routes, services and limits on what callers send.
 
-use {super::Account, std::sync::Arc};
+use {
+    super::{Account, adapter_version::model_of},
+    std::sync::Arc,
+};
 
 /// One published version of the operator's configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -130,6 +133,15 @@
     pub models: Vec<ModelLimits>,
 }
 
+impl EngineLimits {
+    /// Returns the size of an adapter, given by its full name, in megabytes; 0 if its base model is unknown.
+    pub(super) fn adapter_mb(&self, adapter: &str) -> f64 {
+        let model = model_of(adapter);
+        let limits = self.models.iter().find(|limits| *limits.name == *model);
+        limits.map_or(0.0, |limits| limits.adapter_mb)
+    }
+}
+
 /// Sizes and load times of a base model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelLimits {
--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -31,7 +31,7 @@
         if !self.is_copied(&missing) && !self.may_fetch(&missing, now_ms) {
             return None;
         }
-        if self.adapters.taken() < self.limits.adapter_slots as usize {
+        if self.has_room(&missing) {
             return Some(self.order_adapter(&missing, now_ms));
         }
         let victim = self
@@ -118,6 +118,7 @@
             self.adapters.state(adapter).is_none()
                 && !self.is_copied(adapter)
                 && self.models.is_loaded(&request.model)
+                && self.can_hold(adapter)
         };
         let batch_slots = self.limits.batch_slots;
         let mut pending = self
@@ -140,7 +141,9 @@
         let load_ms = |adapter: &str| self.load_ms(adapter) as u64;
         self.queue
             .missing_adapters(now_ms, load_ms, |request, adapter| {
-                self.adapters.state(adapter).is_none() && self.may_serve(&request.model)
+                self.adapters.state(adapter).is_none()
+                    && self.may_serve(&request.model)
+                    && self.can_hold(adapter)
             })
     }
 
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -44,6 +44,12 @@
             let ready_in_ms = ready_in_ms.unwrap_or(UNKNOWN_READY_RETRY_MS);
             return Some((EngineRefusal::ModelAbsent, ready_in_ms));
         }
+        if let Some(adapter) = &request.adapter
+            && self.adapters.state(adapter).is_none()
+            && !self.can_hold(adapter)
+        {
+            return Some((EngineRefusal::NoSlot, 0));
+        }
         let model_ms = ready_in_ms.unwrap_or(0);
         let replacement_ms = self.replacement_wait_ms(request, now_ms);
         if replacement_ms > 0 && now_ms + replacement_ms > request.objective_ms {
--- a/crates/magnoliasail-core/src/gateway/expected_waits.rs
+++ b/crates/magnoliasail-core/src/gateway/expected_waits.rs
@@ -25,8 +25,7 @@
 
     /// Returns the number of adapter slots that are free or whose adapter is not in use.
     pub(super) fn slots_available(&self) -> u32 {
-        let free = (self.limits.adapter_slots as usize).saturating_sub(self.adapters.taken());
-        (free + self.adapters.unused()) as u32
+        (self.free_places() + self.adapters.unused()) as u32
     }
 
     /// Returns the expected time until the first event of a request that arrives now, in
@@ -77,7 +76,7 @@
     /// Returns the expected wait for a slot of an adapter after `adapters_ahead` others, in
     /// milliseconds.
     pub(super) fn expected_slot_wait_ms(&self, adapters_ahead: usize) -> f64 {
-        let slots = f64::from(self.limits.adapter_slots.max(1));
+        let slots = self.places().max(1) as f64;
         let missing_slots = adapters_ahead as f64 + 1.0 - f64::from(self.slots_available());
         missing_slots.max(0.0) * self.queue.mean_run_ms() / slots
     }
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -83,6 +83,7 @@
 mod unreported;
 mod version_constraint;
 mod version_history;
+mod weights_memory;
 mod work_time;
 
 pub use self::{
--- a/crates/magnoliasail-core/tests/gateway/fake_engine.rs
+++ b/crates/magnoliasail-core/tests/gateway/fake_engine.rs
@@ -1,4 +1,4 @@
-//! A model engine for tests of the scheduler, which crashes if ordered to exceed its slots.
+//! A model engine for tests of the scheduler, which crashes if ordered to exceed its slots or its memory.
 
 use {
     magnoliasail_core::gateway::{
@@ -52,21 +52,28 @@
     pub(crate) loading: BTreeMap<Arc<str>, u64>,
     /// The version that is loaded if an order names none; 1 if an adapter is not listed.
     pub(crate) newest: BTreeMap<Arc<str>, u64>,
-    /// Whether more adapters were ordered than there are slots.
+    /// Whether more adapters were ordered than there are slots or memory for.
     pub(crate) has_crashed: bool,
+    pub(crate) limits: EngineLimits,
 }
 
 impl FakeEngine {
     /// Creates an engine whose base model is loaded.
     pub(crate) fn with_model() -> Self {
+        Self::with_limits(limits())
+    }
+
+    /// Creates an engine with these limits whose base model is loaded.
+    pub(crate) fn with_limits(limits: EngineLimits) -> Self {
         Self {
             has_model: true,
             started_ms: 1,
+            limits,
             ..Self::default()
         }
     }
 
-    /// Carries out an order. The engine crashes if it exceeds the adapter slots.
+    /// Carries out an order. The engine crashes if it exceeds its limits.
     pub(crate) fn order(&mut self, order: &Order) -> OrderOutcome {
         if order.expected_sequence != self.sequence {
             return OrderOutcome::Conflict;
@@ -84,7 +91,7 @@
                 let mut in_slots: Vec<_> = self.loaded.keys().chain(self.loading.keys()).collect();
                 in_slots.sort();
                 in_slots.dedup();
-                self.has_crashed |= in_slots.len() > limits().adapter_slots as usize;
+                self.has_crashed |= self.exceeds_limits(in_slots.len());
                 OrderOutcome::Accepted
             }
             OrderKind::Unload => {
@@ -94,6 +101,15 @@
         }
     }
 
+    /// Returns whether the engine crashes if it is to hold so many adapters.
+    fn exceeds_limits(&self, adapters: usize) -> bool {
+        let model = &self.limits.models[0];
+        let used_mb = model.weights_mb + adapters as f64 * model.adapter_mb;
+        let is_bounded = self.limits.weights_mb > 0.0;
+        adapters > self.limits.adapter_slots as usize
+            || (is_bounded && used_mb > self.limits.weights_mb)
+    }
+
     /// Completes all loads in progress.
     pub(crate) fn complete_loads(&mut self) {
         let completed = std::mem::take(&mut self.loading);
@@ -106,6 +122,7 @@
             started_ms: self.started_ms + 1,
             newest: std::mem::take(&mut self.newest),
             has_crashed: self.has_crashed,
+            limits: std::mem::take(&mut self.limits),
             ..Self::default()
         };
     }
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -4,9 +4,9 @@
     super::fake_engine::{FakeEngine, MODEL, limits},
     arbtest::arbtest,
     magnoliasail_core::gateway::{
-        AdapterVersion, EngineAction, EngineRefusal, EngineRequest, EngineScheduler, OrderKind,
-        OrderOutcome, RateSource, RateStatement, RequestRate, RequestedPause, SchedulerSettings,
-        ServerNotice, adapter_key,
+        AdapterVersion, EngineAction, EngineLimits, EngineRefusal, EngineRequest, EngineScheduler,
+        OrderKind, OrderOutcome, RateSource, RateStatement, RequestRate, RequestedPause,
+        SchedulerSettings, ServerNotice, adapter_key,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -33,14 +33,18 @@
     }
 
     fn with_settings(settings: SchedulerSettings) -> Self {
+        Self::with_limits(settings, limits())
+    }
+
+    fn with_limits(settings: SchedulerSettings, limits: EngineLimits) -> Self {
         let mut scheduler = EngineScheduler::new(SchedulerSettings {
             replacement_spread_ms: 1,
             ..settings
         });
-        scheduler.configure(limits());
+        scheduler.configure(limits.clone());
         let mut harness = Self {
             scheduler,
-            engine: FakeEngine::with_model(),
+            engine: FakeEngine::with_limits(limits),
             now_ms: 100_000,
             next_key: 1,
             running: BTreeMap::new(),
@@ -582,10 +586,32 @@
 
 /// Under random inputs, orders never crash the engine, and no request starts without its adapter or
 /// beyond the batch size. The harness checks the latter two.
+/// Returns the limits of an engine whose memory holds so many adapters.
+fn memory_for(adapters: u32) -> EngineLimits {
+    let limits = limits();
+    let model = &limits.models[0];
+    let rest_mb = model.adapter_mb / 2.0;
+    EngineLimits {
+        weights_mb: model.weights_mb + f64::from(adapters) * model.adapter_mb + rest_mb,
+        ..limits
+    }
+}
+
 #[test]
 fn random_inputs_never_exceed_the_limits_of_the_engine() {
+    check_random_inputs(&limits());
+}
+
+#[test]
+fn random_inputs_never_exceed_the_memory_of_the_engine() {
+    for adapters in 0..limits().adapter_slots {
+        check_random_inputs(&memory_for(adapters));
+    }
+}
+
+fn check_random_inputs(limits: &EngineLimits) {
     arbtest(|source| {
-        let mut harness = Harness::new();
+        let mut harness = Harness::with_limits(SchedulerSettings::default(), limits.clone());
         while !source.is_empty() {
             harness.now_ms += source.int_in_range(0..=200_u64)?;
             match source.int_in_range(0..=9_u8)? {
@@ -612,13 +638,85 @@
             }
             assert!(
                 !harness.engine.has_crashed,
-                "more adapters were ordered than there are slots"
+                "more adapters were ordered than there are slots or memory for"
             );
         }
         Ok(())
     });
 }
 
+/// Adapters in transit take memory from the order on.
+#[test]
+fn memory_that_holds_fewer_adapters_than_there_are_slots_bounds_the_loads() {
+    const FITTING: u32 = 2;
+    let mut harness = Harness::with_limits(SchedulerSettings::default(), memory_for(FITTING));
+    for adapter in ["a", "b", "c"] {
+        harness.submit(adapter, 1);
+    }
+    assert_eq!(harness.engine.loading.len(), FITTING as usize);
+    harness.complete_loads();
+    assert_eq!(harness.started.len(), FITTING as usize);
+    assert_eq!(harness.orders.len(), FITTING as usize);
+    harness.finish(harness.started[0]);
+    assert_eq!(
+        harness.orders[FITTING as usize..],
+        [
+            (OrderKind::Unload, Some("a".into())),
+            (OrderKind::Load, Some("c".into()))
+        ]
+    );
+    harness.complete_loads();
+    assert_eq!(harness.started.len(), 3);
+    assert!(!harness.engine.has_crashed);
+}
+
+#[test]
+fn an_adapter_that_the_memory_can_never_hold_is_refused_and_evicts_none() {
+    let mut harness = Harness::new();
+    let running = harness.submit("a", 1);
+    harness.complete_loads();
+    harness.finish(running);
+    let mut shrunk = limits();
+    shrunk.models[0].adapter_mb = shrunk.weights_mb;
+    harness.scheduler.configure(shrunk);
+    let refused = harness.submit("b", 1);
+    assert_eq!(harness.refused, [(refused, EngineRefusal::NoSlot, 0)]);
+    assert_eq!(harness.orders, [(OrderKind::Load, Some("a".into()))]);
+    let resident = harness.submit("a", 1);
+    assert!(harness.started.contains(&resident));
+}
+
+/// The operator may publish larger adapters while requests wait.
+#[test]
+fn no_adapter_is_evicted_for_one_that_the_memory_can_no_longer_hold() {
+    let mut harness = Harness::with_limits(SchedulerSettings::default(), memory_for(2));
+    let running = harness.submit("a", 1);
+    harness.submit("b", 1);
+    harness.complete_loads();
+    harness.submit("c", 1);
+    assert_eq!(harness.scheduler.waiting(), 1);
+    let orders = harness.orders.len();
+    let mut shrunk = limits();
+    shrunk.models[0].adapter_mb = shrunk.weights_mb;
+    harness.scheduler.configure(shrunk);
+    harness.finish(running);
+    assert_eq!(harness.orders.len(), orders, "{:?}", harness.orders);
+}
+
+#[test]
+fn without_a_known_memory_only_the_slots_bound_the_loads() {
+    let unknown = EngineLimits {
+        weights_mb: 0.0,
+        ..limits()
+    };
+    let slots = unknown.adapter_slots as usize;
+    let mut harness = Harness::with_limits(SchedulerSettings::default(), unknown);
+    for adapter in ["a", "b", "c", "d", "e"] {
+        harness.submit(adapter, 1);
+    }
+    assert_eq!(harness.engine.loading.len(), slots);
+}
+
 const LEAVING: ServerNotice = ServerNotice {
     is_leaving: true,
     pause: None,
