--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -4,7 +4,7 @@
 //! counts as taken from the load order until the engine itself no longer reports the adapter.
 
 use {
-    super::VersionedAdapter,
+    super::{VersionedAdapter, adapter_version::model_of},
     crate::TimeMs,
     std::{collections::HashMap, sync::Arc},
 };
@@ -49,6 +49,15 @@
         self.slots.len()
     }
 
+    /// Returns the number of slots that adapters of a base model take.
+    #[must_use]
+    pub fn taken_of(&self, model: &str) -> usize {
+        self.slots
+            .keys()
+            .filter(|name| model_of(name) == model)
+            .count()
+    }
+
     /// Returns the number of loads in progress.
     #[must_use]
     pub fn loading(&self) -> usize {
@@ -88,6 +97,11 @@
         self.slots.get(adapter).map(|slot| slot.version)
     }
 
+    /// Returns the full names of the adapters that have a slot, with their versions.
+    pub fn versions(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.slots.iter().map(|(name, slot)| (name, slot.version))
+    }
+
     /// Returns whether a running request uses an adapter.
     #[must_use]
     pub fn is_in_use(&self, adapter: &str) -> bool {
--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -31,7 +31,7 @@
         if !self.is_copied(&missing) && !self.may_fetch(&missing, now_ms) {
             return None;
         }
-        if self.adapters.taken() < self.limits.adapter_slots as usize {
+        if self.has_room(&missing) {
             return Some(self.order_adapter(&missing, now_ms));
         }
         let victim = self
@@ -118,6 +118,7 @@
             self.adapters.state(adapter).is_none()
                 && !self.is_copied(adapter)
                 && self.models.is_loaded(&request.model)
+                && self.can_hold(adapter)
         };
         let batch_slots = self.limits.batch_slots;
         let mut pending = self
@@ -140,17 +141,12 @@
         let load_ms = |adapter: &str| self.load_ms(adapter) as u64;
         self.queue
             .missing_adapters(now_ms, load_ms, |request, adapter| {
-                self.adapters.state(adapter).is_none() && self.may_serve(&request.model)
+                self.adapters.state(adapter).is_none()
+                    && self.may_serve(&request.model)
+                    && self.can_hold(adapter)
             })
     }
 
-    /// Issues the order to replace a loaded adapter by its newer version.
-    pub(super) fn order_replacement(&mut self, now_ms: TimeMs) -> Option<Order> {
-        let name = self.replacements.take_due(now_ms)?;
-        let is_outdated = self.adapters.version(&name)? < self.replacements.newest(&name);
-        is_outdated.then(|| self.order_adapter(&name, now_ms))
-    }
-
     /// Issues the order to load the newest version of an adapter.
     pub(super) fn order_adapter(&mut self, name: &Arc<str>, now_ms: TimeMs) -> Order {
         let newest = self.replacements.newest(name);
--- a/crates/magnoliasail-core/src/gateway/engine_request.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_request.rs
@@ -99,4 +99,6 @@
     OtherStart = 14,
     /// The agent holds too many bytes of other requests to take this one.
     BuffersFull = 16,
+    /// The engine has an older version of the adapter, and replaces it too late for the request.
+    OutdatedAdapter = 15,
 }
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -12,7 +12,7 @@
     super::{
         AdapterSlots, Announcement, Eligibility, EngineAction, EngineLimits, EngineReport,
         EngineRequest, OrderKind, OrderOutcome, RateChange, RateSource, RateStatement, RequestRate,
-        SchedulerSettings, ServerNotice, SlotState, VersionedAdapter, WorkTime, adapter_key,
+        SchedulerSettings, ServerNotice, VersionedAdapter, WorkTime, adapter_key,
         adapter_version::adapter_name,
         base_models::BaseModels,
         engine_queue::EngineQueue,
@@ -233,14 +233,6 @@
         started.is_some()
     }
 
-    /// Records the announcement of an adapter version. A loaded older version is replaced after a
-    /// delay that differs between engines, because an adapter cannot serve while it is replaced.
-    pub fn announce(&mut self, announced: &super::AdapterVersion, now_ms: TimeMs) {
-        let spread_ms = self.settings.replacement_spread_ms.max(1);
-        let due_ms = now_ms + self.settings.engine_seed % spread_ms;
-        self.replacements.announce(announced, due_ms);
-    }
-
     /// Applies a report that was requested with `ticket`.
     pub fn apply_report(
         &mut self,
@@ -328,19 +320,20 @@
         self.advance(now_ms, actions);
     }
 
-    /// Refuses waiting requests that cannot finish in time, and starts those that can start and
-    /// orders the next load if the engine may get new work.
+    /// Refuses waiting requests that cannot finish in time, and orders the next load and starts the
+    /// requests that can start if the engine may get new work.
     pub fn advance(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         self.refuse_waiting(now_ms, actions);
         if self.eligibility.check(now_ms).is_err() {
             return;
         }
-        self.start(now_ms, actions);
+        // An adapter that is due for replacement must not get new requests before.
         if self.orders.is_ready()
             && let Some(order) = self.next_order(now_ms)
         {
             actions.push(EngineAction::Order(order));
         }
+        self.start(now_ms, actions);
     }
 
     /// Returns whether a base model is loaded or being loaded.
@@ -355,7 +348,10 @@
 
     fn start(&mut self, now_ms: TimeMs, actions: &mut Vec<EngineAction>) {
         let (models, adapters) = (&self.models, &self.adapters);
-        let can_serve = |request: &EngineRequest| is_loaded(models, adapters, request);
+        let latest_starts = self.latest_starts(now_ms);
+        let can_serve = |request: &EngineRequest| {
+            is_loaded(models, adapters, request) && latest_starts.allows(request)
+        };
         let max_started = self.eligibility.limit().available(now_ms);
         let max_reading_tokens = self.max_reading_tokens(now_ms);
         let started = self.queue.start(
@@ -402,21 +398,7 @@
                 self.fetches.record_ended(load_ms);
             }
         }
-        self.schedule_replacements(&loaded, now_ms);
-    }
-
-    /// Schedules the replacement of loaded adapters that are older than announced.
-    fn schedule_replacements(
-        &mut self,
-        loaded: &HashMap<Arc<str>, VersionedAdapter>,
-        now_ms: TimeMs,
-    ) {
-        for (name, adapter) in loaded {
-            if self.adapters.state(name) != Some(SlotState::Loading) {
-                self.replacements
-                    .schedule_if_outdated(name, adapter.version, now_ms);
-            }
-        }
+        self.replacements.update(&self.adapters);
     }
 
     /// Resets the engine's state after a restart, which loses all models and adapters.
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod engine_report;
 mod engine_request;
 mod engine_scheduler;
+mod engine_versions;
 mod engine_watch;
 mod event_stream;
 mod expected_waits;
@@ -46,6 +47,7 @@
 mod holdings;
 mod host_copies;
 mod idle_limit;
+mod latest_starts;
 mod load_times;
 mod order;
 mod order_tracker;
@@ -83,6 +85,7 @@
 mod unreported;
 mod version_constraint;
 mod version_history;
+mod weights_memory;
 mod work_time;
 
 pub use self::{
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod load_replay;
 mod named_rate_fleet;
 mod origin_replicas;
+mod outdated_adapters;
 mod placement;
 mod quarantine;
 mod quarantine_fleet;
