fix(quarantine): find a part that crashes servers at any place of a prompt

Cause: an entry passed on only the first 32 parts of a prompt as suspects, and silently dropped the others. No process could count the crashes of a later part; what the first 32 parts had in common was blamed.

Fix: all parts of the header are suspects, each once. The bound moves to what is remembered. A report holds at most 65,536 parts; of more it holds a sample, the same for all requests of the crash and another one at each crash.

--- a/crates/magnoliasail-core/src/gateway/crash_detector.rs
+++ b/crates/magnoliasail-core/src/gateway/crash_detector.rs
@@ -8,7 +8,10 @@
 //! kept for a moment too, and an answer of the server does not clear it.
 
 use {
-    super::message::SuspectRequest,
+    super::{
+        message::SuspectRequest,
+        suspect_sample::{MAX_SUSPECT_PARTS, limit_parts},
+    },
     crate::TimeMs,
     std::{collections::VecDeque, mem},
 };
@@ -25,6 +28,8 @@
     broken_off: Vec<EndedRequest>,
     /// The cancelled requests; the oldest is dropped for a new one.
     cancelled: VecDeque<EndedRequest>,
+    /// Decides which parts are kept if there are too many; changes with each crash.
+    sample_seed: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -42,6 +47,7 @@
                 suspect,
                 ended_ms: now_ms,
             });
+            bound_parts(self.broken_off.iter_mut(), self.sample_seed);
         }
     }
 
@@ -55,6 +61,7 @@
             suspect,
             ended_ms: now_ms,
         });
+        bound_parts(self.cancelled.iter_mut(), self.sample_seed);
     }
 
     /// Records that the server responded to a report request that was sent at `sent_ms`, so that it has
@@ -68,11 +75,14 @@
     /// Requests whose connections break only later are returned by the next call.
     pub fn take_suspects(&mut self, now_ms: TimeMs) -> Vec<SuspectRequest> {
         self.drop_old(now_ms);
-        mem::take(&mut self.broken_off)
+        let mut suspects: Vec<SuspectRequest> = mem::take(&mut self.broken_off)
             .into_iter()
             .chain(mem::take(&mut self.cancelled))
             .map(|request| request.suspect)
-            .collect()
+            .collect();
+        limit_parts(suspects.iter_mut(), self.sample_seed);
+        self.sample_seed = now_ms;
+        suspects
     }
 
     /// Returns whether no request may be the cause of a crash that is detected now.
@@ -88,6 +98,20 @@
     }
 }
 
+/// Bounds the parts that are kept of these requests. A request that ends later is sampled by the same seed,
+/// so that none is sampled down further than the others.
+fn bound_parts<'a>(requests: impl Iterator<Item = &'a mut EndedRequest>, seed: u64) {
+    let mut requests: Vec<_> = requests.collect();
+    let count: usize = requests
+        .iter()
+        .map(|request| request.suspect.parts.len())
+        .sum();
+    if count > 2 * MAX_SUSPECT_PARTS {
+        let suspects = requests.iter_mut().map(|request| &mut request.suspect);
+        limit_parts(suspects, seed);
+    }
+}
+
 const fn is_recent(request: &EndedRequest, now_ms: TimeMs) -> bool {
     now_ms.saturating_sub(request.ended_ms) <= DETECTION_TIME_MS
 }
--- a/crates/magnoliasail-core/src/gateway/expiring_map.rs
+++ b/crates/magnoliasail-core/src/gateway/expiring_map.rs
@@ -82,6 +82,11 @@
             .map(|(&key, recorded)| (key, &recorded.value))
     }
 
+    /// Returns the number of values, with those that have expired since the last record.
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
     fn drop_expired(&mut self, now_ms: TimeMs) {
         while self
             .queue
--- a/crates/magnoliasail-core/src/gateway/message/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/message/mod.rs
@@ -14,7 +14,10 @@
     versions::{ListedVersion, ServiceVersions},
 };
 
-use prost::{Message, Oneof, bytes::Bytes};
+use {
+    prost::{Message, Oneof, bytes::Bytes},
+    std::collections::HashSet,
+};
 
 /// A message from an entry.
 #[derive(Clone, PartialEq, Message)]
@@ -168,6 +171,19 @@
     pub parts: Vec<u64>,
 }
 
+impl SuspectRequest {
+    /// Creates the identification of a request. A part that is named several times counts once.
+    #[must_use]
+    pub fn new(request: u64, parts: impl IntoIterator<Item = u64>) -> Self {
+        let mut known = HashSet::new();
+        let parts = parts.into_iter().filter(|&part| known.insert(part));
+        Self {
+            request,
+            parts: parts.collect(),
+        }
+    }
+}
+
 /// The crash of a server, and the requests that it broke off.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct CrashReport {
--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -17,6 +17,8 @@
 
 use {
     super::{
+        crash::count_separate,
+        crash_evidence::{CrashEvidence, RepeatedSuspect},
         expiring_map::ExpiringMap,
         message::{CompletionNotice, CrashReport, QuarantineChange, SuspectRequest},
         recent_crashes::RecentCrashes,
@@ -26,26 +28,20 @@
 
 /// Crashes after which what was there at all of them is quarantined.
 const MAX_CRASHES: usize = 3;
-/// Limit on the crashes that are remembered of one suspect.
-const MAX_REMEMBERED_CRASHES: usize = 16;
-/// Time after which a second report about the same start of a server stands for another crash. A list
-/// that lags may name the start before.
-const SAME_CRASH_MS: u64 = 2_000;
-/// Time between crashes that count separately for what has completed recently.
-const SEPARATE_CRASHES_MS: u64 = 1_000;
 /// Time for which a completion counts as recent. Content that matters to many callers completes more
 /// often.
 const COMPLETION_RETENTION_MS: u64 = 60_000;
 /// Time within which a further completion need not be recorded.
 const COMPLETION_RESOLUTION_MS: u64 = 1_000;
-/// Limit on the suspects that are remembered, on completions and on the quarantined fingerprints.
-const CAPACITY: usize = 16_384;
+/// Limit on the completions that are remembered, by fingerprint.
+const MAX_COMPLETED: usize = 114_688;
+/// Limit on the quarantined fingerprints.
+const MAX_QUARANTINED: usize = 16_384;
 
 /// Records of what was there when servers crashed, and what is quarantined.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
-    /// The crashes of each suspect, by its fingerprint.
-    suspects: ExpiringMap<Vec<Crash>>,
+    evidence: CrashEvidence,
     /// When requests and parts last completed, by fingerprint.
     completed: ExpiringMap<TimeMs>,
     recent_crashes: RecentCrashes,
@@ -74,27 +70,6 @@
     is_part: bool,
 }
 
-/// A crash at which a suspect was running.
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    server_start: u64,
-    service: u64,
-    /// The request that had the part; absent if the suspect is a request itself.
-    request: Option<u64>,
-    at_ms: TimeMs,
-}
-
-impl Crash {
-    /// Returns whether this crash is further evidence beside an earlier one.
-    fn is_separate_from(&self, earlier: &Self, has_completed: bool) -> bool {
-        let age_ms = self.at_ms.saturating_sub(earlier.at_ms);
-        let is_same = self.server_start == earlier.server_start && age_ms < SAME_CRASH_MS;
-        let is_same_request = self.request.is_some() && self.request == earlier.request;
-        let is_at_once = has_completed && age_ms < SEPARATE_CRASHES_MS;
-        !is_same && !is_same_request && !is_at_once
-    }
-}
-
 impl Quarantine {
     /// Time for which a quarantine lasts, and for which crashes count.
     pub const RETENTION_MS: u64 = 86_400_000;
@@ -111,32 +86,43 @@
         if report.requests.iter().any(is_explained) {
             return changes;
         }
-        for suspect in &report.requests {
-            let crash = Crash {
-                server_start: report.server_start,
-                service: report.service,
-                request: None,
-                at_ms: now_ms,
+        let completed = &self.completed;
+        let has_completed = |fingerprint| completed.get(fingerprint, now_ms).is_some();
+        let suspects = self.evidence.record(report, has_completed, now_ms);
+        for suspect in &suspects {
+            if !self.is_justified(suspect, report.service, now_ms) {
+                continue;
+            }
+            let change = QuarantineChange {
+                fingerprint: suspect.fingerprint,
+                is_part: suspect.is_part(),
+                ..QuarantineChange::default()
             };
-            changes.extend(self.add_crash(suspect.request, crash));
-            for &part in &suspect.parts {
-                let crash = Crash {
-                    request: Some(suspect.request),
-                    ..crash
-                };
-                let started = self.add_crash(part, crash);
-                let unconfirmed = started.map(|change| UnconfirmedPart {
+            if !self.apply(change, now_ms) {
+                continue;
+            }
+            changes.push(change);
+            if change.is_part {
+                self.unconfirmed_parts.push(UnconfirmedPart {
                     fingerprint: change.fingerprint,
                     service: report.service,
                     quarantined_ms: now_ms,
                 });
-                self.unconfirmed_parts.extend(unconfirmed);
-                changes.extend(started);
             }
         }
         changes
     }
 
+    /// Returns whether the crashes justify the quarantine of what was there at the last one.
+    fn is_justified(&self, suspect: &RepeatedSuspect, service: u64, now_ms: TimeMs) -> bool {
+        let count = count_separate(&suspect.crashes, suspect.has_completed);
+        let explains_recent = || {
+            self.recent_crashes
+                .are_explained_by(suspect.fingerprint, service, now_ms)
+        };
+        count >= MAX_CRASHES && (!suspect.is_part() || explains_recent())
+    }
+
     /// Ends the quarantines of parts that were started within the last moment and that do not explain
     /// half of its crashes any more.
     fn end_unexplained(&mut self, now_ms: TimeMs) -> Vec<QuarantineChange> {
@@ -168,7 +154,7 @@
         let mut ended = Vec::new();
         for fingerprint in fingerprints(suspect) {
             self.remember_completion(fingerprint, now_ms, now_ms);
-            self.suspects.remove(fingerprint);
+            self.evidence.discard(fingerprint);
             ended.extend(self.end(fingerprint, now_ms));
         }
         ended
@@ -178,8 +164,7 @@
     #[must_use]
     pub fn counted_crashes(&self, suspect: &SuspectRequest, now_ms: TimeMs) -> usize {
         fingerprints(suspect)
-            .filter_map(|fingerprint| self.suspects.get(fingerprint, now_ms))
-            .map(Vec::len)
+            .map(|fingerprint| self.evidence.count(fingerprint, now_ms))
             .max()
             .unwrap_or(0)
     }
@@ -194,11 +179,13 @@
         let fingerprint = notice.fingerprint;
         let completed_ms = now_ms.saturating_sub(notice.age_ms);
         self.remember_completion(fingerprint, completed_ms, now_ms);
-        let mut crashes = self.suspects.remove(fingerprint)?;
-        crashes.retain(|crash| crash.at_ms > completed_ms);
-        let is_justified = count_separate(&crashes, true) >= MAX_CRASHES;
-        self.suspects.record(fingerprint, crashes, now_ms);
-        if is_justified {
+        if self.evidence.count(fingerprint, now_ms) == 0 {
+            return None;
+        }
+        let crashes = self
+            .evidence
+            .discard_until(fingerprint, completed_ms, now_ms);
+        if count_separate(&crashes, true) >= MAX_CRASHES {
             return None;
         }
         self.end(fingerprint, now_ms)
@@ -234,7 +221,7 @@
         };
         self.changes.record(fingerprint, change, now_ms);
         if change.is_ended {
-            self.suspects.remove(fingerprint);
+            self.evidence.discard(fingerprint);
         }
         was_quarantined == change.is_ended
     }
@@ -248,6 +235,12 @@
             .max()
     }
 
+    /// Returns the number of fingerprints that are remembered as suspects.
+    #[must_use]
+    pub fn suspect_count(&self) -> usize {
+        self.evidence.len()
+    }
+
     /// Returns the number of fingerprints that are quarantined.
     #[must_use]
     pub fn len(&self, now_ms: TimeMs) -> usize {
@@ -299,32 +292,6 @@
         (is_quarantined && self.apply(change, now_ms)).then_some(change)
     }
 
-    /// Adds a crash to those of a suspect; returns the quarantine that it starts.
-    fn add_crash(&mut self, fingerprint: u64, crash: Crash) -> Option<QuarantineChange> {
-        let now_ms = crash.at_ms;
-        let has_completed = self.completed.get(fingerprint, now_ms).is_some();
-        let mut crashes = self.suspects.remove(fingerprint).unwrap_or_default();
-        let is_separate = crashes
-            .iter()
-            .all(|earlier| crash.is_separate_from(earlier, has_completed));
-        if is_separate && crashes.len() < MAX_REMEMBERED_CRASHES {
-            crashes.push(crash);
-        }
-        let explains_recent = crash.request.is_none()
-            || self
-                .recent_crashes
-                .are_explained_by(fingerprint, crash.service, now_ms);
-        let is_justified =
-            explains_recent && count_separate(&crashes, has_completed) >= MAX_CRASHES;
-        self.suspects.record(fingerprint, crashes, now_ms);
-        let change = QuarantineChange {
-            fingerprint,
-            is_part: crash.request.is_some(),
-            ..QuarantineChange::default()
-        };
-        (is_justified && self.apply(change, now_ms)).then_some(change)
-    }
-
     /// Records the time of a completion, unless a later or nearly equal one is known.
     fn remember_completion(&mut self, fingerprint: u64, completed_ms: TimeMs, now_ms: TimeMs) {
         let known_ms = self.completed.get(fingerprint, now_ms);
@@ -337,11 +304,11 @@
 impl Default for Quarantine {
     fn default() -> Self {
         Self {
-            suspects: ExpiringMap::new(Self::RETENTION_MS, CAPACITY),
-            completed: ExpiringMap::new(COMPLETION_RETENTION_MS, CAPACITY),
+            evidence: CrashEvidence::new(Self::RETENTION_MS),
+            completed: ExpiringMap::new(COMPLETION_RETENTION_MS, MAX_COMPLETED),
             recent_crashes: RecentCrashes::default(),
             unconfirmed_parts: Vec::new(),
-            changes: ExpiringMap::new(Self::RETENTION_MS, CAPACITY),
+            changes: ExpiringMap::new(Self::RETENTION_MS, MAX_QUARANTINED),
         }
     }
 }
@@ -350,17 +317,3 @@
 fn fingerprints(suspect: &SuspectRequest) -> impl Iterator<Item = u64> + '_ {
     std::iter::once(suspect.request).chain(suspect.parts.iter().copied())
 }
-
-/// Counts the crashes that are separate evidence, in the order in which they were recorded.
-fn count_separate(crashes: &[Crash], has_completed: bool) -> usize {
-    let mut counted: Vec<&Crash> = Vec::new();
-    for crash in crashes {
-        let is_separate = counted
-            .iter()
-            .all(|earlier| crash.is_separate_from(earlier, has_completed));
-        if is_separate {
-            counted.push(crash);
-        }
-    }
-    counted.len()
-}
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod quarantine;
 mod quarantine_fleet;
+mod quarantine_long_prompts;
 mod quota_fleet;
 mod request_rates;
 mod retries;
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -29,8 +29,6 @@
     tokio::time::timeout,
 };
 
-/// Parts of a prompt that are watched for crashes; more than prompts usually have.
-const MAX_SUSPECT_PARTS: usize = 32;
 /// Time for a body to arrive if the caller names no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Range of the retry delay for callers of an entry that is not initialized yet.
@@ -115,15 +113,11 @@
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
     let target = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    let suspect = SuspectRequest {
-        request: request_fingerprint(host, head.method.as_str(), target, &body),
-        parts: metadata
-            .prompt_prefixes
-            .iter()
-            .take(MAX_SUSPECT_PARTS)
-            .map(|part| part_fingerprint(part))
-            .collect(),
-    };
+    let parts = metadata.prompt_prefixes.iter();
+    let suspect = SuspectRequest::new(
+        request_fingerprint(host, head.method.as_str(), target, &body),
+        parts.map(|part| part_fingerprint(part)),
+    );
     let outgoing = OutgoingRequest {
         kind: route.kind,
         rank: rank.unwrap_or(route.rank),
