fix(quarantine): do not refuse what sound requests share with those that crash servers

What callers saw: while servers crash so often that no sound request completes in between, the part that crashes them and the first part of all prompts are at the same crashes.

Cause: each suspect was judged by its own crashes alone. A completion within the last minute only asked for crashes a second apart; three of them condemned the part though another one, never completed, explained them.

Evidence: quarantine_shared_parts failed in 3 of 4 tests before ("assertion failed: !is_refused(&quarantine, FIRST_PART, now_ms)" twice, and no end of the quarantine after the completion that another process had seen). The fourth guards the other side: a completed part that nothing else explains is still refused.

Fix: suspects are compared. One that has completed waits while one that has not was at half of its crashes and at two or more; one that has not completed waits for another that was at all of its crashes and at further ones, or there with fewer different requests. What many requests have explains nothing for what few have. Crashes by the same request are kept for this comparison; they count once, as before. An objection of another process is judged the same way.

Not mended: with several causes at the same time, none may be at half of the crashes.

--- a/crates/magnoliasail-core/src/gateway/crash_evidence.rs
+++ b/crates/magnoliasail-core/src/gateway/crash_evidence.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        crash::Crash,
+        crash::{Crash, explains},
         expiring_map::ExpiringMap,
         message::{CrashReport, SuspectRequest},
     },
@@ -66,11 +66,17 @@
         has_completed: impl Fn(u64) -> bool,
         now_ms: TimeMs,
     ) -> Vec<RepeatedSuspect> {
+        let running = || report.requests.iter().flat_map(fingerprints_with_request);
+        let mut requests_with: HashMap<u64, u32> = HashMap::new();
+        for (fingerprint, _) in running() {
+            *requests_with.entry(fingerprint).or_default() += 1;
+        }
         let mut suspects = HashMap::new();
-        for (fingerprint, request) in report.requests.iter().flat_map(fingerprints_with_request) {
+        for (fingerprint, request) in running() {
             let crash = Crash {
                 server_start: report.server_start,
                 request,
+                requests: requests_with[&fingerprint],
                 at_ms: now_ms,
             };
             self.add(&mut suspects, fingerprint, crash, &has_completed);
@@ -97,17 +103,17 @@
         has_completed: impl Fn(u64) -> bool,
     ) {
         if let Some(suspect) = suspects.get_mut(&fingerprint) {
-            push_separate(&mut suspect.crashes, crash, suspect.has_completed);
+            push_other(&mut suspect.crashes, crash, suspect.has_completed);
             return;
         }
         let now_ms = crash.at_ms;
         let has_completed = has_completed(fingerprint);
         let repeated = self.repeated.get(fingerprint, now_ms).cloned();
         let crashes = if let Some(mut crashes) = repeated {
-            push_separate(&mut crashes, crash, has_completed);
+            push_other(&mut crashes, crash, has_completed);
             crashes
         } else if let Some(&first) = self.seen_once.get(fingerprint, now_ms) {
-            if !crash.is_separate_from(&first, has_completed) {
+            if !crash.is_other_than(&first, has_completed) {
                 return;
             }
             self.seen_once.remove(fingerprint);
@@ -124,6 +130,18 @@
         suspects.insert(fingerprint, suspect);
     }
 
+    /// Returns whether something else that has not completed explains these crashes of a suspect.
+    pub(super) fn is_explained(
+        &self,
+        crashes: &[Crash],
+        has_completed: impl Fn(u64) -> bool,
+        now_ms: TimeMs,
+    ) -> bool {
+        self.repeated
+            .iter(now_ms)
+            .any(|(other, of_other)| explains(of_other, crashes) && !has_completed(other))
+    }
+
     /// Drops the crashes of a suspect up to this time; returns the later ones.
     pub(super) fn discard_until(
         &mut self,
@@ -171,11 +189,11 @@
     iter::once((request, None)).chain(parts)
 }
 
-fn push_separate(crashes: &mut Vec<Crash>, crash: Crash, has_completed: bool) {
-    let is_separate = crashes
+fn push_other(crashes: &mut Vec<Crash>, crash: Crash, has_completed: bool) {
+    let is_other = crashes
         .iter()
-        .all(|earlier| crash.is_separate_from(earlier, has_completed));
-    if is_separate && crashes.len() < MAX_REMEMBERED_CRASHES {
+        .all(|earlier| crash.is_other_than(earlier, has_completed));
+    if is_other && crashes.len() < MAX_REMEMBERED_CRASHES {
         crashes.push(crash);
     }
 }
--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -8,8 +8,8 @@
 //!
 //! Many servers may crash at once for another reason, such as a loss of power, beside content that
 //! callers request all the time. What has completed recently is therefore quarantined only after crashes
-//! at separate times. A part that was at fewer than half of the crashes of the last moment does not
-//! explain them, and waits for further evidence.
+//! at separate times, and only if nothing that has not completed explains them. A part that was at fewer
+//! than half of the crashes of the last moment does not explain them, and waits for further evidence.
 //!
 //! Each entry counts the crashes that agents report. A quarantine that one process starts is adopted by
 //! the others; a process that has seen a completion says so, and whoever started the quarantine decides
@@ -17,7 +17,7 @@
 
 use {
     super::{
-        crash::count_separate,
+        crash::{count_separate, explains, explains_better},
         crash_evidence::{CrashEvidence, RepeatedSuspect},
         expiring_map::ExpiringMap,
         message::{CompletionNotice, CrashReport, QuarantineChange, SuspectRequest},
@@ -90,7 +90,8 @@
         let has_completed = |fingerprint| completed.get(fingerprint, now_ms).is_some();
         let suspects = self.evidence.record(report, has_completed, now_ms);
         for suspect in &suspects {
-            if !self.is_justified(suspect, report.service, now_ms) {
+            let is_justified = self.is_justified(suspect, report.service, now_ms);
+            if !is_justified || is_explained_by_others(suspect, &suspects) {
                 continue;
             }
             let change = QuarantineChange {
@@ -185,7 +186,11 @@
         let crashes = self
             .evidence
             .discard_until(fingerprint, completed_ms, now_ms);
-        if count_separate(&crashes, true) >= MAX_CRASHES {
+        let completed = &self.completed;
+        let has_completed = |other| completed.get(other, now_ms).is_some();
+        let is_justified = count_separate(&crashes, true) >= MAX_CRASHES
+            && !self.evidence.is_explained(&crashes, has_completed, now_ms);
+        if is_justified {
             return None;
         }
         self.end(fingerprint, now_ms)
@@ -313,6 +318,17 @@
     }
 }
 
+/// Returns whether something else that ran at the same crash, and has not completed, explains the crashes of a
+/// suspect. Sound requests share their parts with those that crash servers, and may complete too seldom to
+/// show it between the crashes.
+fn is_explained_by_others(suspect: &RepeatedSuspect, running: &[RepeatedSuspect]) -> bool {
+    let mut others = running.iter().filter(|other| !other.has_completed);
+    if suspect.has_completed {
+        return others.any(|other| explains(&other.crashes, &suspect.crashes));
+    }
+    suspect.is_part() && others.any(|other| explains_better(&other.crashes, &suspect.crashes))
+}
+
 /// Returns the fingerprints of a request and of the parts of its prompt.
 fn fingerprints(suspect: &SuspectRequest) -> impl Iterator<Item = u64> + '_ {
     std::iter::once(suspect.request).chain(suspect.parts.iter().copied())
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod quarantine_fleet;
 mod quarantine_long_prompts;
+mod quarantine_shared_parts;
 mod quota_fleet;
 mod request_rates;
 mod retries;
