fix(quarantine): bound the comparison of suspects at a crash

What callers saw: nothing yet; found by reading. When prompts are long and nothing completes, thousands of parts are at the same three crashes, and each was compared with each, which would hold an entry's thread.

Fix: a suspect is compared with the 32 most suspicious others of the crash. What explains the crashes is among them, as they are in the order of their crashes; where more are equal, any of them explains as well.

No test shows the time that it saves.

--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -33,6 +33,9 @@
 const COMPLETION_RETENTION_MS: u64 = 60_000;
 /// Time within which a further completion need not be recorded.
 const COMPLETION_RESOLUTION_MS: u64 = 1_000;
+/// Limit on the suspects with which one is compared at a crash, the most suspicious first. It keeps the work
+/// small when all parts of long prompts are at the same crashes.
+const MAX_COMPARED: usize = 32;
 /// Limit on the completions that are remembered, by fingerprint.
 const MAX_COMPLETED: usize = 114_688;
 /// Limit on the quarantined fingerprints.
@@ -322,7 +325,8 @@
 /// suspect. Sound requests share their parts with those that crash servers, and may complete too seldom to
 /// show it between the crashes.
 fn is_explained_by_others(suspect: &RepeatedSuspect, running: &[RepeatedSuspect]) -> bool {
-    let mut others = running.iter().filter(|other| !other.has_completed);
+    let others = running.iter().filter(|other| !other.has_completed);
+    let mut others = others.take(MAX_COMPARED);
     if suspect.has_completed {
         return others.any(|other| explains(&other.crashes, &suspect.crashes));
     }
