--- a/crates/magnoliasail-core/tests/gateway/quarantine_table.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine_table.rs
@@ -260,7 +260,10 @@
     fn step(&mut self) {
         self.now_ms += 1;
         let now_ms = self.now_ms;
-        while let Some((_, message)) = self.in_transit.pop_front_if(|(at_ms, _)| *at_ms <= now_ms) {
+        let arrived = self
+            .in_transit
+            .partition_point(|(at_ms, _)| *at_ms <= now_ms);
+        for (_, message) in self.in_transit.drain(..arrived).collect::<Vec<_>>() {
             self.deliver(message);
         }
         for index in 0..self.servers.len() {
@@ -284,7 +287,7 @@
         let sound_interval_ms = SOUND_INTERVAL_MS / self.case.servers as u64;
         while self.now_ms < end_ms {
             self.step();
-            if self.now_ms % sound_interval_ms.max(1) == 0 {
+            if self.now_ms.is_multiple_of(sound_interval_ms.max(1)) {
                 let (entry, request) = (self.random.random_range(0..ENTRIES), self.request(None));
                 let is_started = self.start(entry, request, false, false);
                 if self.now_ms > end_ms - MEASURED_MS {
