fix(agent): what a report has proven stays proven, and a late report refutes nothing

Now the newest report that names a start is kept; a missing answer changes nothing, and only a process that does not listen any more ends the wait. A refusal with a pause shows the start that reported after the connection of the refusal was opened.

--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        report_mark::{EndEvidence, ReportAnswer, ReportMark},
+        report_mark::{EndEvidence, ReportAnswer},
         state::AgentState,
     },
     crate::{
@@ -148,13 +148,12 @@
     let answer = match result {
         Ok(received) => ReportAnswer::Started(received.report.started_ms),
         Err(ReportError::Paused { opened_at }) => ReportAnswer::Refused(*opened_at),
-        Err(error) if error.missing_report() == MissingReport::NotSent => return,
+        Err(error) if error.is_connection_refused() => ReportAnswer::Gone,
         Err(_) => ReportAnswer::Unanswered,
     };
-    state.last_report.send_replace(Some(ReportMark {
-        requested_at,
-        answer,
-    }));
+    state
+        .report_marks
+        .send_modify(|marks| marks.record(requested_at, answer));
 }
 
 /// Keeps the entries informed of the engine's state until the process exits.
--- a/crates/magnoliasail/src/gateway/agent/report_mark.rs
+++ b/crates/magnoliasail/src/gateway/agent/report_mark.rs
@@ -1,7 +1,8 @@
 //! What the engine's reports prove: which start of it was alive at a time, and which start sent a response.
 //!
 //! A report is younger than its request and older than its answer. So what a report shows is used only for
-//! what happened before it was requested: the end of a response, or the opening of a connection.
+//! what happened before it was requested: the end of a response, or the opening of a connection. A report that
+//! is late or missing proves nothing: a sound engine may fall silent for a while.
 
 use {
     super::state::AgentState,
@@ -10,14 +11,16 @@
     tokio::time::{Instant, timeout},
 };
 
-/// Longest wait for a report: that of two requests without an answer.
-const MAX_WAIT: Duration = Duration::from_millis(1_100);
+/// Longest wait for a report, well above the time for which a sound engine may fall silent.
+const MAX_WAIT: Duration = Duration::from_millis(2_500);
 
-/// The outcome of the latest request for a report.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ReportMark {
-    pub(super) requested_at: Instant,
-    pub(super) answer: ReportAnswer,
+/// What the requests for reports have shown so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ReportMarks {
+    /// When the latest request was made that a start of the engine answered, and that start.
+    alive: Option<(Instant, Option<u64>)>,
+    /// When the latest request was made at which no process listened at the engine's address.
+    gone_at: Option<Instant>,
 }
 
 /// How the engine answered a request for a report.
@@ -27,10 +30,39 @@
     Started(Option<u64>),
     /// With a refusal, on a connection that was opened at this time.
     Refused(Instant),
-    /// Not at all.
+    /// No process listens at its address.
+    Gone,
+    /// Not, or not in time.
     Unanswered,
 }
 
+impl ReportMarks {
+    /// Records the answer to a request that was made at `requested_at`.
+    pub(super) fn record(&mut self, requested_at: Instant, answer: ReportAnswer) {
+        match answer {
+            ReportAnswer::Started(started_ms) => self.alive = Some((requested_at, started_ms)),
+            ReportAnswer::Refused(opened_at) => {
+                // Only the start that reported after the connection was opened can still answer on it.
+                if let Some((_, started_ms)) = self.alive.filter(|&(at, _)| at > opened_at) {
+                    self.alive = Some((requested_at, started_ms));
+                }
+            }
+            ReportAnswer::Gone => self.gone_at = Some(requested_at),
+            ReportAnswer::Unanswered => {}
+        }
+    }
+
+    /// Returns the start that answered a request made after `at`, if one did.
+    fn alive_after(&self, at: Instant) -> Option<Option<u64>> {
+        let (_, started_ms) = self.alive.filter(|&(requested_at, _)| requested_at > at)?;
+        Some(started_ms)
+    }
+
+    fn is_gone_after(&self, at: Instant) -> bool {
+        self.gone_at.is_some_and(|gone_at| gone_at > at)
+    }
+}
+
 /// What is known of the engine after the end of a response without a length or chunks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -54,11 +86,10 @@
         started_ms: Option<u64>,
         ended_at: Instant,
     ) -> EndEvidence {
-        match self.answer_after(ended_at).await {
-            ReportAnswer::Started(alive_ms) if alive_ms == started_ms => EndEvidence::Alive,
-            ReportAnswer::Started(_) => EndEvidence::OtherStart,
-            ReportAnswer::Refused(opened_at) if opened_at < ended_at => EndEvidence::Alive,
-            ReportAnswer::Refused(_) | ReportAnswer::Unanswered => EndEvidence::Unproven,
+        match self.start_alive_after(ended_at).await {
+            Some(alive_ms) if alive_ms == started_ms => EndEvidence::Alive,
+            Some(_) => EndEvidence::OtherStart,
+            None => EndEvidence::Unproven,
         }
     }
 
@@ -68,21 +99,22 @@
     /// If a report that was requested after the opening still names this start, no other can have accepted the
     /// connection.
     pub(super) async fn is_connected_to_start(&self, started_ms: u64, opened_at: Instant) -> bool {
-        let answer = self.answer_after(opened_at).await;
-        matches!(answer, ReportAnswer::Started(Some(alive_ms)) if alive_ms == started_ms)
+        self.start_alive_after(opened_at).await == Some(Some(started_ms))
     }
 
-    /// Requests a report, unless one was requested after `at`, and returns its answer.
-    async fn answer_after(&self, at: Instant) -> ReportAnswer {
-        let mut marks = self.last_report.subscribe();
-        let is_later = |mark: &Option<ReportMark>| mark.is_some_and(|mark| mark.requested_at > at);
-        if !is_later(&marks.borrow()) {
+    /// Waits for a report that is requested after `at`, unless there is one already, and returns the start that
+    /// it names; `None` if the engine is gone, or gives none for too long.
+    async fn start_alive_after(&self, at: Instant) -> Option<Option<u64>> {
+        let mut marks = self.report_marks.subscribe();
+        let is_known =
+            |marks: &ReportMarks| marks.alive_after(at).is_some() || marks.is_gone_after(at);
+        if !is_known(&marks.borrow()) {
             self.report_requested.notify_one();
         }
-        let answer = match timeout(MAX_WAIT, marks.wait_for(is_later)).await {
-            Ok(Ok(mark)) => mark.map(|mark| mark.answer),
-            _ => None,
-        };
-        answer.unwrap_or(ReportAnswer::Unanswered)
+        let marks = timeout(MAX_WAIT, marks.wait_for(is_known))
+            .await
+            .ok()?
+            .ok()?;
+        marks.alive_after(at)
     }
 }
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -10,7 +10,7 @@
         engine::{run_request, send_order},
         fetches::FetchEntries,
         operator_observer::MAX_READ_LAG_MS,
-        report_mark::ReportMark,
+        report_mark::ReportMarks,
     },
     crate::{
         events::{EventId, emit},
@@ -83,7 +83,7 @@
     /// Whether a task waits for the time at which the engine's rate allows the next request.
     pub(super) has_rate_wakeup: Cell<bool>,
     pub(super) quarantine: RefCell<Quarantine>,
-    pub(super) last_report: watch::Sender<Option<ReportMark>>,
+    pub(super) report_marks: watch::Sender<ReportMarks>,
     /// Notified when the next report should be requested at once.
     pub(super) report_requested: Notify,
     /// Queued and running requests by their keys.
@@ -144,7 +144,7 @@
             configuration: RefCell::default(),
             has_rate_wakeup: Cell::new(false),
             quarantine: RefCell::default(),
-            last_report: watch::Sender::default(),
+            report_marks: watch::Sender::default(),
             report_requested: Notify::new(),
             active_requests: RefCell::default(),
             links: RefCell::default(),
