fix(entry): the only version is confirmed by agents that know the recent ones, and by a current list

An entry also told new agents that it knew all versions until now, though its last read was seconds old.

Only agents that know all recent versions of the service count; an entry that does not read the store neither assumes the only version nor claims that there is no other. A record that an engine only began the stream, from a few agents, is checked with all.

--- a/crates/magnoliasail-core/src/gateway/origin_evidence.rs
+++ b/crates/magnoliasail-core/src/gateway/origin_evidence.rs
@@ -22,8 +22,8 @@
 /// events that were only made are proof as long as they agree.
 #[derive(Clone, Debug, Default)]
 pub struct OriginEvidence {
-    /// Number of agents that have answered.
-    answers: usize,
+    /// Number of agents that have answered and know the recent versions of the service.
+    witnesses: usize,
     latest_forwarded: Option<OriginRecord>,
     begun: Option<Option<Arc<str>>>,
     is_conflicting: bool,
@@ -41,9 +41,10 @@
 }
 
 impl OriginEvidence {
-    /// Adds the answer of one agent, with its record if it has one.
-    pub fn add_answer(&mut self, record: Option<OriginRecord>) {
-        self.answers += 1;
+    /// Adds the answer of one agent: its record of the stream, if it has one, and whether it knows all recent
+    /// versions of the service. An agent that has just started knows neither.
+    pub fn add_answer(&mut self, record: Option<OriginRecord>, knows_versions: bool) {
+        self.witnesses += usize::from(knows_versions);
         if let Some(record) = record {
             self.add(record);
         }
@@ -53,7 +54,13 @@
     /// none of them knows. An entry that is cut off from a few agents has told the others.
     #[must_use]
     pub const fn is_representative(&self, asked: usize) -> bool {
-        self.answers > 0 && self.answers * 2 >= asked
+        self.witnesses > 0 && self.witnesses * 2 >= asked
+    }
+
+    /// Returns whether an entry is known to have forwarded the first event of the stream.
+    #[must_use]
+    pub const fn has_forwarded(&self) -> bool {
+        self.latest_forwarded.is_some()
     }
 
     /// Adds the record of one process.
--- a/crates/magnoliasail-core/src/gateway/store_freshness.rs
+++ b/crates/magnoliasail-core/src/gateway/store_freshness.rs
@@ -8,6 +8,9 @@
 
 /// Time without a successful read after which agents are asked: more than a read usually takes.
 const STALE_AFTER_MS: u64 = 2_500;
+/// Time without a successful read for which the list of servers still counts as the current one: more than a
+/// watch without changes and the pause after it take.
+const MAX_LIST_AGE_MS: u64 = 5_500;
 /// Agents that are asked at a time.
 const AGENTS_ASKED: usize = 3;
 
@@ -61,6 +64,15 @@
         Some(now_ms.saturating_sub(self.last_read_ms?))
     }
 
+    /// Returns whether the store is read, so that what it does not list may be taken not to exist.
+    #[must_use]
+    pub fn is_current(&self, now_ms: TimeMs) -> bool {
+        !self.has_failed
+            && self
+                .age_ms(now_ms)
+                .is_some_and(|age_ms| age_ms <= MAX_LIST_AGE_MS)
+    }
+
     /// Returns the agents to ask for the configuration, out of those that can be asked: none while the
     /// store is read.
     pub fn agents_to_ask(&mut self, mut agents: Vec<IpAddr>, now_ms: TimeMs) -> Vec<IpAddr> {
--- a/crates/magnoliasail-core/tests/gateway/stream_origins.rs
+++ b/crates/magnoliasail-core/tests/gateway/stream_origins.rs
@@ -264,7 +264,7 @@
 }
 
 #[test]
-fn a_few_silent_agents_do_not_keep_the_others_from_showing_that_there_is_no_other_version() {
+fn a_few_agents_that_are_silent_or_have_just_started_do_not_keep_the_others_from_being_heard() {
     for (answers, asked, is_representative) in [
         (0, 0, false),
         (0, 8, false),
@@ -274,7 +274,10 @@
     ] {
         let mut evidence = OriginEvidence::default();
         for _ in 0..answers {
-            evidence.add_answer(None);
+            evidence.add_answer(None, true);
+        }
+        for _ in answers..asked {
+            evidence.add_answer(None, false);
         }
         assert_eq!(
             evidence.is_representative(asked),
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -69,7 +69,8 @@
         let witnesses = pick_witnesses(key, state.linked_agents());
         let survey = Survey::of(state, service, key, Some(&witnesses)).await;
         let lookup = survey.lookup(state, service);
-        if lookup.source != OriginSource::Unknown {
+        // What engines have only begun is proof if none of the others says otherwise.
+        if survey.evidence.has_forwarded() || lookup.source == OriginSource::OnlyVersion {
             return lookup;
         }
     }
@@ -82,7 +83,8 @@
 fn only_version(state: &EntryState, service: &str) -> Option<VersionConstraint> {
     let now_ms = state.clock.now_ms();
     let versions = state.versions.borrow();
-    if !versions.covers_resumable_streams(service, now_ms) {
+    let is_current = state.store_freshness.get().is_current(now_ms);
+    if !is_current || !versions.covers_resumable_streams(service, now_ms) {
         return None;
     }
     versions.only_version(service, now_ms)
@@ -121,7 +123,7 @@
             }
             let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
             match timeout_at(poll_end, answers.recv()).await {
-                Ok(Some(answer)) => survey.add(state, &answer),
+                Ok(Some(answer)) => survey.add(state, service, &answer),
                 Ok(None) => break,
                 Err(_) => {}
             }
@@ -145,11 +147,15 @@
         }
     }
 
-    fn add(&mut self, state: &EntryState, answer: &OriginAnswer) {
+    fn add(&mut self, state: &EntryState, service: &str, answer: &OriginAnswer) {
         for versions in &answer.versions {
             state.add_versions(versions);
         }
-        self.evidence.add_answer(answer.record());
+        let knows_versions = answer
+            .versions
+            .iter()
+            .any(|known| known.service == service && known.covers_resumable_streams());
+        self.evidence.add_answer(answer.record(), knows_versions);
     }
 
     /// Returns what the answers show, together with what this entry knows by now.
--- a/crates/magnoliasail/src/gateway/entry/version_reports.rs
+++ b/crates/magnoliasail/src/gateway/entry/version_reports.rs
@@ -25,7 +25,8 @@
     /// not recorded for a while is dropped.
     pub(super) fn refresh_versions(&self, directory: &Directory) {
         let now_ms = self.clock.now_ms();
-        if !self.versions.borrow_mut().start_refresh(now_ms) {
+        let is_current = self.store_freshness.get().is_current(now_ms);
+        if !is_current || !self.versions.borrow_mut().start_refresh(now_ms) {
             return;
         }
         for server in directory.all() {
@@ -47,8 +48,16 @@
 
     /// Tells the agent on a VM what this entry knows of the versions of services.
     pub(super) fn send_versions(&self, vm: IpAddr) {
-        let known = self.versions.borrow().snapshot(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let is_current = self.store_freshness.get().is_current(now_ms);
+        let known = self.versions.borrow().snapshot(now_ms);
         for versions in known {
+            // An entry that does not read the store knows these versions, but not whether there are others.
+            let known_for_ms = if is_current { versions.known_for_ms } else { 0 };
+            let versions = ServiceVersions {
+                known_for_ms,
+                ..versions
+            };
             // If it is not taken, the next report brings it.
             let _ = self.send_to_agent(vm, ToAgentKind::Versions(versions));
         }
