fix(entry): new streams begin at an engine whose new start is not listed yet, if no listed one serves

A new stream may begin at such a start: its software version counts as one that no other start has, so that it is not resumed elsewhere. A row without a start time is not used once others have named theirs, since it comes from another writer and would switch the check off.

new_streams_are_served_by_engines_that_started_anew_while_the_store_is_away passes.

--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -73,6 +73,8 @@
     pub(super) has_quarantines: Cell<bool>,
     /// When the server list was read for the first time.
     pub(super) listed_since_ms: Cell<Option<u64>>,
+    /// Whether the rows of servers name their start times.
+    pub(super) has_start_times: Cell<bool>,
     /// Whether the latest read of the store failed.
     pub(super) is_store_lost: Cell<bool>,
     pub(super) store_freshness: Cell<StoreFreshness>,
@@ -97,6 +99,24 @@
     pub(super) is_engine: bool,
 }
 
+impl PickedServer {
+    /// Returns the server as the start that its agent reports. If that is not the listed one, its software
+    /// version is unknown, and counts as one that no other start has.
+    fn at_start(self, reported_ms: Option<u64>) -> Self {
+        let (Some(started_ms), Some(listed_ms)) = (reported_ms, self.started_ms) else {
+            return self;
+        };
+        if started_ms == listed_ms {
+            return self;
+        }
+        Self {
+            software_version: Some(format!("unlisted {}@{started_ms}", self.id).into()),
+            started_ms: Some(started_ms),
+            ..self
+        }
+    }
+}
+
 impl EntryState {
     pub(super) fn new(
         settings: Rc<NodeSettings>,
@@ -129,6 +149,7 @@
             answered_count: Cell::new(0),
             has_quarantines: Cell::new(false),
             listed_since_ms: Cell::new(None),
+            has_start_times: Cell::new(false),
             is_store_lost: Cell::new(false),
             store_freshness: Cell::default(),
             quotas: RefCell::default(),
@@ -244,6 +265,8 @@
     ) -> (Vec<PickedServer>, Vec<Candidate>) {
         let model = outgoing.metadata.model.as_deref().map(adapter_key);
         let adapter = adapter_key(adapter);
+        let may_begin_unlisted =
+            !outgoing.needs_known_version() || *version == VersionConstraint::Any;
         let now_ms = self.clock.now_ms();
         let directory = self.directory.borrow();
         let links = self.links.borrow();
@@ -256,12 +279,20 @@
                 Some((server, link, link.usable_state()?, holds_model))
             })
             .filter(|(server, _, state, _)| {
-                !outgoing.needs_known_version() || state.may_be_start(server.entry.started_ms)
+                may_begin_unlisted || state.may_be_start(server.entry.started_ms)
             })
             .collect();
         let is_model_resident = usable.iter().any(|&(.., holds_model)| holds_model);
+        // What begins at a start whose software version is unknown cannot be resumed.
+        let needs_listed = outgoing.needs_known_version()
+            && usable
+                .iter()
+                .any(|(server, _, state, _)| state.may_be_start(server.entry.started_ms));
         usable
             .into_iter()
+            .filter(|(server, _, state, _)| {
+                !needs_listed || state.may_be_start(server.entry.started_ms)
+            })
             .filter(|&(.., holds_model)| holds_model || !is_model_resident)
             .filter(|(server, ..)| !tried.contains(&server.entry.id))
             .map(|(server, link, state, _)| {
@@ -277,7 +308,7 @@
                 };
                 let pick = PickedServer {
                     is_engine: true,
-                    ..pick
+                    ..pick.at_start(state.started_ms)
                 };
                 (pick, candidate)
             })
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -41,6 +41,9 @@
 /// Applies changes of the operator's configuration and of the server list.
 struct StoreObserver(Rc<EntryState>);
 
+/// Why a row is not used although it can be read: another writer wrote it.
+const NO_START_TIME: &str = "the row names no start time, as others do; check who wrote it";
+
 /// Starts the tasks that follow the store and maintain the links, for the lifetime of the process.
 ///
 /// One watch covers the configuration and the server list, so that an entry makes half as many calls
@@ -124,7 +127,15 @@
             return;
         };
         match registry::decode_server(id, value) {
+            Ok(entry) if entry.started_ms.is_none() && self.0.has_start_times.get() => emit(
+                EventId::ServerUnreadable,
+                format_args!(
+                    "key={} revision={}: {NO_START_TIME}",
+                    change.key, change.revision
+                ),
+            ),
             Ok(entry) => {
+                self.0.has_start_times.set(entry.started_ms.is_some());
                 emit(
                     EventId::ServerListed,
                     format_args!(
