fix(entry): a health check takes nothing of a named rate, and an unproven end blames nobody

Checks take no permit now, read their answer so that the connection stays, and are not made for HEAD. The end of a stream of a plain server that is merely unproven was recorded as a crash; it is not any more.

--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -375,7 +375,7 @@
                 };
                 match response.next_part().await {
                     Ok(Some(bytes)) => BodyUpdate::Part(bytes),
-                    Ok(None) if response.is_framed() => {
+                    Ok(None) if !check.is_needed(response) => {
                         if let Some(response) = response_slot.take() {
                             response.release();
                         }
--- a/crates/magnoliasail/src/gateway/entry/end_check.rs
+++ b/crates/magnoliasail/src/gateway/entry/end_check.rs
@@ -10,8 +10,9 @@
     },
     crate::{
         events::{EventId, emit},
-        gateway::pool::SendError,
+        gateway::pool::{SendError, ServerResponse},
     },
+    hyper::Method,
     magnoliasail_core::gateway::{Ineligibility, VersionConstraint},
     magnoliasail_platform::headers,
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -63,6 +64,11 @@
         }
     }
 
+    /// Returns whether the end of a response says nothing about whether it is complete.
+    pub(super) fn is_needed(&self, response: &ServerResponse) -> bool {
+        self.outgoing.method != Method::HEAD && !response.is_framed()
+    }
+
     /// Finds out whether the server is alive after a response that has just ended.
     pub(super) async fn run(&self) -> EndEvidence {
         let ended_at = Instant::now();
@@ -87,19 +93,9 @@
         let Some(path) = self.health_path() else {
             return EndEvidence::Unproven;
         };
-        // A health check is a request too: none is sent in a pause, and it counts towards the rate that the server
-        // names.
         if self.is_paused() {
             return EndEvidence::Unproven;
         }
-        if self
-            .state
-            .permit_send(&self.pick, &self.outgoing)
-            .await
-            .is_err()
-        {
-            return EndEvidence::Unproven;
-        }
         let pool = self.state.pool(&self.pick.service, self.pick.address);
         for _ in 0..=MAX_LOST_CONNECTIONS {
             let request =
@@ -108,9 +104,7 @@
                 Err(SendError::ConnectionLost { .. }) => continue,
                 Err(error) if error.is_connection_refused() => EndEvidence::Gone,
                 Err(_) => EndEvidence::Unproven,
-                Ok(response) if response.opened_at() < ended_at => EndEvidence::SameProcess,
-                Ok(response) if headers::is_expected_server(response.status) => EndEvidence::SameId,
-                Ok(_) => EndEvidence::Unproven,
+                Ok(response) => evidence_of(response, ended_at),
             };
         }
         EndEvidence::Gone
@@ -132,3 +126,18 @@
         (!path.is_empty()).then_some(path)
     }
 }
+
+/// Returns what the answer to a health check shows, and leaves its connection open for others.
+fn evidence_of(response: ServerResponse, ended_at: Instant) -> EndEvidence {
+    let evidence = if response.opened_at() < ended_at {
+        EndEvidence::SameProcess
+    } else if headers::is_expected_server(response.status) {
+        EndEvidence::SameId
+    } else {
+        EndEvidence::Unproven
+    };
+    if response.is_framed() {
+        tokio::task::spawn_local(response.collect());
+    }
+    evidence
+}
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -159,9 +159,8 @@
                 BodyUpdate::End if !self.splitter.has_partial_event() => {
                     return RelayOutcome::Complete;
                 }
-                BodyUpdate::End | BodyUpdate::Aborted | BodyUpdate::Unproven => {
-                    self.resume().await.map(|()| None)
-                }
+                BodyUpdate::Unproven => self.resume_elsewhere().await.map(|()| None),
+                BodyUpdate::End | BodyUpdate::Aborted => self.resume().await.map(|()| None),
             };
             match resumption {
                 Ok(update) => pending = update,
@@ -195,15 +194,24 @@
         caller.write(part.freeze()).await
     }
 
-    /// Resumes the stream at another server after the last event that the caller has.
+    /// Resumes the stream, which its server has broken off, at another server.
     ///
     /// # Errors
     ///
     /// Returns why the stream ends early.
     async fn resume(&mut self) -> Result<(), TakeoverFailure> {
+        self.dispatch.record_broken_off(self.in_flight.pick());
+        self.resume_elsewhere().await
+    }
+
+    /// Resumes the stream at another server after the last event that the caller has.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream ends early.
+    async fn resume_elsewhere(&mut self) -> Result<(), TakeoverFailure> {
         self.attempt = None;
         self.in_flight.end();
-        self.dispatch.record_broken_off(self.in_flight.pick());
         let started = self
             .dispatch
             .find_successor(self.last_event_id, |status| status.is_success())
--- a/crates/magnoliasail/tests/stale_software_versions.rs
+++ b/crates/magnoliasail/tests/stale_software_versions.rs
@@ -222,3 +222,91 @@
         assert!(served > 0, "{}", fleet.output());
     });
 }
+
+/// The same, and the other entry and all agents are restarted: what they do not know proves nothing.
+#[test]
+fn stream_is_not_joined_to_the_only_software_that_a_cut_off_entry_and_new_agents_know() {
+    let settings = FleetSettings {
+        entries: 2,
+        engines: 4,
+        plain_servers: 1,
+        ..small_fleet(177)
+    };
+    run_with_fleet(settings, |mut fleet| async move {
+        let engines = 4;
+        let entries = 2;
+        let replaced = [0, 2];
+        fleet.proxies[engines + 1].set_mode(ProxyMode::Blocked);
+        fleet.proxies[engines + 1].reset_connections();
+        for engine in replaced {
+            fleet.remove_server(engine);
+            let server = &fleet.servers[engine];
+            server.crash();
+            server.set_software_version("v2");
+            server.start().await.expect("the server starts");
+            fleet.publish_server(engine);
+        }
+        sleep(PROPAGATION_TIME).await;
+        let servers = &fleet.servers[..engines];
+        servers
+            .iter()
+            .for_each(|engine| engine.set_faults(LONG_STREAM));
+        let tasks = start_streams(&fleet, 0, "first");
+        let replaced_id = fleet.servers[replaced[0]].id();
+        wait_for_run(&fleet, "first", &replaced_id).await;
+        sleep(Duration::from_millis(900)).await;
+        fleet.kill(0);
+        for agent in 0..engines {
+            fleet.restart(entries + agent).expect("the agent starts");
+        }
+        let resumed: Vec<Call> = end(tasks)
+            .await
+            .into_iter()
+            .filter_map(|(_, call)| call)
+            .collect();
+        assert!(!resumed.is_empty(), "{}", fleet.output());
+        sleep(Duration::from_millis(1_500)).await;
+        let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
+        for call in &resumed {
+            caller.call(call).await;
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
+/// A sound engine may be silent for a second, also to requests for its report.
+#[test]
+fn streams_whose_engine_is_silent_for_a_second_before_their_heads_are_served() {
+    let settings = FleetSettings {
+        engines: 1,
+        ..small_fleet(178)
+    };
+    run_with_fleet(settings, |fleet| async move {
+        end(start_streams(&fleet, 0, "before")).await;
+        sleep(Duration::from_millis(400)).await;
+        fleet.servers[0].fall_silent(Duration::from_millis(1_100));
+        let ended = end(start_streams(&fleet, 0, "first")).await;
+        let is_served = |(outcome, _): &(Outcome, _)| *outcome == Outcome::Served;
+        assert!(ended.iter().all(is_served), "{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
+
+/// Both engines are back under their ids while the store turns the entry away, so that no row names their
+/// new starts.
+#[test]
+fn new_streams_are_served_by_engines_that_started_anew_while_the_store_is_away() {
+    run_with_fleet(small_fleet(179), |fleet| async move {
+        end(start_streams(&fleet, 0, "before")).await;
+        fleet.proxies[2].set_mode(ProxyMode::Blocked);
+        fleet.proxies[2].reset_connections();
+        for engine in 0..2 {
+            upgrade_in_place(&fleet, engine).await;
+        }
+        sleep(Duration::from_millis(2_000)).await;
+        let ended = end(start_streams(&fleet, 0, "new")).await;
+        let is_served = |(outcome, _): &(Outcome, _)| *outcome == Outcome::Served;
+        assert!(ended.iter().all(is_served), "{}", fleet.output());
+        assert_no_violations(&fleet);
+    });
+}
--- a/crates/magnoliasail/tests/unframed_responses.rs
+++ b/crates/magnoliasail/tests/unframed_responses.rs
@@ -5,7 +5,9 @@
 use {
     self::common::{assert_no_violations, run_with_fleet, small_fleet},
     hyper::StatusCode,
-    magnoliasail_soak::{BackendServer, Call, CallKind, Caller, Fleet, Outcome, ServerFaults},
+    magnoliasail_soak::{
+        BackendServer, Call, CallKind, Caller, Fleet, FleetSettings, Outcome, ServerFaults,
+    },
     std::time::Duration,
     tokio::time::sleep,
 };
@@ -154,3 +156,31 @@
         assert!(outcomes.contains(&broken_off), "{outcomes:?}");
     });
 }
+
+/// The checks of the ends take nothing of the rate that the server names.
+#[test]
+fn unframed_responses_of_a_plain_server_that_names_a_rate_are_served() {
+    let settings = FleetSettings {
+        plain_servers: 1,
+        ..small_fleet(180)
+    };
+    run_with_fleet(settings, |fleet| async move {
+        let server = &fleet.servers[ENGINES];
+        server.set_unframed_answers(true);
+        server.set_rate(Some(1.7));
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..8 {
+            let call = Call {
+                id: format!("rated-{number}"),
+                kind: CallKind::Unsafe,
+                content: format!("{number}"),
+                ..Call::default()
+            };
+            let outcome = caller.call(&call).await;
+            let is_sound = matches!(outcome, Outcome::Served | Outcome::NotRun);
+            assert!(is_sound, "{outcome:?}\n{}", fleet.output());
+            sleep(Duration::from_millis(700)).await;
+        }
+        assert_no_violations(&fleet);
+    });
+}
