--- a/crates/magnoliasail/tests/stale_software_versions.rs
+++ b/crates/magnoliasail/tests/stale_software_versions.rs
@@ -15,6 +15,9 @@
 
 const STREAMS: u32 = 12;
 const ADAPTERS: u32 = 4;
+/// The processes of the larger fleet, in which some engines are replaced.
+const ENTRIES: usize = 2;
+const ENGINES: usize = 4;
 /// Delay of each event that keeps streams running until their server or entry fails.
 const LONG_STREAM: ServerFaults = ServerFaults {
     error_share: 0.0,
@@ -90,6 +93,33 @@
     server.start().await.expect("the server starts");
 }
 
+/// Cuts the second entry off from the store, replaces two engines by others of newer software, and starts streams at
+/// the first entry. Returns their tasks when all have events.
+async fn streams_beside_replaced_engines(fleet: &Fleet) -> Vec<Task> {
+    const REPLACED: [usize; 2] = [0, 2];
+    // The proxies of the processes follow those of the agents; entries come first.
+    let store_path = &fleet.proxies[ENGINES + 1];
+    store_path.set_mode(ProxyMode::Blocked);
+    store_path.reset_connections();
+    for engine in REPLACED {
+        fleet.remove_server(engine);
+        let server = &fleet.servers[engine];
+        server.crash();
+        server.set_software_version("v2");
+        server.start().await.expect("the server starts");
+        fleet.publish_server(engine);
+    }
+    sleep(PROPAGATION_TIME).await;
+    let servers = &fleet.servers[..ENGINES];
+    servers
+        .iter()
+        .for_each(|engine| engine.set_faults(LONG_STREAM));
+    let tasks = start_streams(fleet, 0, "first");
+    wait_for_run(fleet, "first", &servers[REPLACED[0]].id()).await;
+    sleep(Duration::from_millis(900)).await;
+    tasks
+}
+
 /// The row of the upgraded engine is written late, so that the entry still lists the software that it had.
 #[test]
 fn stream_is_not_resumed_at_an_engine_that_started_anew_with_other_software() {
@@ -173,35 +203,13 @@
 #[test]
 fn stream_is_not_joined_to_the_only_software_that_a_cut_off_entry_has_listed() {
     let settings = FleetSettings {
-        entries: 2,
-        engines: 4,
+        entries: ENTRIES as u8,
+        engines: ENGINES as u8,
         plain_servers: 1,
         ..small_fleet(172)
     };
     run_with_fleet(settings, |mut fleet| async move {
-        let engines = 4;
-        let replaced = [0, 2];
-        // The proxies of the processes follow those of the agents; entries come first.
-        let cut_off = 1;
-        fleet.proxies[engines + cut_off].set_mode(ProxyMode::Blocked);
-        fleet.proxies[engines + cut_off].reset_connections();
-        for engine in replaced {
-            fleet.remove_server(engine);
-            let server = &fleet.servers[engine];
-            server.crash();
-            server.set_software_version("v2");
-            server.start().await.expect("the server starts");
-            fleet.publish_server(engine);
-        }
-        sleep(PROPAGATION_TIME).await;
-        let servers = &fleet.servers[..engines];
-        servers
-            .iter()
-            .for_each(|engine| engine.set_faults(LONG_STREAM));
-        let tasks = start_streams(&fleet, 0, "first");
-        let replaced_id = fleet.servers[replaced[0]].id();
-        wait_for_run(&fleet, "first", &replaced_id).await;
-        sleep(Duration::from_millis(900)).await;
+        let tasks = streams_beside_replaced_engines(&fleet).await;
         fleet.kill(0);
         let resumed: Vec<Call> = end(tasks)
             .await
@@ -209,7 +217,7 @@
             .filter_map(|(_, call)| call)
             .collect();
         assert!(!resumed.is_empty(), "{}", fleet.output());
-        let servers = &fleet.servers[..engines];
+        let servers = &fleet.servers[..ENGINES];
         servers
             .iter()
             .for_each(|engine| engine.set_faults(ServerFaults::default()));
@@ -227,37 +235,16 @@
 #[test]
 fn stream_is_not_joined_to_the_only_software_that_a_cut_off_entry_and_new_agents_know() {
     let settings = FleetSettings {
-        entries: 2,
-        engines: 4,
+        entries: ENTRIES as u8,
+        engines: ENGINES as u8,
         plain_servers: 1,
         ..small_fleet(177)
     };
     run_with_fleet(settings, |mut fleet| async move {
-        let engines = 4;
-        let entries = 2;
-        let replaced = [0, 2];
-        fleet.proxies[engines + 1].set_mode(ProxyMode::Blocked);
-        fleet.proxies[engines + 1].reset_connections();
-        for engine in replaced {
-            fleet.remove_server(engine);
-            let server = &fleet.servers[engine];
-            server.crash();
-            server.set_software_version("v2");
-            server.start().await.expect("the server starts");
-            fleet.publish_server(engine);
-        }
-        sleep(PROPAGATION_TIME).await;
-        let servers = &fleet.servers[..engines];
-        servers
-            .iter()
-            .for_each(|engine| engine.set_faults(LONG_STREAM));
-        let tasks = start_streams(&fleet, 0, "first");
-        let replaced_id = fleet.servers[replaced[0]].id();
-        wait_for_run(&fleet, "first", &replaced_id).await;
-        sleep(Duration::from_millis(900)).await;
+        let tasks = streams_beside_replaced_engines(&fleet).await;
         fleet.kill(0);
-        for agent in 0..engines {
-            fleet.restart(entries + agent).expect("the agent starts");
+        for agent in 0..ENGINES {
+            fleet.restart(ENTRIES + agent).expect("the agent starts");
         }
         let resumed: Vec<Call> = end(tasks)
             .await
