fix(agent): the end of a quarantine by one entry is told to the others

Both entries had quarantined it within 2 ms of the same crash; an agent that had seen it complete objected, and one of them, which counted the crashes otherwise, did not end it. The end that the other one announced went to the agents only, which tell entries what was decided just when a link comes up.

An agent that applies the end of a quarantine now tells the other entries; whichever change was decided later is in force there, as before. end_of_a_quarantine_by_one_entry_is_told_to_the_other failed before (no message within 5 s) and passes; 16 tests on crashing content pass.

--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -93,7 +93,8 @@
     }
 
     /// Applies a change of the quarantine from an entry, and refuses the queued requests that it concerns.
-    /// The entry is told if what it quarantines has completed here.
+    /// The entry is told if what it quarantines has completed here, and the other entries if it ends a
+    /// quarantine, which they may have started too.
     pub(super) fn apply_quarantine(self: &Rc<Self>, link: LinkId, change: QuarantineChange) {
         let now_ms = self.clock.now_ms();
         let notice = self
@@ -108,6 +109,10 @@
         }
         let count = self.quarantine.borrow().len(now_ms);
         self.metrics.quarantined.set(count as i64);
+        if change.is_ended {
+            self.broadcast_except(link, &ToEntryKind::Quarantine(change));
+            return;
+        }
         self.refuse_waiting_where(EngineRefusal::Quarantined, |request| {
             self.quarantine_left_ms(&request.submit)
         });
--- a/crates/magnoliasail/src/gateway/agent/outgoing.rs
+++ b/crates/magnoliasail/src/gateway/agent/outgoing.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Sends a message to all entries but that of one link.
+    pub(super) fn broadcast_except(&self, excepted: LinkId, kind: &ToEntryKind) {
+        let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
+        for link in links.into_iter().filter(|&link| link != excepted) {
+            self.send(link, kind.clone());
+        }
+    }
+
     /// Sends all entries the changes since the last update of what the engine has loaded.
     pub(super) fn broadcast_holdings_update(&self) {
         let scheduler = self.scheduler.borrow();
--- a/crates/magnoliasail/tests/agent_quarantine.rs
+++ b/crates/magnoliasail/tests/agent_quarantine.rs
@@ -9,7 +9,7 @@
         run_with_fleet, small_fleet,
     },
     magnoliasail_core::gateway::{
-        EngineRefusal,
+        EngineRefusal, Quarantine,
         message::{QuarantineChange, Submit, SuspectRequest, ToAgentKind, ToEntryKind},
     },
     magnoliasail_soak::{Fleet, PROPAGATION_TIME},
@@ -111,3 +111,44 @@
         assert_no_violations(&fleet);
     });
 }
+
+/// Entries may decide alike within milliseconds, and one of them ends it again. Guards against the other going
+/// on refusing sound content for a day, because no completion that comes later concerns it.
+#[test]
+fn end_of_a_quarantine_by_one_entry_is_told_to_the_other() {
+    run_with_fleet(small_fleet(87), |fleet| async move {
+        let (first_entry, _first_received) = open_link(&fleet, 0).await;
+        let (second_entry, mut received) = open_link(&fleet, 0).await;
+        let start = QuarantineChange {
+            fingerprint: FINGERPRINT,
+            is_ended: false,
+            age_ms: 0,
+            ..QuarantineChange::default()
+        };
+        // New links are told what was decided in the last two seconds.
+        sleep(Duration::from_millis(Quarantine::CONFIRMATION_MS + 500)).await;
+        for entry in [&first_entry, &second_entry] {
+            send(entry, ToAgentKind::Quarantine(start)).await;
+        }
+        sleep(Duration::from_millis(200)).await;
+        let end = QuarantineChange {
+            is_ended: true,
+            ..start
+        };
+        send(&first_entry, ToAgentKind::Quarantine(end)).await;
+        let told = async {
+            loop {
+                match received.recv().await {
+                    Some(ToEntryKind::Quarantine(change)) if change.is_ended => {
+                        return change.fingerprint;
+                    }
+                    Some(_) => {}
+                    None => return 0,
+                }
+            }
+        };
+        let told = timeout(Duration::from_secs(5), told).await;
+        assert_eq!(told, Ok(FINGERPRINT));
+        assert_no_violations(&fleet);
+    });
+}
