feat(agent): log when a quarantine starts or ends at an agent

Callers of review/2 were refused by an agent for content that no entry refused, and nothing in the logs told since when and on whose word: only entries logged events 440 and 441. Agents now log both, with who decided. One function writes the lines of both roles.

No change of behaviour.

--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -7,7 +7,11 @@
     super::state::{AgentState, LinkId},
     crate::{
         events::{EventId, emit},
-        gateway::{fingerprint_list::FingerprintList, pool::SendError},
+        gateway::{
+            fingerprint_list::FingerprintList,
+            pool::SendError,
+            quarantine_log::{ChangeCause, Decider, log_quarantine},
+        },
     },
     hyper::StatusCode,
     magnoliasail_core::gateway::{
@@ -107,6 +111,7 @@
         if !self.quarantine.borrow_mut().apply(change, now_ms) {
             return;
         }
+        log_quarantine(change, Decider::Entry, ChangeCause::Reported);
         let count = self.quarantine.borrow().len(now_ms);
         self.metrics.quarantined.set(count as i64);
         if change.is_ended {
@@ -130,6 +135,7 @@
             .borrow_mut()
             .record_completion(suspect, now_ms);
         for change in ended {
+            log_quarantine(change, Decider::Agent, ChangeCause::Completed);
             self.broadcast(&ToEntryKind::Quarantine(change));
         }
     }
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -12,7 +12,10 @@
     },
     crate::{
         events::{EventId, emit},
-        gateway::fingerprint_list::FingerprintList,
+        gateway::{
+            fingerprint_list::FingerprintList,
+            quarantine_log::{ChangeCause, Decider, log_quarantine},
+        },
     },
     hyper::StatusCode,
     magnoliasail_core::gateway::{
@@ -21,7 +24,6 @@
         pick_replicas, server_start_fingerprint, service_fingerprint,
     },
     std::{net::IpAddr, rc::Rc, time::Duration},
-    strum::Display,
     tokio::time::sleep,
 };
 
@@ -195,7 +197,7 @@
     pub(super) fn adopt_quarantine(&self, change: QuarantineChange) {
         let now_ms = self.clock.now_ms();
         if self.quarantine.borrow_mut().apply(change, now_ms) {
-            log_quarantine(change, ChangeCause::Reported);
+            log_quarantine(change, Decider::Agent, ChangeCause::Reported);
             self.count_quarantined();
         }
     }
@@ -203,7 +205,7 @@
     /// Logs the quarantines that this entry has started or ended, and tells all agents.
     fn announce(&self, changes: &[QuarantineChange], cause: ChangeCause) {
         for &change in changes {
-            log_quarantine(change, cause);
+            log_quarantine(change, Decider::Entry, cause);
             for link in self.links.borrow().values() {
                 // An agent whose link is down is told when the link is up again.
                 let _ = link.send(ToAgentKind::Quarantine(change));
@@ -236,37 +238,3 @@
     sleep(Duration::from_millis(Quarantine::CONFIRMATION_MS)).await;
     state.send_quarantines(vm);
 }
-
-/// Why a quarantine starts or ends.
-#[derive(Clone, Copy, Debug, Display)]
-#[strum(serialize_all = "snake_case")]
-enum ChangeCause {
-    /// Something completed here.
-    Completed,
-    /// An agent has seen a completion.
-    CompletedElsewhere,
-    /// A server crashed.
-    Crashed,
-    /// Another process decided it.
-    Reported,
-}
-
-/// Logs a change of the quarantine, and whether this entry or another process decided it.
-fn log_quarantine(change: QuarantineChange, cause: ChangeCause) {
-    let event = if change.is_ended {
-        EventId::QuarantineEnded
-    } else {
-        EventId::QuarantineStarted
-    };
-    let reported_by = match cause {
-        ChangeCause::Reported => "agent",
-        _ => "entry",
-    };
-    emit(
-        event,
-        format_args!(
-            "fingerprint={:016x} age_ms={} reported_by={reported_by} cause={cause}",
-            change.fingerprint, change.age_ms
-        ),
-    );
-}
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod phase;
 mod pool;
 mod process;
+mod quarantine_log;
 mod sockets;
 mod stall;
 mod steady_clock;
