fix(quarantine): a completion counts only once its engine has outlived it

Cause: an engine may end its answer properly as it crashes on the request. The completion counted as proof that the request and its parts are sound: an agent objected to the quarantine of the bad part, the part counted as completed for a minute, so that it explained no crash, and the first part was blamed.

Change: a completion at an engine counts at its agent after a report that was requested later, at an entry after a second in which that agent reported no crash. Until then it is a suspect beside what was broken off. This holds for any answer of an engine, whether framed or not. Event 442 has no status any more, which was always a success.

Plain servers give no reports, there a completion counts at once as before.

--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -85,6 +85,7 @@
 mod suspect_sample;
 mod timely_starts;
 mod transfer_limit;
+mod unproven_completions;
 mod unreported;
 mod version_constraint;
 mod version_history;
@@ -125,7 +126,7 @@
     origin_replicas::{ReplicaCandidate, pick_replicas, pick_witnesses},
     pacer::Pacer,
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
-    quarantine::Quarantine,
+    quarantine::{ProvenCompletion, Quarantine},
     quota::{Quota, QuotaUnit},
     quota_grants::{QuotaGrant, QuotaGrants, QuotaQuestion},
     quota_lease::{QuotaLease, QuotaStep},
--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -22,8 +22,10 @@
         expiring_map::ExpiringMap,
         message::{CompletionNotice, CrashReport, QuarantineChange, SuspectRequest},
         recent_crashes::RecentCrashes,
+        unproven_completions::{Completion, UnprovenCompletions},
     },
     crate::TimeMs,
+    std::{net::IpAddr, sync::Arc},
 };
 
 /// Crashes after which what was there at all of them is quarantined.
@@ -47,6 +49,8 @@
     evidence: CrashEvidence,
     /// When requests and parts last completed, by fingerprint.
     completed: ExpiringMap<TimeMs>,
+    /// The completions whose servers may have crashed right after them.
+    unproven: UnprovenCompletions,
     recent_crashes: RecentCrashes,
     /// The parts that this process quarantined recently.
     unconfirmed_parts: Vec<UnconfirmedPart>,
@@ -55,6 +59,19 @@
     changes: ExpiringMap<Change>,
 }
 
+/// A completion that counts because its server has outlived it.
+#[derive(Clone, Debug)]
+pub struct ProvenCompletion {
+    /// The fingerprint of the request.
+    pub request: u64,
+    /// The id that the caller gave the request.
+    pub id: Option<Arc<str>>,
+    /// The number of crashes that counted against the request or a part of its prompt.
+    pub crashes: usize,
+    /// The quarantines that end.
+    pub ended: Vec<QuarantineChange>,
+}
+
 /// A part that may be found not to explain the crashes after all.
 #[derive(Clone, Copy, Debug)]
 struct UnconfirmedPart {
@@ -164,6 +181,44 @@
         ended
     }
 
+    /// Records that a request completed at the server of a service on this VM, whose crashes another process
+    /// reports. It counts, as in [`Self::record_completion`], once the server has outlived it.
+    pub fn record_unproven_completion(
+        &mut self,
+        suspect: SuspectRequest,
+        id: Option<Arc<str>>,
+        (vm, service): (IpAddr, u64),
+        now_ms: TimeMs,
+    ) {
+        self.unproven.add(Completion {
+            suspect,
+            id,
+            vm,
+            service,
+            completed_ms: now_ms,
+        });
+    }
+
+    /// Records that the server of a service on this VM has crashed, so that what it completed just before does not
+    /// count.
+    pub fn refute_completions(&mut self, vm: IpAddr, service: u64) {
+        self.unproven.refute(vm, service);
+    }
+
+    /// Records the completions that count by now.
+    pub fn record_proven_completions(&mut self, now_ms: TimeMs) -> Vec<ProvenCompletion> {
+        let mut proven = Vec::new();
+        while let Some(Completion { suspect, id, .. }) = self.unproven.take_proven(now_ms) {
+            proven.push(ProvenCompletion {
+                request: suspect.request,
+                id,
+                crashes: self.counted_crashes(&suspect, now_ms),
+                ended: self.record_completion(&suspect, now_ms),
+            });
+        }
+        proven
+    }
+
     /// Returns the number of crashes that count against a request, or against a part of its prompt.
     #[must_use]
     pub fn counted_crashes(&self, suspect: &SuspectRequest, now_ms: TimeMs) -> usize {
@@ -314,6 +369,7 @@
         Self {
             evidence: CrashEvidence::new(Self::RETENTION_MS),
             completed: ExpiringMap::new(COMPLETION_RETENTION_MS, MAX_COMPLETED),
+            unproven: UnprovenCompletions::default(),
             recent_crashes: RecentCrashes::default(),
             unconfirmed_parts: Vec::new(),
             changes: ExpiringMap::new(Self::RETENTION_MS, MAX_QUARANTINED),
--- a/crates/magnoliasail-core/tests/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine.rs
@@ -1,8 +1,11 @@
 //! Quarantine of requests that crash servers.
 
-use magnoliasail_core::gateway::{
-    CrashDetector, Quarantine,
-    message::{CompletionNotice, CrashReport, QuarantineChange, SuspectRequest},
+use {
+    magnoliasail_core::gateway::{
+        CrashDetector, Quarantine,
+        message::{CompletionNotice, CrashReport, QuarantineChange, SuspectRequest},
+    },
+    std::net::IpAddr,
 };
 
 const NOW_MS: u64 = 100_000;
@@ -168,6 +171,20 @@
     assert!(detector.take_suspects(NOW_MS + STEP_MS).is_empty());
 }
 
+/// Guards against taking a request for sound although the server crashed as it completed.
+#[test]
+fn completed_request_is_a_suspect_until_the_server_has_outlived_it() {
+    let mut detector = CrashDetector::default();
+    detector.record_completed(request(1), NOW_MS);
+    detector.record_completed(request(POISON), NOW_MS + 20);
+    assert_eq!(detector.record_alive(NOW_MS + 10), [request(1)]);
+    assert!(!detector.is_empty(NOW_MS + 30));
+    assert_eq!(detector.take_suspects(NOW_MS + 30), [request(POISON)]);
+    assert!(detector.record_alive(NOW_MS + 40).is_empty());
+    detector.record_completed(request(POISON), NOW_MS);
+    assert!(detector.take_suspects(NOW_MS + 2_001).is_empty());
+}
+
 /// A server may run on what its caller has cancelled, so that its answers do not clear it.
 #[test]
 fn cancelled_request_stays_a_suspect_for_a_moment_although_the_server_answers() {
@@ -392,3 +409,53 @@
     let now_ms = NOW_MS + 2 * STEP_MS;
     assert_eq!(quarantine.changes_to_replay(now_ms).count(), 1);
 }
+
+/// The VM and the service of an engine.
+fn engine(number: u64) -> (IpAddr, u64) {
+    ([10, 0, 0, number as u8].into(), SERVICE)
+}
+
+/// Guards sound requests that share their first part with those on which engines crash once their answers look complete.
+#[test]
+fn part_that_a_crashing_server_seemed_to_complete_is_refused_and_the_shared_part_is_not() {
+    let mut quarantine = Quarantine::default();
+    let sound = prompt(1_000, &[FIRST_PART]);
+    quarantine.record_completion(&sound, NOW_MS);
+    let mut now_ms = NOW_MS;
+    for number in 1..=4 {
+        now_ms += STEP_MS;
+        let bad = prompt(number, &[FIRST_PART, BAD_PART]);
+        quarantine.record_unproven_completion(bad, None, engine(number), now_ms - 10);
+        let (vm, service) = engine(number);
+        quarantine.refute_completions(vm, service);
+        quarantine.record_crash(&part_crash(number, number), now_ms);
+        quarantine.record_proven_completions(now_ms + STEP_MS - 20);
+    }
+    assert!(is_part_quarantined(&quarantine, BAD_PART, now_ms));
+    assert!(!is_part_quarantined(&quarantine, FIRST_PART, now_ms));
+}
+
+#[test]
+fn completion_counts_once_no_crash_of_its_server_was_reported_for_a_second() {
+    let mut quarantine = Quarantine::default();
+    for server in 1..=3 {
+        quarantine.record_crash(&crash(server), NOW_MS + server);
+    }
+    let now_ms = NOW_MS + STEP_MS;
+    assert!(is_quarantined(&quarantine, POISON, now_ms));
+    quarantine.record_unproven_completion(request(POISON), Some("id".into()), engine(4), now_ms);
+    quarantine.record_unproven_completion(request(POISON), None, engine(5), now_ms + 1);
+    let (vm, service) = engine(4);
+    quarantine.refute_completions(vm, OTHER_SERVICE);
+    quarantine.refute_completions(vm, service);
+    assert!(
+        quarantine
+            .record_proven_completions(now_ms + 1_000)
+            .is_empty()
+    );
+    assert!(is_quarantined(&quarantine, POISON, now_ms + 1_000));
+    let proven = quarantine.record_proven_completions(now_ms + 1_001);
+    assert_eq!(proven.len(), 1);
+    assert_eq!(proven[0].ended.len(), 1);
+    assert!(!is_quarantined(&quarantine, POISON, now_ms + 1_001));
+}
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -190,6 +190,12 @@
         SocketAddr::new(self.entry_ip(entry), CALLER_PORT)
     }
 
+    /// Returns the seed of the stand-ins.
+    #[must_use]
+    pub const fn seed(&self) -> u64 {
+        self.settings.seed
+    }
+
     /// Returns the number of entries.
     #[must_use]
     pub const fn entry_count(&self) -> u8 {
--- a/crates/magnoliasail-soak/src/poison_callers.rs
+++ b/crates/magnoliasail-soak/src/poison_callers.rs
@@ -39,9 +39,13 @@
     is_stopped: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<()>> {
     let entry_count = fleet.entry_count();
+    let mut part = Poison::part(POISONED_PART);
+    if fleet.seed().is_multiple_of(2) {
+        part = part.with_answers();
+    }
     let poisons = [
         (Attack::Request, Poison::request("poisonous")),
-        (Attack::Part, Poison::part(POISONED_PART)),
+        (Attack::Part, part),
     ];
     let mut tasks = Vec::new();
     for (attack, poison) in poisons {
--- a/crates/magnoliasail-soak/src/standin/poison.rs
+++ b/crates/magnoliasail-soak/src/standin/poison.rs
@@ -40,6 +40,8 @@
     crash_delay: Duration,
     /// The server answers one in this many runs with an error instead; 0 for none.
     error_interval: u32,
+    /// Whether engines complete their answer before they crash.
+    is_answered: bool,
     record: Arc<Mutex<Record>>,
 }
 
@@ -69,6 +71,7 @@
             detection_time: DETECTION_TIME,
             crash_delay: CRASH_DELAY,
             error_interval: 0,
+            is_answered: false,
             record: Arc::default(),
         }
     }
@@ -100,6 +103,19 @@
         }
     }
 
+    /// Returns the poison with engines that complete their answer before they crash.
+    #[must_use]
+    pub fn with_answers(self) -> Self {
+        Self {
+            is_answered: true,
+            ..self
+        }
+    }
+
+    pub(super) const fn is_answered(&self) -> bool {
+        self.is_answered
+    }
+
     /// Counts a run; returns whether it is answered with an error.
     pub(super) fn has_error_answer(&self) -> bool {
         let mut record = self.record();
--- a/crates/magnoliasail-soak/src/standin/runs.rs
+++ b/crates/magnoliasail-soak/src/standin/runs.rs
@@ -23,6 +23,8 @@
 const EVENT_QUEUE_CAPACITY: usize = 4;
 /// Time in which a plain server runs a request.
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(10);
+/// Longer than the time from an answer to the crash that follows it.
+const SILENCE_BEFORE_CRASH: Duration = Duration::from_millis(100);
 /// Time after a drain notice during which new work may still arrive.
 const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
 
@@ -66,6 +68,11 @@
             ));
         }
         if let Some(poison) = poison {
+            if self.kind == ServerKind::Engine && poison.is_answered() {
+                let end = StreamEnd::Crash(poison);
+                let stream = self.stream(&stream_id, resume_after, end);
+                return Ok(with_response_headers(stream, &id, &server));
+            }
             self.crash_and_restart(poison);
             std::future::pending::<()>().await;
         }
@@ -74,11 +81,13 @@
         }
         let is_aborted = draw < faults.unanswered_share + faults.error_share + faults.aborted_share;
         if self.kind == ServerKind::Engine {
-            return Ok(with_response_headers(
-                self.stream(&stream_id, resume_after, is_aborted),
-                &id,
-                &server,
-            ));
+            let end = if is_aborted {
+                StreamEnd::Abort
+            } else {
+                StreamEnd::Complete
+            };
+            let stream = self.stream(&stream_id, resume_after, end);
+            return Ok(with_response_headers(stream, &id, &server));
         }
         sleep(PLAIN_RUN_TIME + Duration::from_millis(faults.delay_ms)).await;
         if is_aborted {
@@ -170,7 +179,7 @@
     }
 
     /// Returns the events of the stream that the attempt `id` began.
-    fn stream(&self, id: &str, resume_after: u64, is_aborted: bool) -> Response<Body> {
+    fn stream(&self, id: &str, resume_after: u64, end: StreamEnd) -> Response<Body> {
         let (event_delay_ms, version) =
             self.with(|state| (state.faults.event_delay_ms, state.software_version.clone()));
         let event_gap = EVENT_GAP + Duration::from_millis(event_delay_ms);
@@ -183,7 +192,7 @@
                 sleep(event_gap).await;
                 server.wait_while_silent().await;
                 let event = stream_event(&id, number, &version);
-                if is_aborted && number * 2 > last {
+                if matches!(end, StreamEnd::Abort) && number * 2 > last {
                     let half = event.as_bytes()[..event.len() / 2].to_vec();
                     let _ = events.write(half.into()).await;
                     return;
@@ -193,9 +202,24 @@
                     return;
                 }
             }
+            if let StreamEnd::Crash(poison) = end {
+                // No report shows the engine alive after its answer.
+                server.fall_silent(SILENCE_BEFORE_CRASH);
+                server.crash_and_restart(poison);
+            }
             events.end();
         });
         self.track_task(task.abort_handle());
         Response::new(BoxBody::new(body.map_err(io::Error::other)))
     }
 }
+
+/// How a stream ends.
+enum StreamEnd {
+    /// With its last event.
+    Complete,
+    /// In the middle of an event.
+    Abort,
+    /// With its last event, and the engine crashes after it.
+    Crash(Poison),
+}
--- a/crates/magnoliasail/src/gateway/agent/crashes.rs
+++ b/crates/magnoliasail/src/gateway/agent/crashes.rs
@@ -123,20 +123,30 @@
         });
     }
 
-    /// Records that a request completed with this status, and tells all entries if that ends a quarantine.
-    /// A server may fail a request before it has run what would crash it, so only success counts.
-    pub(super) fn record_completion(&self, suspect: &SuspectRequest, status: StatusCode) {
-        if !status.is_success() {
-            return;
+    /// Records that a request completed with this status. A server may fail a request before it has run what
+    /// would crash it, so only success counts, and only once the engine has outlived it.
+    pub(super) fn record_completed(&self, suspect: SuspectRequest, status: StatusCode) {
+        if status.is_success() {
+            let now_ms = self.clock.now_ms();
+            let mut crash_detector = self.crash_detector.borrow_mut();
+            crash_detector.record_completed(suspect, now_ms);
         }
+    }
+
+    /// Records that the engine answered a report that was requested at `requested_ms`, and tells all entries
+    /// if a request that had completed before ends a quarantine.
+    pub(super) fn record_engine_alive(&self, requested_ms: u64) {
+        let completed = self.crash_detector.borrow_mut().record_alive(requested_ms);
         let now_ms = self.clock.now_ms();
-        let ended = self
-            .quarantine
-            .borrow_mut()
-            .record_completion(suspect, now_ms);
-        for change in ended {
-            log_quarantine(change, Decider::Agent, ChangeCause::Completed);
-            self.broadcast(&ToEntryKind::Quarantine(change));
+        for suspect in completed {
+            let ended = self
+                .quarantine
+                .borrow_mut()
+                .record_completion(&suspect, now_ms);
+            for change in ended {
+                log_quarantine(change, Decider::Agent, ChangeCause::Completed);
+                self.broadcast(&ToEntryKind::Quarantine(change));
+            }
         }
     }
 
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -94,7 +94,7 @@
                     emit(EventId::EngineRegained, "the engine sends reports again");
                 }
                 if report.started_ms == state.engine_started_ms() {
-                    state.crash_detector.borrow_mut().record_alive(requested_ms);
+                    state.record_engine_alive(requested_ms);
                 } else {
                     log_restart(&state, report.started_ms);
                     state.record_engine_gone();
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -272,7 +272,7 @@
         if let Some(status) = status {
             self.metrics.answered.inc();
             if let Some(suspect) = request.and_then(|request| request.submit.suspect) {
-                self.record_completion(&suspect, status);
+                self.record_completed(suspect, status);
             }
         }
         self.update_scheduler(|scheduler, now_ms, actions| {
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -189,7 +189,7 @@
                 Err(Incomplete::BrokenOff) => self.record_broken_off(&pick),
                 Err(Incomplete::Unproven) => {}
                 Ok(_) => {
-                    self.state.record_completion(&self.outgoing, status);
+                    self.state.record_completion(&pick, &self.outgoing, status);
                     if is_server_error && notice.pause.is_none() {
                         self.record_failure(&pick.id);
                     }
--- a/crates/magnoliasail/src/gateway/entry/engine_link.rs
+++ b/crates/magnoliasail/src/gateway/entry/engine_link.rs
@@ -343,7 +343,9 @@
         let Some(kind) = message.kind else { return };
         match kind {
             ToEntryKind::State(state) => self.set_state(state),
-            ToEntryKind::Crash(report) => self.notify(LinkNotice::Crash(report)),
+            ToEntryKind::Crash(report) => {
+                self.notify(LinkNotice::Crash(self.address.ip(), report));
+            }
             ToEntryKind::Quarantine(change) => self.notify(LinkNotice::Quarantine(change)),
             ToEntryKind::Completed(notice) => self.notify(LinkNotice::Completed(notice)),
             ToEntryKind::QuarantinesSent(_) => self.notify(LinkNotice::QuarantinesSent),
--- a/crates/magnoliasail/src/gateway/entry/link_notice.rs
+++ b/crates/magnoliasail/src/gateway/entry/link_notice.rs
@@ -18,8 +18,8 @@
 pub(super) enum LinkNotice {
     /// The link to the agent on this VM is up.
     Up(IpAddr),
-    /// A server crashed.
-    Crash(CrashReport),
+    /// The agent on this VM reports that a server crashed.
+    Crash(IpAddr, CrashReport),
     /// Another process started or ended a quarantine.
     Quarantine(QuarantineChange),
     /// An agent has sent the quarantines that it knew when the link came up.
@@ -50,7 +50,7 @@
                 state.offer_fetch_permits(vm);
                 tokio::task::spawn_local(tell_agent(Rc::clone(&state), vm));
             }
-            LinkNotice::Crash(report) => state.apply_reported_crash(report),
+            LinkNotice::Crash(vm, report) => state.apply_reported_crash(vm, report),
             LinkNotice::Quarantine(change) => state.adopt_quarantine(change),
             LinkNotice::QuarantinesSent => state.mark_quarantines_known(),
             LinkNotice::Completed(notice) => state.apply_completion(notice),
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -62,30 +62,54 @@
             .left_ms(suspect, self.clock.now_ms())
     }
 
-    /// Records that a request completed with this status. A server may fail a request before it has run
-    /// what would crash it, so only success counts.
-    pub(super) fn record_completion(&self, outgoing: &OutgoingRequest, status: StatusCode) {
+    /// Records that a request completed at a server with this status. A server may fail a request before it
+    /// has run what would crash it, so only success counts. A completion at an engine counts once no crash of
+    /// it has been reported for a while.
+    pub(super) fn record_completion(
+        &self,
+        pick: &PickedServer,
+        outgoing: &OutgoingRequest,
+        status: StatusCode,
+    ) {
         if !status.is_success() {
             return;
         }
         let now_ms = self.clock.now_ms();
         let suspect = &outgoing.suspect;
+        if pick.is_engine {
+            let engine = (pick.address.ip(), service_fingerprint(&pick.service));
+            let id = outgoing.metadata.id.clone();
+            self.quarantine.borrow_mut().record_unproven_completion(
+                suspect.clone(),
+                id,
+                engine,
+                now_ms,
+            );
+            self.record_proven_completions();
+            return;
+        }
         let mut quarantine = self.quarantine.borrow_mut();
         let crashes = quarantine.counted_crashes(suspect, now_ms);
-        let changes = quarantine.record_completion(suspect, now_ms);
+        let ended = quarantine.record_completion(suspect, now_ms);
         drop(quarantine);
-        if crashes > 0 {
-            let id = outgoing.metadata.id.as_deref().unwrap_or("-");
-            emit(
-                EventId::CrashesDiscounted,
-                format_args!(
-                    "request={id} fingerprint={:016x} crashes={crashes} status={}",
-                    suspect.request,
-                    status.as_u16()
-                ),
+        log_discounted(outgoing.metadata.id.as_deref(), suspect.request, crashes);
+        self.announce(&ended, ChangeCause::Completed);
+    }
+
+    fn record_proven_completions(&self) {
+        let now_ms = self.clock.now_ms();
+        let proven = self
+            .quarantine
+            .borrow_mut()
+            .record_proven_completions(now_ms);
+        for completion in proven {
+            log_discounted(
+                completion.id.as_deref(),
+                completion.request,
+                completion.crashes,
             );
+            self.announce(&completion.ended, ChangeCause::Completed);
         }
-        self.announce(&changes, ChangeCause::Completed);
     }
 
     /// Records that a request was cancelled at a server. A plain server may still run it, and crash on it;
@@ -139,9 +163,14 @@
         detector.map_or_else(Vec::new, |mut detector| detector.take_suspects(now_ms))
     }
 
-    /// Applies the report of a crash from an agent, and adds what this entry has cancelled at the same
-    /// server, of which no other process knows.
-    pub(super) fn apply_reported_crash(&self, report: CrashReport) {
+    /// Applies the report of a crash from the agent on a VM, and adds what this entry has cancelled at the same
+    /// server, of which no other process knows. If it is of the engine there, what the engine completed just
+    /// before does not count.
+    pub(super) fn apply_reported_crash(&self, vm: IpAddr, report: CrashReport) {
+        self.record_proven_completions();
+        self.quarantine
+            .borrow_mut()
+            .refute_completions(vm, report.service);
         let requests = self.take_cancelled(report.server_start);
         self.apply_crash_report(&report);
         if !requests.is_empty() {
@@ -238,3 +267,14 @@
     sleep(Duration::from_millis(Quarantine::CONFIRMATION_MS)).await;
     state.send_quarantines(vm);
 }
+
+/// Logs that crashes do not count against a request any more, if there were any.
+fn log_discounted(id: Option<&str>, fingerprint: u64, crashes: usize) {
+    if crashes > 0 {
+        let id = id.unwrap_or("-");
+        emit(
+            EventId::CrashesDiscounted,
+            format_args!("request={id} fingerprint={fingerprint:016x} crashes={crashes}"),
+        );
+    }
+}
--- a/crates/magnoliasail/src/gateway/entry/relay.rs
+++ b/crates/magnoliasail/src/gateway/entry/relay.rs
@@ -118,7 +118,7 @@
                 caller.end();
                 let outgoing = &self.dispatch.outgoing;
                 let state = &self.dispatch.state;
-                state.record_completion(outgoing, StatusCode::OK);
+                state.record_completion(self.in_flight.pick(), outgoing, StatusCode::OK);
                 self.dispatch.record_stage(Stage::StreamWhole);
                 let server = RespondingServer::new(&self.in_flight);
                 self.dispatch.log_answered(StatusCode::OK, &server);
--- a/crates/magnoliasail/tests/crashing_prompt_parts.rs
+++ b/crates/magnoliasail/tests/crashing_prompt_parts.rs
@@ -68,7 +68,7 @@
     f64::from(served) / f64::from(count.max(1))
 }
 
-fn assert_found_after(network: u8, own_parts: u32) {
+fn assert_found_after(network: u8, own_parts: u32, poison: Poison) {
     /// Time in which the part must be found.
     const ATTACK_TIME: Duration = Duration::from_secs(4);
     const OBSERVATION_TIME: Duration = Duration::from_secs(4);
@@ -79,7 +79,6 @@
         ..small_fleet(network)
     };
     run_with_fleet(settings, |fleet| async move {
-        let poison = Poison::part(BAD_PART);
         for server in &fleet.servers {
             server.set_poison(&poison);
         }
@@ -107,11 +106,18 @@
 /// share, is refused in their place.
 #[test]
 fn part_late_in_prompts_that_crashes_engines_is_refused_and_the_shared_first_part_is_not() {
-    assert_found_after(95, 40);
+    assert_found_after(95, 40, Poison::part(BAD_PART));
 }
 
 /// The same at the end of a header that is nearly as long as the configuration allows.
 #[test]
 fn part_at_the_end_of_the_longest_prompts_that_crashes_engines_is_refused() {
-    assert_found_after(96, 1_300);
+    assert_found_after(96, 1_300, Poison::part(BAD_PART));
+}
+
+/// Guards against engines that end their answer properly as they crash on it, so that the part seems to be sound and the
+/// first part is refused in its place.
+#[test]
+fn part_whose_answers_look_complete_as_they_crash_engines_is_refused_and_the_first_part_is_not() {
+    assert_found_after(97, 40, Poison::part(BAD_PART).with_answers());
 }
