fix(quarantine): the end of a quarantine outranks a start that crosses it

Cause: whichever change is decided later is in force, by the time of its arrival less its age, which leaves out the way. Both entries quarantine the part at the same crash; one ends it, since an agent has seen it complete; an agent passes the end on, and the other entry adopts it before the agents have its own start. They take this start for the later change, and the entry has nothing left to end when they object.

That the end was lost is refuted by the links.

Change: a start decided less than half a second after a known end does not count, and an end outranks a start decided up to half a second after it. An end follows from a completion or from crashes elsewhere, of which the process that starts the quarantine has not heard yet.

Test: start_of_a_quarantine_that_crosses_its_end_does_not_outlast_it, failing with CROSSING_MS = 0. The simulated fleet passes ends on as agents do.

--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -40,6 +40,8 @@
 const MAX_COMPARED: usize = 32;
 /// Limit on the completions that are remembered, by fingerprint.
 const MAX_COMPLETED: usize = 114_688;
+/// Time for which the start of a quarantine may be on its way from a process that has not heard of its end yet.
+const CROSSING_MS: u64 = 500;
 /// Limit on the quarantined fingerprints.
 const MAX_QUARANTINED: usize = 16_384;
 
@@ -90,6 +92,17 @@
     is_part: bool,
 }
 
+impl Change {
+    /// Returns whether this change is in force although another one is reported.
+    const fn outdates(&self, is_other_end: bool, other_decided_ms: TimeMs) -> bool {
+        match (self.is_ended, is_other_end) {
+            (true, false) => self.decided_ms + CROSSING_MS > other_decided_ms,
+            (false, true) => self.decided_ms > other_decided_ms + CROSSING_MS,
+            _ => self.decided_ms > other_decided_ms,
+        }
+    }
+}
+
 impl Quarantine {
     /// Time for which a quarantine lasts, and for which crashes count.
     pub const RETENTION_MS: u64 = 86_400_000;
@@ -267,11 +280,14 @@
 
     /// Applies a change that another process reports, unless a later one is known; returns whether
     /// something is now refused, or not refused any more.
+    ///
+    /// Two processes that decide at nearly the same time do not agree on which of them was later. The end is in
+    /// force then: it follows from a completion, or from other crashes, of which the other process has not heard yet.
     pub fn apply(&mut self, change: QuarantineChange, now_ms: TimeMs) -> bool {
         let fingerprint = change.fingerprint;
         let decided_ms = now_ms.saturating_sub(change.age_ms);
         let known = self.changes.get(fingerprint, now_ms).copied();
-        if known.is_some_and(|known| known.decided_ms > decided_ms) {
+        if known.is_some_and(|known| known.outdates(change.is_ended, decided_ms)) {
             return false;
         }
         let was_quarantined = self.fingerprint_left_ms(fingerprint, now_ms).is_some();
--- a/crates/magnoliasail-core/tests/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine.rs
@@ -459,3 +459,39 @@
     assert_eq!(proven[0].ended.len(), 1);
     assert!(!is_quarantined(&quarantine, POISON, now_ms + 1_001));
 }
+
+/// Guards against an agent that refuses for a day what no entry refuses: one entry ends a quarantine while the other
+/// starts it.
+#[test]
+fn start_of_a_quarantine_that_crosses_its_end_does_not_outlast_it() {
+    let start = QuarantineChange {
+        fingerprint: BAD_PART,
+        is_part: true,
+        ..QuarantineChange::default()
+    };
+    let end = QuarantineChange {
+        is_ended: true,
+        ..start
+    };
+    for delay_ms in [0, 1, 30, 498] {
+        for changes in [
+            [start, end, start],
+            [end, start, start],
+            [start, start, end],
+        ] {
+            let mut agent = Quarantine::default();
+            for (change, at_ms) in changes.into_iter().zip([0, 1, 1 + delay_ms]) {
+                agent.apply(change, NOW_MS + at_ms);
+            }
+            let now_ms = NOW_MS + STEP_MS;
+            assert!(
+                !is_part_quarantined(&agent, BAD_PART, now_ms),
+                "{changes:?}"
+            );
+        }
+    }
+    let mut agent = Quarantine::default();
+    agent.apply(end, NOW_MS);
+    agent.apply(start, NOW_MS + 500);
+    assert!(is_part_quarantined(&agent, BAD_PART, NOW_MS + 500));
+}
--- a/crates/magnoliasail-core/tests/gateway/quarantine_fleet.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine_fleet.rs
@@ -217,10 +217,15 @@
             Message::ToAgent(change) => {
                 let quarantine = &mut self.engines[agent].quarantine;
                 let notice = quarantine.completion_notice(change.fingerprint, now_ms);
-                quarantine.apply(change, now_ms);
+                let is_new = quarantine.apply(change, now_ms);
                 if let Some(notice) = notice.filter(|_| !change.is_ended) {
                     self.send(link, Message::Completed(notice));
                 }
+                if is_new && change.is_ended {
+                    for other in Self::links_of_agent(agent).filter(|other| *other != link) {
+                        self.send(other, Message::ToEntry(change));
+                    }
+                }
             }
             Message::ToEntry(change) => {
                 self.entries[entry].apply(change, now_ms);
