fix(entry): streams go on after a loss of all processes if one version served

Cause: which software version began a stream, and which versions a service has had, is known to processes only. After the loss of all, one version counts as the only one after 60 s of watching the list, longer than any caller waits. The platform publishes the past (the store's history of changes), which was not read.

Change: if agents do not know either, the entry reads the history of the server list once, from the oldest revision that the store has kept (a search of about 2 log2 n short calls), and tells all agents. It proves all versions for the time of the settings, or since ever if it starts at revision 0 and shows each listed server. It proves nothing if a removed server's row is missing, or the era differs; a listed server that started later than the history should begin, but is not in it, shortens it. Versions must be known for as long as a stream may be old: the timeout of its route instead of 60 s. A refusal names the time after which they are. Event 520 names both times, 314 and 315 the read.

Related paths: entries that restart in turn learn from agents as before and read nothing; what agents remember goes before. ORDER: a version that left inside the history is found there, one that left before it leaves the time too short.

--- a/crates/magnoliasail-core/src/gateway/message/versions.rs
+++ b/crates/magnoliasail-core/src/gateway/message/versions.rs
@@ -1,6 +1,6 @@
 //! The software versions that a service has had recently, as entries and agents report them to each other.
 
-use {super::super::StreamOrigins, prost::Message};
+use prost::Message;
 
 /// The software versions that a service has had recently, as the sender knows them.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -17,14 +17,6 @@
     pub known_for_ms: u64,
 }
 
-impl ServiceVersions {
-    /// Returns whether the sender knows every version since the oldest stream began that a caller may resume.
-    #[must_use]
-    pub const fn covers_resumable_streams(&self) -> bool {
-        self.known_for_ms >= StreamOrigins::RETENTION_MS
-    }
-}
-
 /// A software version that a service has, or has had recently.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ListedVersion {
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 mod freshness;
 mod grant_agent;
 mod grant_views;
+mod history_search;
 mod holdings;
 mod host_copies;
 mod idle_limit;
@@ -56,6 +57,7 @@
 mod origin_evidence;
 mod origin_replicas;
 mod pacer;
+mod past_versions;
 mod placement;
 mod prompt_rate;
 mod quarantine;
@@ -119,12 +121,14 @@
     freshness::Freshness,
     grant_agent::{GrantAgent, GrantCandidate, pick_grant_agent, rate_without_agent},
     grant_views::{GrantView, GrantViews, GrantedRate, RateQuestion, agent_list_fingerprint},
+    history_search::HistorySearch,
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
     origin_evidence::{OriginEvidence, OriginRecord, OriginVerdict},
     origin_replicas::{ReplicaCandidate, pick_replicas, pick_witnesses},
     pacer::Pacer,
+    past_versions::{HistorySpan, PastVersions},
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     quarantine::{ProvenCompletion, Quarantine},
     quota::{Quota, QuotaUnit},
--- a/crates/magnoliasail-core/src/gateway/version_history.rs
+++ b/crates/magnoliasail-core/src/gateway/version_history.rs
@@ -116,15 +116,13 @@
             .then(|| VersionConstraint::Only(version.clone()))
     }
 
-    /// Returns whether all versions are known that the service has had since the oldest stream that a
-    /// caller may still resume began.
+    /// Returns for how long all versions that the service has had are known, in milliseconds: `u64::MAX` if it
+    /// is since the system started, and 0 if no version is known.
     #[must_use]
-    pub fn covers_resumable_streams(&self, service: &str, now_ms: TimeMs) -> bool {
-        self.services.get(service).is_some_and(|history| {
-            history
-                .known_since_ms
-                .is_none_or(|known_since_ms| !is_recent(known_since_ms, now_ms))
-        })
+    pub fn known_for_ms(&self, service: &str, now_ms: TimeMs) -> u64 {
+        self.services
+            .get(service)
+            .map_or(0, |history| history.known_for_ms(now_ms))
     }
 
     fn service(&mut self, service: &Arc<str>, now_ms: TimeMs) -> &mut ServiceHistory {
@@ -149,6 +147,12 @@
         };
     }
 
+    fn known_for_ms(&self, now_ms: TimeMs) -> u64 {
+        self.known_since_ms.map_or(u64::MAX, |known_since_ms| {
+            now_ms.saturating_sub(known_since_ms)
+        })
+    }
+
     fn recent(&self, now_ms: TimeMs) -> impl Iterator<Item = (&Option<Arc<str>>, TimeMs)> {
         self.last_listed_ms
             .iter()
@@ -171,9 +175,7 @@
         ServiceVersions {
             service: service.to_owned(),
             versions: versions.collect(),
-            known_for_ms: self.known_since_ms.map_or(u64::MAX, |known_since_ms| {
-                now_ms.saturating_sub(known_since_ms)
-            }),
+            known_for_ms: self.known_for_ms(now_ms),
         }
     }
 }
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod named_rate_fleet;
 mod origin_replicas;
 mod outdated_adapters;
+mod past_versions;
 mod placement;
 mod quarantine;
 mod quarantine_clients;
--- a/crates/magnoliasail-core/tests/gateway/stream_origins.rs
+++ b/crates/magnoliasail-core/tests/gateway/stream_origins.rs
@@ -129,14 +129,16 @@
 }
 
 #[test]
-fn service_covers_resumable_streams_only_after_the_retention_time() {
+fn versions_of_a_service_are_known_from_its_first_row_on() {
     let service: Arc<str> = "s".into();
     let mut history = VersionHistory::default();
     history.record(&service, None, NOW_MS);
     let end_ms = NOW_MS + StreamOrigins::RETENTION_MS;
-    assert!(!history.covers_resumable_streams("s", end_ms - 1));
-    assert!(history.covers_resumable_streams("s", end_ms));
-    assert!(!history.covers_resumable_streams("other", end_ms));
+    assert_eq!(
+        history.known_for_ms("s", end_ms),
+        StreamOrigins::RETENTION_MS
+    );
+    assert_eq!(history.known_for_ms("other", end_ms), 0);
 }
 
 #[test]
@@ -202,11 +204,11 @@
     let mut entry = VersionHistory::new(false);
     entry.record(&service, Some(&new), restart_ms);
     assert_eq!(entry.only_version("s", restart_ms), Some(only("v2")));
-    assert!(!entry.covers_resumable_streams("s", restart_ms));
+    assert_eq!(entry.known_for_ms("s", restart_ms), 0);
     for versions in agent.snapshot(restart_ms) {
         entry.add(&versions, restart_ms);
     }
-    assert!(entry.covers_resumable_streams("s", restart_ms));
+    assert_eq!(entry.known_for_ms("s", restart_ms), u64::MAX);
     assert_eq!(entry.only_version("s", restart_ms), None);
     let end_ms = NOW_MS + StreamOrigins::RETENTION_MS;
     assert_eq!(entry.only_version("s", end_ms), Some(only("v2")));
@@ -217,8 +219,8 @@
     let service: Arc<str> = "s".into();
     let mut history = VersionHistory::new(true);
     history.record(&service, None, NOW_MS);
-    assert!(history.covers_resumable_streams("s", NOW_MS));
-    assert!(!history.covers_resumable_streams("other", NOW_MS));
+    assert_eq!(history.known_for_ms("s", NOW_MS), u64::MAX);
+    assert_eq!(history.known_for_ms("other", NOW_MS), 0);
 }
 
 #[test]
@@ -231,14 +233,14 @@
     };
     let mut history = VersionHistory::new(false);
     history.add(&told, NOW_MS);
-    assert!(!history.covers_resumable_streams("s", NOW_MS + half_ms - 1));
-    assert!(history.covers_resumable_streams("s", NOW_MS + half_ms));
+    assert_eq!(history.known_for_ms("s", NOW_MS), half_ms);
+    assert_eq!(history.known_for_ms("s", NOW_MS + half_ms), 2 * half_ms);
     let shorter = ServiceVersions {
         known_for_ms: 0,
         ..told
     };
     history.add(&shorter, NOW_MS + half_ms);
-    assert!(history.covers_resumable_streams("s", NOW_MS + half_ms));
+    assert_eq!(history.known_for_ms("s", NOW_MS + half_ms), 2 * half_ms);
 }
 
 /// A process that sends many versions cannot fill the memory, nor make one of them count as the only one.
@@ -254,7 +256,7 @@
     };
     let mut history = VersionHistory::new(true);
     history.add(&told, NOW_MS);
-    assert!(!history.covers_resumable_streams("s", NOW_MS));
+    assert_eq!(history.known_for_ms("s", NOW_MS), 0);
     let kept = history
         .snapshot(NOW_MS)
         .iter()
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -64,6 +64,8 @@
     pub seed: u64,
     /// The client accounts of the first configuration.
     pub accounts: Vec<ClientAccount>,
+    /// The time for which the store keeps the history of its changes.
+    pub store_history: Duration,
 }
 
 /// An entry or an agent.
@@ -154,6 +156,7 @@
     /// does not become ready.
     pub async fn start(settings: FleetSettings) -> io::Result<Self> {
         let store = Store::default();
+        store.set_history(settings.store_history);
         let network = claim_network(&store, settings.network).await?;
         let settings = FleetSettings {
             network,
@@ -407,8 +410,9 @@
              [listen]\n{listen_settings}\
              [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
              budget_min_retries = 50\ndrain_ms = 2000\n\
-             [platform]\naddress = \"{store}\"\n",
-            index % 2
+             [platform]\naddress = \"{store}\"\nhistory_s = {}\n",
+            index % 2,
+            self.settings.store_history.as_secs_f64()
         );
         let settings_path = self.directory.join(format!("{role}-{index}.toml"));
         fs::write(&settings_path, text)?;
@@ -471,8 +475,11 @@
             CallKind::Stream | CallKind::ResumableStream => "streaming",
         };
         let is_idempotent = matches!(kind, CallKind::Safe | CallKind::ResumableStream);
+        // A caller resumes a stream once, with as much time as it had at first.
+        let attempts = 1 + u32::from(kind == CallKind::ResumableStream);
+        let timeout = self.route_timeout * attempts;
         json!({"name": kind.path_prefix(), "host": "soak.example", "path_prefix": kind.path_prefix(), "kind": name,
-            "timeout_ms": self.route_timeout.as_millis() as u64, "target_latency_ms": 500, "priority": 1, "service": service,
+            "timeout_ms": timeout.as_millis() as u64, "target_latency_ms": 500, "priority": 1, "service": service,
             "max_attempts": if is_idempotent { 2 } else { 1 }, "sticky": is_stream,
             "resumable": kind == CallKind::ResumableStream, "gap_aim_ms": 250})
     }
--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -26,6 +26,7 @@
     proxy::{Proxy, ProxyMode},
     soak::{Soak, SoakReport, SoakSettings},
     standin::{
-        BackendServer, EndlessAnswer, EraHeader, Poison, ServerFaults, ServerKind, Store, StoreMode,
+        BackendServer, DEFAULT_HISTORY, EndlessAnswer, EraHeader, Poison, ServerFaults, ServerKind,
+        Store, StoreMode,
     },
 };
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -14,7 +14,7 @@
     backend_server::{BackendServer, ServerFaults, ServerKind},
     endless::EndlessAnswer,
     poison::Poison,
-    store::{EraHeader, Store, StoreMode},
+    store::{DEFAULT_HISTORY, EraHeader, Store, StoreMode},
 };
 
 pub(crate) use self::{
--- a/crates/magnoliasail-soak/src/standin/store.rs
+++ b/crates/magnoliasail-soak/src/standin/store.rs
@@ -27,6 +27,8 @@
     },
 };
 
+/// The usual time for which the history of changes is kept.
+pub const DEFAULT_HISTORY: Duration = Duration::from_secs(20);
 const PAGE_ITEMS: usize = 5;
 const WATCH_POLL: Duration = Duration::from_millis(10);
 
@@ -77,12 +79,14 @@
     revision: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     mode: StoreMode,
     /// Revision of the newest write.
     revision: u64,
-    /// Watches from a revision before this one get status 410.
+    /// The time for which the history of changes is kept.
+    history: Duration,
+    /// Watches from a revision before this one get status 410, whatever their age.
     compacted_revision: u64,
     items: BTreeMap<String, Item>,
     /// All writes that are in force, in the order of their revisions.
@@ -92,7 +96,30 @@
     era_header: EraHeader,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            mode: StoreMode::default(),
+            revision: 0,
+            history: DEFAULT_HISTORY,
+            compacted_revision: 0,
+            items: BTreeMap::new(),
+            writes: Vec::new(),
+            era: 0,
+            era_header: EraHeader::default(),
+        }
+    }
+}
+
 impl State {
+    /// Returns the oldest revision from which a watch gets all changes.
+    fn oldest_kept_revision(&self) -> u64 {
+        let is_discarded = |write: &&Write| write.written_at.elapsed() > self.history;
+        let discarded = self.writes.iter().rev().find(is_discarded);
+        let discarded = discarded.map_or(0, |write| write.item.revision);
+        discarded.max(self.compacted_revision)
+    }
+
     fn era_header_value(&self) -> Option<String> {
         match self.era_header {
             EraHeader::Current => Some(self.era.to_string()),
@@ -150,6 +177,11 @@
         self.with(|state| state.compacted_revision = state.revision);
     }
 
+    /// Sets the time for which the history of changes is kept.
+    pub fn set_history(&self, history: Duration) {
+        self.with(|state| state.history = history);
+    }
+
     /// Returns the revision of the newest write.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -269,19 +301,15 @@
         let first_era = self.with(|state| state.era);
         loop {
             let (events, revision, is_unknown) = self.with(|state| {
-                let mut changed: Vec<(&String, &Item)> = state
-                    .items
-                    .iter()
-                    .filter(|(key, item)| key.starts_with(prefix) && item.revision > after)
-                    .collect();
-                changed.sort_by_key(|(_, item)| item.revision);
-                let events: Vec<Value> = changed
+                let events: Vec<Value> = state
+                    .writes
                     .iter()
-                    .map(|(key, item)| item_json(key, item))
+                    .filter(|write| write.key.starts_with(prefix) && write.item.revision > after)
+                    .map(|write| item_json(&write.key, &write.item))
                     .collect();
                 let is_restored = state.era != first_era;
                 let is_unknown =
-                    is_restored || after < state.compacted_revision || after > state.revision;
+                    is_restored || after < state.oldest_kept_revision() || after > state.revision;
                 (events, state.revision, is_unknown)
             });
             if is_unknown {
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -75,6 +75,10 @@
     StoreEraChanged = 312,
     /// A response of the platform's store was not used because of its era.
     StoreAnswerDiscarded = 313,
+    /// The history of the server list was read from the platform's store.
+    HistoryRead = 314,
+    /// The history of the server list could not be read, or does not show all servers.
+    HistoryUnread = 315,
     /// A version of the configuration was applied.
     ConfigurationAdopted = 320,
     /// A configuration or a version announcement that the operator published is invalid.
@@ -193,6 +197,7 @@
             | Self::StoreLost
             | Self::StoreEraChanged
             | Self::StoreAnswerDiscarded
+            | Self::HistoryUnread
             | Self::ServerUnreadable
             | Self::EngineLost
             | Self::EngineCrashed
@@ -208,6 +213,7 @@
             | Self::RequestCleared
             | Self::Reloaded
             | Self::StoreRegained
+            | Self::HistoryRead
             | Self::ConfigurationAdopted
             | Self::ServerListed
             | Self::ServerRemoved
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -21,6 +21,7 @@
 mod in_flight;
 mod link_notice;
 mod origin_lookup;
+mod past_versions;
 mod quarantine;
 mod questions;
 mod quota;
--- a/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
+++ b/crates/magnoliasail/src/gateway/entry/origin_lookup.rs
@@ -49,45 +49,77 @@
     pub(super) source: OriginSource,
     /// Number of agents that were asked.
     pub(super) agents_asked: usize,
+    /// The time after which the version will be known if nothing changes, in milliseconds; absent if it is known or
+    /// waiting does not help.
+    pub(super) known_in_ms: Option<u64>,
 }
 
-/// Finds out which software version of a service began the stream with this key.
+/// A stream whose origin is looked up.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SoughtStream<'a> {
+    pub(super) service: &'a str,
+    pub(super) key: u64,
+    /// The longest time since the stream can have begun, in milliseconds.
+    pub(super) max_age_ms: u64,
+}
+
+/// Finds out which software version of a service began a stream.
 ///
 /// The list that this entry has read may be older than the stream, in particular while the store turns the
 /// entry away. So what it knows is not enough to take a version for the only one: a few agents, which hear of
 /// a new version from every entry, must know of no other.
-pub(super) async fn find_origin(state: &EntryState, service: &str, key: u64) -> OriginLookup {
+pub(super) async fn find_origin(state: &EntryState, stream: SoughtStream<'_>) -> OriginLookup {
     let now_ms = state.clock.now_ms();
-    if let Some(record) = state.origins.borrow().get(key, now_ms) {
+    if let Some(record) = state.origins.borrow().get(stream.key, now_ms) {
         return OriginLookup {
             version: Some(VersionConstraint::Only(record.software_version)),
             source: OriginSource::OwnMemory,
             agents_asked: 0,
+            known_in_ms: None,
         };
     }
-    if only_version(state, service).is_some() {
-        let witnesses = pick_witnesses(key, state.linked_agents());
-        let survey = Survey::of(state, service, key, Some(&witnesses)).await;
-        let lookup = survey.lookup(state, service);
+    if only_version(state, stream).is_some() {
+        let survey = Survey::of_witnesses(state, stream).await;
+        let lookup = survey.lookup(state, stream);
         // What engines have only begun is proof if none of the others says otherwise.
         if survey.evidence.has_forwarded() || lookup.source == OriginSource::OnlyVersion {
             return lookup;
         }
     }
-    let survey = Survey::of(state, service, key, None).await;
-    survey.lookup(state, service)
+    let lookup = Survey::of(state, stream, None).await.lookup(state, stream);
+    let is_unknown = lookup.source == OriginSource::Unknown;
+    if is_unknown
+        && state
+            .learn_past_versions(stream.service, stream.max_age_ms)
+            .await
+    {
+        let survey = Survey::of_witnesses(state, stream).await;
+        return survey.lookup(state, stream);
+    }
+    lookup
 }
 
-/// Returns the only version that the service has had since the oldest resumable stream began, as far as this
-/// entry knows.
-fn only_version(state: &EntryState, service: &str) -> Option<VersionConstraint> {
+/// Returns the only version that the service has had since the stream began, as far as this entry knows.
+fn only_version(state: &EntryState, stream: SoughtStream<'_>) -> Option<VersionConstraint> {
     let now_ms = state.clock.now_ms();
     let versions = state.versions.borrow();
     let is_current = state.store_freshness.get().is_current(now_ms);
-    if !is_current || !versions.covers_resumable_streams(service, now_ms) {
+    let known_for_ms = versions.known_for_ms(stream.service, now_ms);
+    if !is_current || known_for_ms < stream.max_age_ms {
         return None;
     }
-    versions.only_version(service, now_ms)
+    versions.only_version(stream.service, now_ms)
+}
+
+/// Returns the time after which all versions are known that the service has had since the stream began, if there
+/// has been one only as far as is known.
+fn known_in_ms(state: &EntryState, stream: SoughtStream<'_>) -> Option<u64> {
+    let now_ms = state.clock.now_ms();
+    let versions = state.versions.borrow();
+    versions.only_version(stream.service, now_ms)?;
+    let known_for_ms = versions.known_for_ms(stream.service, now_ms);
+    let missing_ms = stream.max_age_ms.saturating_sub(known_for_ms);
+    (missing_ms > 0).then_some(missing_ms)
 }
 
 /// What agents have answered to a query for the origin of a stream.
@@ -97,12 +129,18 @@
 }
 
 impl Survey {
+    /// Asks the few agents that every entry asks about this stream.
+    async fn of_witnesses(state: &EntryState, stream: SoughtStream<'_>) -> Self {
+        let witnesses = pick_witnesses(stream.key, state.linked_agents());
+        Self::of(state, stream, Some(&witnesses)).await
+    }
+
     /// Asks the linked agents, or of these only the ones on the VMs `among`, and waits for the answers of all,
     /// because the first may be an older record than another.
     ///
     /// Agents to which this entry is still connecting are asked as soon as their links are up. What the agents
     /// know of the versions of services is added to what this entry knows.
-    async fn of(state: &EntryState, service: &str, key: u64, among: Option<&[IpAddr]>) -> Self {
+    async fn of(state: &EntryState, stream: SoughtStream<'_>, among: Option<&[IpAddr]>) -> Self {
         let deadline = Instant::now() + MAX_QUERY_WAIT;
         let mut survey = Self {
             evidence: OriginEvidence::default(),
@@ -113,17 +151,17 @@
         let mut sender = Some(sender);
         while Instant::now() < deadline {
             if let Some(sender) = &sender {
-                survey.ask_connected_agents(state, key, among, sender);
+                survey.ask_connected_agents(state, stream.key, among, sender);
             }
-            let may_connect =
-                among.is_none() && state.has_starting_engine(service, &VersionConstraint::Any);
+            let may_connect = among.is_none()
+                && state.has_starting_engine(stream.service, &VersionConstraint::Any);
             if !may_connect {
                 // The channel then closes when all agents have answered.
                 sender = None;
             }
             let poll_end = deadline.min(Instant::now() + LINK_POLL_INTERVAL);
             match timeout_at(poll_end, answers.recv()).await {
-                Ok(Some(answer)) => survey.add(state, service, &answer),
+                Ok(Some(answer)) => survey.add(state, stream, &answer),
                 Ok(None) => break,
                 Err(_) => {}
             }
@@ -147,31 +185,35 @@
         }
     }
 
-    fn add(&mut self, state: &EntryState, service: &str, answer: &OriginAnswer) {
+    fn add(&mut self, state: &EntryState, stream: SoughtStream<'_>, answer: &OriginAnswer) {
         for versions in &answer.versions {
             state.add_versions(versions);
         }
-        let knows_versions = answer
-            .versions
-            .iter()
-            .any(|known| known.service == service && known.covers_resumable_streams());
+        let knows_versions = answer.versions.iter().any(|known| {
+            known.service == stream.service && known.known_for_ms >= stream.max_age_ms
+        });
         self.evidence.add_answer(answer.record(), knows_versions);
     }
 
     /// Returns what the answers show, together with what this entry knows by now.
-    fn lookup(&self, state: &EntryState, service: &str) -> OriginLookup {
+    fn lookup(&self, state: &EntryState, stream: SoughtStream<'_>) -> OriginLookup {
         let (version, source) = match self.evidence.verdict() {
             OriginVerdict::Known(version) => (Some(version), OriginSource::Agent),
             OriginVerdict::Conflicting => (None, OriginSource::Conflicting),
-            OriginVerdict::Unknown => match self.confirmed_only_version(state, service) {
+            OriginVerdict::Unknown => match self.confirmed_only_version(state, stream) {
                 Some(version) => (Some(version), OriginSource::OnlyVersion),
                 None => (None, OriginSource::Unknown),
             },
         };
+        let known_in_ms = match source {
+            OriginSource::Unknown => known_in_ms(state, stream),
+            _ => None,
+        };
         OriginLookup {
             version,
             source,
             agents_asked: self.asked.len(),
+            known_in_ms,
         }
     }
 
@@ -180,11 +222,11 @@
     fn confirmed_only_version(
         &self,
         state: &EntryState,
-        service: &str,
+        stream: SoughtStream<'_>,
     ) -> Option<VersionConstraint> {
-        let has_agents = state.table.borrow().engine(service).is_some();
+        let has_agents = state.table.borrow().engine(stream.service).is_some();
         let is_confirmed = self.evidence.is_representative(self.asked.len());
-        only_version(state, service).filter(|_| is_confirmed || !has_agents)
+        only_version(state, stream).filter(|_| is_confirmed || !has_agents)
     }
 }
 
@@ -221,7 +263,7 @@
 pub(super) fn log_lookup(
     state: &EntryState,
     metadata: &RequestMetadata,
-    key: u64,
+    stream: SoughtStream<'_>,
     lookup: &OriginLookup,
     started_at: Instant,
 ) {
@@ -229,14 +271,18 @@
         Some(VersionConstraint::Only(Some(version))) => version,
         _ => "-",
     };
-    let list_age_ms = state.store_freshness.get().age_ms(state.clock.now_ms());
+    let now_ms = state.clock.now_ms();
+    let list_age_ms = state.store_freshness.get().age_ms(now_ms);
+    let known_for_ms = state.versions.borrow().known_for_ms(stream.service, now_ms);
     emit(
         EventId::OriginLookup,
         format_args!(
-            "request={} resumes={} stream_key={key:016x} software_version={version} source={} list_age_ms={list_age_ms:?} agents_asked={} waited_ms={}",
+            "request={} resumes={} stream_key={:016x} software_version={version} source={} list_age_ms={list_age_ms:?} known_for_ms={known_for_ms} max_age_ms={} agents_asked={} waited_ms={}",
             metadata.id.as_deref().unwrap_or("-"),
             metadata.resumes.as_deref().unwrap_or("-"),
+            stream.key,
             lookup.source,
+            stream.max_age_ms,
             lookup.agents_asked,
             started_at.elapsed().as_millis()
         ),
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         attempt::OutgoingRequest, engine_link::EngineLink, grant_view::OwnView,
-        in_flight::InFlightGuard, link_notice::LinkNotice, quota::AccountQuotas,
-        refusal::RefusalCause,
+        in_flight::InFlightGuard, link_notice::LinkNotice, past_versions::PastVersionsRead,
+        quota::AccountQuotas, refusal::RefusalCause,
     },
     crate::{
         events::{EventId, emit},
@@ -56,6 +56,7 @@
     /// The origins of streams whose first event this entry has forwarded.
     pub(super) origins: RefCell<StreamOrigins>,
     pub(super) versions: RefCell<VersionHistory>,
+    pub(super) past_versions_read: PastVersionsRead,
     /// The fetches of the engines whose agents ask this entry.
     pub(super) fetch_queue: RefCell<FetchQueue<IpAddr>>,
     pub(super) quarantine: RefCell<Quarantine>,
@@ -140,6 +141,7 @@
             retry_windows: RefCell::default(),
             origins: RefCell::default(),
             versions: RefCell::new(versions),
+            past_versions_read: PastVersionsRead::default(),
             fetch_queue: RefCell::default(),
             quarantine: RefCell::default(),
             plain_crash_detectors: RefCell::default(),
--- a/crates/magnoliasail/src/gateway/entry/stream_origin.rs
+++ b/crates/magnoliasail/src/gateway/entry/stream_origin.rs
@@ -7,10 +7,10 @@
     super::{
         dispatch::Dispatch,
         in_flight::InFlightGuard,
-        origin_lookup::{find_origin, log_lookup, replicate_origin},
+        origin_lookup::{SoughtStream, find_origin, log_lookup, replicate_origin},
         refusal::{Refusal, RefusalCause},
     },
-    magnoliasail_core::gateway::VersionConstraint,
+    magnoliasail_core::gateway::{RequestMetadata, RouteMatch, StreamOrigins, VersionConstraint},
     tokio::time::Instant,
 };
 
@@ -29,10 +29,16 @@
             return Ok(());
         };
         let started_at = Instant::now();
-        let lookup = find_origin(&self.state, &self.route.service, key).await;
-        log_lookup(&self.state, metadata, key, &lookup, started_at);
+        let stream = SoughtStream {
+            service: &self.route.service,
+            key,
+            max_age_ms: max_stream_age_ms(&self.route, metadata),
+        };
+        let lookup = find_origin(&self.state, stream).await;
+        log_lookup(&self.state, metadata, stream, &lookup, started_at);
         let Some(version) = lookup.version else {
-            return Err(self.refusal(RefusalCause::VersionUnknown, u64::MAX));
+            let retry_after_ms = lookup.known_in_ms.unwrap_or(u64::MAX);
+            return Err(self.refusal(RefusalCause::VersionUnknown, retry_after_ms));
         };
         self.version = version;
         let has_server = self
@@ -80,3 +86,12 @@
         }
     }
 }
+
+/// Returns the longest time since a stream that a request resumes can have begun, in milliseconds. A caller resumes
+/// it within its time limit, but need not say how much of that is left.
+fn max_stream_age_ms(route: &RouteMatch, metadata: &RequestMetadata) -> u64 {
+    let limit_ms = metadata.deadline_ms.unwrap_or(StreamOrigins::RETENTION_MS);
+    limit_ms
+        .max(route.timeout_ms)
+        .min(StreamOrigins::RETENTION_MS)
+}
--- a/crates/magnoliasail/src/gateway/entry/version_reports.rs
+++ b/crates/magnoliasail/src/gateway/entry/version_reports.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    fn report_versions(&self) {
+    /// Tells all agents what this entry knows of the versions of services.
+    pub(super) fn report_versions(&self) {
         let vms: Vec<IpAddr> = self.links.borrow().keys().copied().collect();
         for vm in vms {
             self.send_versions(vm);
--- a/crates/magnoliasail/tests/common/mod.rs
+++ b/crates/magnoliasail/tests/common/mod.rs
@@ -1,9 +1,10 @@
 //! What the tests with fleets of real processes share.
 
 pub(crate) mod links;
+pub(crate) mod streams;
 
 use {
-    magnoliasail_soak::{Fleet, FleetSettings},
+    magnoliasail_soak::{DEFAULT_HISTORY, Fleet, FleetSettings},
     std::{future::Future, path::PathBuf},
     tokio::runtime::Builder,
 };
@@ -20,6 +21,7 @@
         network,
         seed: u64::from(network),
         accounts: Vec::new(),
+        store_history: DEFAULT_HISTORY,
     }
 }
 
