fix(quarantine): crashes still count against a part whose quarantine other crashes ended

Cause: the quarantine of a part ends if other servers crash without it within two seconds. That end dropped the crashes that counted against it, and the same end of another entry, passed on by an agent, dropped them once more, so that three more crashes were needed.

Evidence: the new test of the core fails before (the part is free after its next crash).

Change: an end for lack of explanation keeps the evidence, and so does the end of another process where nothing is refused. The next crash with the part starts the quarantine again. Completions clear as before; all other tests of quarantines hold, among them those of losses of power.

--- a/crates/magnoliasail-core/src/gateway/crash_evidence.rs
+++ b/crates/magnoliasail-core/src/gateway/crash_evidence.rs
@@ -153,12 +153,17 @@
         let once = self.seen_once.remove(fingerprint);
         let mut crashes: Vec<Crash> = repeated.into_iter().chain(once).collect();
         crashes.retain(|crash| crash.at_ms > until_ms);
+        self.restore(fingerprint, crashes.clone(), now_ms);
+        crashes
+    }
+
+    /// Records crashes of a suspect that were dropped.
+    pub(super) fn restore(&mut self, fingerprint: u64, crashes: Vec<Crash>, now_ms: TimeMs) {
         match crashes[..] {
             [] => {}
             [crash] => self.seen_once.record(fingerprint, crash, now_ms),
-            _ => self.repeated.record(fingerprint, crashes.clone(), now_ms),
+            _ => self.repeated.record(fingerprint, crashes, now_ms),
         }
-        crashes
     }
 
     /// Drops all crashes of a suspect.
--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -158,7 +158,8 @@
     }
 
     /// Ends the quarantines of parts that were started within the last moment and that do not explain
-    /// half of its crashes any more.
+    /// half of its crashes any more. The crashes still count against them: the part may crash servers beside
+    /// those that ended for another reason.
     fn end_unexplained(&mut self, now_ms: TimeMs) -> Vec<QuarantineChange> {
         self.unconfirmed_parts
             .retain(|part| now_ms.saturating_sub(part.quarantined_ms) < Self::CONFIRMATION_MS);
@@ -172,10 +173,13 @@
             })
             .map(|part| part.fingerprint)
             .collect();
-        unexplained
-            .into_iter()
-            .filter_map(|part| self.end(part, now_ms))
-            .collect()
+        let mut ended = Vec::new();
+        for part in unexplained {
+            let crashes = self.evidence.discard_until(part, 0, now_ms);
+            ended.extend(self.end(part, now_ms));
+            self.evidence.restore(part, crashes, now_ms);
+        }
+        ended
     }
 
     /// Records that a request completed, so that neither it nor a part of its prompt crashes each server;
@@ -299,7 +303,8 @@
             is_part: change.is_part,
         };
         self.changes.record(fingerprint, change, now_ms);
-        if change.is_ended {
+        // An end that this process has decided too leaves it the evidence of its own decision.
+        if change.is_ended && was_quarantined {
             self.evidence.discard(fingerprint);
         }
         was_quarantined == change.is_ended
--- a/crates/magnoliasail-core/tests/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine.rs
@@ -495,3 +495,37 @@
     agent.apply(start, NOW_MS + 500);
     assert!(is_part_quarantined(&agent, BAD_PART, NOW_MS + 500));
 }
+
+/// Guards against further crashes by a part whose quarantine ended because other servers crashed for another reason.
+/// Seed 46149 of the soak failed because of it.
+#[test]
+fn part_that_crashes_servers_beside_a_loss_of_others_is_refused_again_at_its_next_crash() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        quarantine.record_crash(&part_crash(number, 100 + number), NOW_MS + number * 100);
+    }
+    assert!(is_part_quarantined(&quarantine, BAD_PART, NOW_MS + 300));
+    let loss_ms = NOW_MS + 1_500;
+    for number in 10..14 {
+        let report = CrashReport {
+            server_start: number,
+            requests: vec![prompt(8_000 + number, &[FIRST_PART])],
+            service: SERVICE,
+        };
+        quarantine.record_crash(&report, loss_ms);
+    }
+    assert!(!is_part_quarantined(&quarantine, BAD_PART, loss_ms));
+    // The other entry has ended it too, and an agent passes that on.
+    let end = QuarantineChange {
+        fingerprint: BAD_PART,
+        is_ended: true,
+        age_ms: 0,
+        is_part: true,
+    };
+    quarantine.apply(end, loss_ms + 2);
+    let now_ms = loss_ms + 1_500;
+    quarantine.record_completion(&prompt(8_000, &[FIRST_PART]), now_ms - 100);
+    quarantine.record_crash(&part_crash(20, 200), now_ms);
+    assert!(is_part_quarantined(&quarantine, BAD_PART, now_ms));
+    assert!(!is_part_quarantined(&quarantine, FIRST_PART, now_ms));
+}
