fix(entry): an agent that missed the end of a quarantine is told of it

Cause: the end of a quarantine was sent once; only a new link replays it.

Change: an entry whose request an agent refuses as quarantined tells that agent which quarantines of the request and its parts have ended, with their age; whichever was decided later stays in force.

Test: agent_that_missed_the_end_of_a_quarantine_is_told_of_it_at_its_first_refusal, with real processes; without the message all calls are refused, with it the first one only.

--- a/crates/magnoliasail-core/src/gateway/quarantine.rs
+++ b/crates/magnoliasail-core/src/gateway/quarantine.rs
@@ -359,6 +359,22 @@
             })
     }
 
+    /// Returns the ends, as far as this process knows them, of quarantines of a request and of the parts of its
+    /// prompt: what to tell a process that refuses the request.
+    #[must_use]
+    pub fn known_ends(&self, suspect: &SuspectRequest, now_ms: TimeMs) -> Vec<QuarantineChange> {
+        let end = |fingerprint| {
+            let change = self.changes.get(fingerprint, now_ms)?;
+            change.is_ended.then(|| QuarantineChange {
+                fingerprint,
+                is_ended: true,
+                age_ms: now_ms.saturating_sub(change.decided_ms),
+                is_part: change.is_part,
+            })
+        };
+        fingerprints(suspect).filter_map(end).collect()
+    }
+
     fn fingerprint_left_ms(&self, fingerprint: u64, now_ms: TimeMs) -> Option<u64> {
         let change = self.changes.get(fingerprint, now_ms)?;
         let end_ms = change.decided_ms + Self::RETENTION_MS;
--- a/crates/magnoliasail/src/gateway/entry/dispatch.rs
+++ b/crates/magnoliasail/src/gateway/entry/dispatch.rs
@@ -295,6 +295,7 @@
                         handed_back.push(Arc::clone(&pick.id));
                     }
                     if cause == RefusalCause::Quarantined {
+                        self.state.contest_quarantine(&pick, &self.outgoing.suspect);
                         return Err(self.refusal(cause, agent_retry_after_ms));
                     }
                     if agent_retry_after_ms > 0 {
--- a/crates/magnoliasail/src/gateway/entry/quarantine.rs
+++ b/crates/magnoliasail/src/gateway/entry/quarantine.rs
@@ -245,6 +245,16 @@
         }
     }
 
+    /// Tells the agent of a server, which refuses a request, which quarantines have ended. It may have missed that.
+    pub(super) fn contest_quarantine(&self, pick: &PickedServer, suspect: &SuspectRequest) {
+        let now_ms = self.clock.now_ms();
+        let ends = self.quarantine.borrow().known_ends(suspect, now_ms);
+        for change in ends {
+            // If it is not taken, the next refusal brings it.
+            let _ = self.send_to_agent(pick.address.ip(), ToAgentKind::Quarantine(change));
+        }
+    }
+
     /// Sends an agent what is quarantined and confirmed.
     fn send_quarantines(&self, vm: IpAddr) {
         let now_ms = self.clock.now_ms();
--- a/crates/magnoliasail/tests/agent_quarantine.rs
+++ b/crates/magnoliasail/tests/agent_quarantine.rs
@@ -11,8 +11,9 @@
     magnoliasail_core::gateway::{
         EngineRefusal, Quarantine,
         message::{QuarantineChange, Submit, SuspectRequest, ToAgentKind, ToEntryKind},
+        part_fingerprint,
     },
-    magnoliasail_soak::{Fleet, PROPAGATION_TIME},
+    magnoliasail_soak::{Call, CallKind, Caller, Fleet, Outcome, PROPAGATION_TIME},
     std::time::Duration,
     tokio::{
         sync::mpsc,
@@ -152,3 +153,57 @@
         assert_no_violations(&fleet);
     });
 }
+
+/// Guards against an agent that has missed the end of a quarantine and refuses for a day what its entry allows.
+#[test]
+fn agent_that_missed_the_end_of_a_quarantine_is_told_of_it_at_its_first_refusal() {
+    const PART: &str = "bb";
+    const CALLS: u32 = 6;
+    run_with_fleet(small_fleet(86), |fleet| async move {
+        // New links are told what was decided in the last two seconds.
+        sleep(Duration::from_millis(Quarantine::CONFIRMATION_MS + 500)).await;
+        let (to_first, _first_received) = open_link(&fleet, 0).await;
+        let (to_second, _second_received) = open_link(&fleet, 1).await;
+        let start = QuarantineChange {
+            fingerprint: part_fingerprint(PART),
+            is_ended: false,
+            age_ms: 1_000,
+            is_part: true,
+        };
+        let end = QuarantineChange {
+            is_ended: true,
+            age_ms: 0,
+            ..start
+        };
+        send(&to_first, ToAgentKind::Quarantine(start)).await;
+        // The entry hears of the end from the other agent only, whose engine then leaves.
+        for change in [start, end] {
+            send(&to_second, ToAgentKind::Quarantine(change)).await;
+        }
+        fleet.servers[1].set_draining(true);
+        fleet.publish_server(1);
+        sleep(PROPAGATION_TIME).await;
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        let mut outcomes = Vec::new();
+        for number in 0..CALLS {
+            let call = Call {
+                id: format!("part-{number}"),
+                kind: CallKind::ResumableStream,
+                content: format!("part-{number}"),
+                prompt_parts: format!("{PART}:50,own{number}:20"),
+                ..Call::default()
+            };
+            outcomes.push(caller.call(&call).await);
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(outcomes[0], Outcome::NotRun, "{}", fleet.output());
+        let later = &outcomes[1..];
+        let is_served = |outcome: &Outcome| *outcome == Outcome::Served;
+        assert!(
+            later.iter().all(is_served),
+            "{outcomes:?}\n{}",
+            fleet.output()
+        );
+        assert_no_violations(&fleet);
+    });
+}
