--- a/crates/magnoliasail-core/src/gateway/crash_detector.rs
+++ b/crates/magnoliasail-core/src/gateway/crash_detector.rs
@@ -7,9 +7,9 @@
 //! A request whose caller left is cancelled, but the server may run it for a while nevertheless. It is
 //! kept for a moment too, and an answer of the server does not clear it.
 //!
-//! A request that completes shows only that the server could write its response. The server may end of it
-//! right after, with a connection that ends as if all was sent. So a completion counts once the server
-//! answers a report that was requested after it; until then the request is a suspect.
+//! A completed request shows only that the server could write its response. The server may crash on it right
+//! after, and its connection may end as if all had been sent. So a completion counts once the server answers
+//! a report that was requested after it; until then the request is a suspect.
 
 use {
     super::{
--- a/crates/magnoliasail-core/src/gateway/past_versions.rs
+++ b/crates/magnoliasail-core/src/gateway/past_versions.rs
@@ -56,8 +56,8 @@
     /// Returns for how long all versions are known, in milliseconds; `u64::MAX` if it is since the first
     /// change, and `None` if the history does not show them all.
     ///
-    /// `listed` are the servers listed now. A server whose row is older than the history shows that the
-    /// history does not begin before its start, at the Unix time `started_ms` of it; `unix_ms` is the time now.
+    /// `listed` are the servers listed now, and `unix_ms` is the Unix time. If a listed server's row is not in the
+    /// history, the history begins after that row was written, and so after the start of the server.
     pub fn known_for_ms<'a>(
         &self,
         span: HistorySpan,
