--- a/crates/magnoliasail/tests/lost_processes.rs
+++ b/crates/magnoliasail/tests/lost_processes.rs
@@ -43,30 +43,26 @@
     });
 }
 
+/// Asserts that streams which a loss of all processes breaks off go on once the processes are back.
+async fn assert_streams_go_on(fleet: Fleet) {
+    let (mut fleet, calls) = broken_off_streams(fleet, kill_all).await;
+    restart_all(&mut fleet);
+    let outcomes = resume(&fleet, &calls).await;
+    assert!(!calls.is_empty(), "{}", fleet.output());
+    assert_all_served(&fleet, &outcomes);
+    assert_no_violations(&fleet);
+}
+
 /// Guards against refusing every stream after a loss of all processes although no other version has served.
 #[test]
 fn streams_of_the_only_software_version_go_on_after_all_processes_were_killed() {
-    with_versions(1, 121, |fleet| async move {
-        let (mut fleet, calls) = broken_off_streams(fleet, kill_all).await;
-        restart_all(&mut fleet);
-        let outcomes = resume(&fleet, &calls).await;
-        assert!(!calls.is_empty(), "{}", fleet.output());
-        assert_all_served(&fleet, &outcomes);
-        assert_no_violations(&fleet);
-    });
+    with_versions(1, 121, assert_streams_go_on);
 }
 
 /// The same with a history that begins after the servers started, and before the streams.
 #[test]
 fn streams_go_on_after_all_processes_were_killed_if_the_kept_history_is_older() {
-    after_history(LONG_HISTORY, 122, |fleet| async move {
-        let (mut fleet, calls) = broken_off_streams(fleet, kill_all).await;
-        restart_all(&mut fleet);
-        let outcomes = resume(&fleet, &calls).await;
-        assert!(!calls.is_empty(), "{}", fleet.output());
-        assert_all_served(&fleet, &outcomes);
-        assert_no_violations(&fleet);
-    });
+    after_history(LONG_HISTORY, 122, assert_streams_go_on);
 }
 
 /// A shorter history does not show all versions since the oldest stream began; the time since the restart does.
