--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -210,7 +210,10 @@
     headers: &[(&str, String)],
     body: &str,
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
