--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -66,6 +66,15 @@
     poison: Option<String>,
 }
 
+/// A run of a request, from its first token to its end, in seconds since the start of the case.
+#[derive(Clone)]
+pub struct Run {
+    pub request: String,
+    pub engine: String,
+    pub begun_s: f64,
+    pub ended_s: f64,
+}
+
 /// The runner. Clones share its state.
 #[derive(Clone)]
 pub struct Engine {
@@ -81,6 +90,9 @@
     /// When the runner crashed, in seconds since the start of the case.
     pub crashes: Arc<Mutex<Vec<f64>>>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
+    /// Until when the runner sends nothing; what runs goes on.
+    silent_until: Arc<Mutex<Option<Instant>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
     listing: Arc<Mutex<Option<(Store, String)>>>,
 }
 
@@ -119,6 +131,8 @@
             begun: Arc::default(),
             crashes: Arc::default(),
             connections: Arc::default(),
+            silent_until: Arc::default(),
+            runs: Arc::default(),
             listing: Arc::default(),
         };
         let accepting = engine.clone();
@@ -158,6 +172,49 @@
         }
     }
 
+    /// Sends nothing for a while, and goes on then.
+    pub fn fall_silent(&self, duration: Duration) {
+        self.record
+            .line(format!("{} falls silent for {duration:?}", self.name));
+        *self.silent_until.lock().unwrap() = Some(Instant::now() + duration);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent_until
+            .lock()
+            .unwrap()
+            .is_some_and(|until| until > Instant::now())
+    }
+
+    fn wait_while_silent(&self) {
+        while self.is_silent() {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Returns the runs that have ended.
+    pub fn finished_runs(&self) -> Vec<Run> {
+        let runs = self.runs.lock().unwrap();
+        let finished = runs.iter().filter(|run| run.ended_s > run.begun_s);
+        finished.cloned().collect()
+    }
+
+    fn record_begin(&self, request: &str) {
+        self.runs.lock().unwrap().push(Run {
+            request: request.to_owned(),
+            engine: self.name.clone(),
+            begun_s: self.record.now_s(),
+            ended_s: 0.0,
+        });
+    }
+
+    fn record_end(&self, request: &str) {
+        let mut runs = self.runs.lock().unwrap();
+        if let Some(run) = runs.iter_mut().rev().find(|run| run.request == request) {
+            run.ended_s = self.record.now_s();
+        }
+    }
+
     /// Sets the part of prompts on which the runner crashes.
     pub fn set_poison(&self, part: &str) {
         self.state.lock().unwrap().poison = Some(part.to_owned());
@@ -209,6 +266,7 @@
             if self.generation.load(Ordering::SeqCst) != generation {
                 return;
             }
+            self.wait_while_silent();
             let served = match (request.method.as_str(), request.path()) {
                 ("GET", "/report") => self.report(&mut writer),
                 ("POST", "/order") => self.order(&mut writer, &request),
@@ -407,6 +465,7 @@
                 self.record
                     .line(format!("{} begins {id} on {name}@{version}", self.name));
                 self.begun.lock().unwrap().insert(id.clone());
+                self.record_begin(&id);
             }
             Err(status) => return self.refuse(writer, &id, &name, status),
         }
@@ -484,6 +543,7 @@
     fn wait_for_event(&self, writer: &TcpStream, generation: u64) -> io::Result<()> {
         for _ in 0..self.settings.steps_per_event {
             thread::sleep(self.settings.step);
+            self.wait_while_silent();
             if self.generation.load(Ordering::SeqCst) != generation || has_closed(writer) {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
@@ -521,6 +581,7 @@
     fn release(&self, name: &str, id: &str, cause: &str, generation: u64) {
         self.record
             .line(format!("{} ends {id}: {cause}", self.name));
+        self.record_end(id);
         if self.generation.load(Ordering::SeqCst) != generation {
             return;
         }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod poison_part;
 mod record;
+mod silence;
 mod store;
 mod two_versions;
 mod unframed;
@@ -86,6 +87,7 @@
         std::process::exit(2);
     });
     let result = match case.as_str() {
+        "silence" => silence::run(&context),
         "two-versions" => two_versions::run(&context),
         "unframed" => unframed::run(&context),
         "unload" => unload::run(&context),
