--- a/review/harness-2/src/two_versions.rs
+++ b/review/harness-2/src/two_versions.rs
@@ -60,8 +60,20 @@
     (last, versions)
 }
 
+/// The kind of service that writes a stream.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum StreamKind {
+    Model,
+    Plain,
+}
+
 /// Sends a stream, takes it up again after a broken channel, and returns the software versions of its events.
-fn stream(number: u64, front: SocketAddr, record: &Record) -> BTreeSet<String> {
+pub fn stream(
+    number: u64,
+    kind: StreamKind,
+    front: SocketAddr,
+    record: &Record,
+) -> BTreeSet<String> {
     let started = Instant::now();
     let first_id = format!("5eed{number:04x}00");
     let mut last = 0;
@@ -85,10 +97,16 @@
         let call = Call {
             id,
             method: "POST",
-            path: format!("/draft/{number}"),
-            headers: format!(
-                "Model: base\r\nToken-Count: 1110,1200\r\nPrompt-Prefix: 7:350,{number:x}5eed:760\r\n{resumption}"
-            ),
+            path: match kind {
+                StreamKind::Model => format!("/draft/{number}"),
+                StreamKind::Plain => format!("/feed/{number}"),
+            },
+            headers: match kind {
+                StreamKind::Model => format!(
+                    "Model: base\r\nToken-Count: 1110,1200\r\nPrompt-Prefix: 7:350,{number:x}5eed:760\r\n{resumption}"
+                ),
+                StreamKind::Plain => resumption,
+            },
             body: format!("draft {number}"),
             deadline: left,
             gives_up_after: None,
@@ -158,7 +176,7 @@
             thread::spawn(move || {
                 thread::sleep(Duration::from_millis(40 * number));
                 has_begun.store(true, Ordering::SeqCst);
-                let versions = stream(number, entry.front, &record);
+                let versions = stream(number, StreamKind::Model, entry.front, &record);
                 joined.lock().unwrap().push((number, versions));
             })
         })
