--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -60,6 +60,10 @@
         self.write(key, Some(value.to_owned()));
     }
 
+    pub fn remove(&self, key: &str) {
+        self.write(key, None);
+    }
+
     fn write(&self, key: &str, value: Option<String>) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
--- a/review/harness-2/src/unframed.rs
+++ b/review/harness-2/src/unframed.rs
@@ -27,13 +27,18 @@
 const CUT: Duration = Duration::from_millis(2_500);
 const CRASHES_AFTER: Duration = Duration::from_millis(200);
 const AWAY: Duration = Duration::from_millis(2_000);
+/// The same with `VARIANT=new-id`. What a sender repeats to a machine that is cut off, it repeats after ever
+/// longer pauses, so that the end of a channel comes some time after the cut.
+const SHORT_CUT: Duration = Duration::from_millis(1_700);
+const SHORT_AWAY: Duration = Duration::from_millis(1_400);
+const REPEATED_AFTER: Duration = Duration::from_millis(1_400);
 const FREEZE: Duration = Duration::from_millis(3_000);
 const PARTS: usize = 8;
 const PART_BYTES: usize = 100;
 
 fn configuration() -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"host":"{HOST}","path_prefix":"/order/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":0,"max_attempts":1,"service":"{SERVICE}"}}],"services":[{{"name":"{SERVICE}","health_path":"/healthz","max_connections":190}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":1,"routes":[{{"host":"{HOST}","path_prefix":"/order/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":0,"max_attempts":1,"service":"{SERVICE}"}},{{"host":"{HOST}","path_prefix":"/look/","kind":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":0,"max_attempts":2,"service":"{SERVICE}"}}],"services":[{{"name":"{SERVICE}","health_path":"/healthz","max_connections":190}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
 
@@ -49,12 +54,34 @@
     text
 }
 
-/// A runner of a plain service whose answers end with their channels.
+/// What differs between the variants of the case.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Variant {
+    /// The runner is cut off, and starts again under its id.
+    Cut,
+    /// The entry is frozen, and the runner starts again under its id.
+    Freeze,
+    /// The runner is cut off, and starts again under a new id.
+    NewId,
+}
+
+impl Variant {
+    fn of_environment() -> Self {
+        match std::env::var("VARIANT").as_deref() {
+            Ok("freeze") => Self::Freeze,
+            Ok("new-id") => Self::NewId,
+            _ => Self::Cut,
+        }
+    }
+}
+
+/// A runner of a plain service whose answers to print orders end with their channels.
 #[derive(Clone)]
 struct Server {
     name: String,
     address: SocketAddr,
     record: Record,
+    variant: Variant,
     generation: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     /// How many bytes of each answer it has written, and whether that is all.
@@ -62,12 +89,13 @@
 }
 
 impl Server {
-    fn start(name: &str, ip: &str, record: &Record) -> io::Result<Self> {
+    fn start(name: &str, ip: &str, variant: Variant, record: &Record) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
         let server = Self {
             name: name.to_owned(),
             address: listener.local_addr()?,
             record: record.clone(),
+            variant,
             generation: Arc::default(),
             connections: Arc::default(),
             written: Arc::default(),
@@ -94,7 +122,10 @@
                 thread::spawn(move || server.serve(stream, generation));
             }
             drop(listener);
-            thread::sleep(AWAY);
+            thread::sleep(match self.variant {
+                Variant::NewId => SHORT_AWAY,
+                _ => AWAY,
+            });
             listener = loop {
                 match TcpListener::bind(self.address) {
                     Ok(listener) => break listener,
@@ -102,7 +133,15 @@
                 }
             };
             self.record
-                .line(format!("{} is back under its id", self.name));
+                .line(format!("{} is back as {}", self.name, self.id()));
+        }
+    }
+
+    fn id(&self) -> String {
+        let start = self.generation.load(Ordering::SeqCst);
+        match self.variant {
+            Variant::NewId => format!("i-{}-{start}", self.name),
+            _ => format!("i-{}", self.name),
         }
     }
 
@@ -120,7 +159,7 @@
             "{{\"service\":\"{SERVICE}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":{}}}",
             1_700_000_000_000 + start
         );
-        store.put(&format!("servers/i-{}", self.name), &row);
+        store.put(&format!("servers/{}", self.id()), &row);
     }
 
     fn serve(&self, stream: TcpStream, generation: u64) {
@@ -133,7 +172,7 @@
             if self.generation.load(Ordering::SeqCst) != generation {
                 return;
             }
-            let own_id = format!("i-{}", self.name);
+            let own_id = self.id();
             let id = request.header("request-id").unwrap_or_default().to_owned();
             let is_other = request
                 .header("expect-instance")
@@ -149,6 +188,14 @@
                 if respond(&mut writer, 200, &[("Instance-Id", own_id)], "").is_err() {
                     return;
                 }
+            } else if request.path().starts_with("/look/") {
+                let headers = [
+                    ("Request-Id", id.clone()),
+                    ("Response-Stamp", format!("stamp-{id}")),
+                ];
+                if respond(&mut writer, 200, &headers, "seen").is_err() {
+                    return;
+                }
             } else {
                 self.record.line(format!("{} runs {id}", self.name));
                 let _ = self.answer(&mut writer, &id, generation);
@@ -189,15 +236,17 @@
 struct Proxy {
     address: SocketAddr,
     is_cut: Arc<AtomicBool>,
+    variant: Variant,
     record: Record,
 }
 
 impl Proxy {
-    fn start(ip: &str, server: SocketAddr, record: &Record) -> io::Result<Self> {
+    fn start(ip: &str, server: SocketAddr, variant: Variant, record: &Record) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
         let proxy = Self {
             address: listener.local_addr()?,
             is_cut: Arc::default(),
+            variant,
             record: record.clone(),
         };
         let accepting = proxy.clone();
@@ -248,9 +297,15 @@
     /// Copies bytes and the end of a direction; what is on its way during a cut arrives after it.
     fn copy(&self, mut from: TcpStream, mut to: TcpStream) {
         let mut chunk = [0; 16_384];
+        let mut is_held_up = false;
         loop {
             let read = from.read(&mut chunk);
+            is_held_up |= self.is_cut.load(Ordering::SeqCst);
             self.wait_while_cut();
+            let is_end = matches!(read, Ok(0) | Err(_));
+            if is_held_up && is_end && self.variant == Variant::NewId {
+                thread::sleep(REPEATED_AFTER);
+            }
             match read {
                 Ok(count) if count > 0 => {
                     if to.write_all(&chunk[..count]).is_err() {
@@ -267,14 +322,15 @@
 /// Returns how the rule was broken, if it was.
 pub fn run(context: &Context) -> io::Result<Option<String>> {
     let record = &context.record;
+    let variant = Variant::of_environment();
     let store = Store::start(&format!("{}.1", context.network))?;
     store.put("op/config", &configuration());
     let mut servers = Vec::new();
     for number in 1..=2_u8 {
         let ip = format!("{}.{}", context.network, 30 + number);
-        let server = Server::start(&format!("desk{number}"), &ip, record)?;
+        let server = Server::start(&format!("desk{number}"), &ip, variant, record)?;
         let proxy_ip = format!("{}.{}", context.network, 50 + number);
-        let proxy = Proxy::start(&proxy_ip, server.address, record)?;
+        let proxy = Proxy::start(&proxy_ip, server.address, variant, record)?;
         server.list(&store, proxy.address);
         servers.push((server, proxy));
     }
@@ -284,7 +340,7 @@
     thread::sleep(Duration::from_secs(1));
     let has_ended = Arc::new(AtomicBool::new(false));
     let outcomes: Arc<Mutex<Vec<(String, Outcome)>>> = Arc::default();
-    let clients: Vec<_> = (0..12_u64)
+    let clients: Vec<_> = (0..18_u64)
         .map(|client| {
             let record = record.clone();
             let has_ended = Arc::clone(&has_ended);
@@ -295,9 +351,10 @@
                 while !has_ended.load(Ordering::SeqCst) {
                     number += 1;
                     let id = format!("{client:02x}{number:06x}");
+                    let is_order = client % 3 != 0;
                     let call = Call {
-                        method: "POST",
-                        path: format!("/order/{id}"),
+                        method: if is_order { "POST" } else { "GET" },
+                        path: format!("/{}/{id}", if is_order { "order" } else { "look" }),
                         headers: String::new(),
                         body: format!("order {id}"),
                         deadline: Duration::from_millis(4_000),
@@ -305,7 +362,9 @@
                         id: id.clone(),
                     };
                     let outcome = call.send(entry.front, &record);
-                    outcomes.lock().unwrap().push((id, outcome));
+                    if is_order {
+                        outcomes.lock().unwrap().push((id, outcome));
+                    }
                     thread::sleep(Duration::from_millis(100 + random.below(400)));
                 }
             })
@@ -313,15 +372,13 @@
         .collect();
     thread::sleep(Duration::from_secs(3));
     let mut random = Random::new(11);
-    // Another way to the same fault: the entry is frozen while the runner crashes and starts again.
-    let is_entry_frozen = std::env::var("VARIANT").as_deref() == Ok("freeze");
     let entry_pid = deployment
         .pid("front-5")
         .ok_or_else(|| io::Error::other("no entry"))?;
     for round in 0..ROUNDS {
         let (server, proxy) = &servers[(round % 2) as usize];
         thread::sleep(Duration::from_millis(random.below(500)));
-        if context.has_trouble && is_entry_frozen {
+        if context.has_trouble && variant == Variant::Freeze {
             record.line("the entry freezes");
             signal(entry_pid, "STOP");
             thread::sleep(CRASHES_AFTER);
@@ -332,13 +389,23 @@
             thread::sleep(Duration::from_millis(300));
             server.list(&store, proxy.address);
         } else if context.has_trouble {
+            let cut = match variant {
+                Variant::NewId => SHORT_CUT,
+                _ => CUT,
+            };
+            let old_id = server.id();
             proxy.set_cut(true);
             thread::sleep(CRASHES_AFTER);
             server.crash();
-            thread::sleep(CUT - CRASHES_AFTER);
+            thread::sleep(cut - CRASHES_AFTER);
             proxy.set_cut(false);
             thread::sleep(Duration::from_millis(300));
             server.list(&store, proxy.address);
+            if variant == Variant::NewId {
+                // The row of a runner that sends no heartbeats is removed.
+                thread::sleep(Duration::from_millis(1_600));
+                store.remove(&format!("servers/{old_id}"));
+            }
         }
         thread::sleep(Duration::from_secs(9));
     }
