--- a/review/harness-2/src/plain_versions.rs
+++ b/review/harness-2/src/plain_versions.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Context,
+        Context, Random,
         client::HOST,
         fleet::Deployment,
         http::{Reader, Request, respond},
@@ -30,8 +30,10 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// The time after its start for which a runner is slow, as its row says.
 const COLD: Duration = Duration::from_secs(15);
-/// The time from the return of one runner to the upgrade of the next.
-const GAP: Duration = Duration::from_millis(100);
+/// The longest time from the return of one runner to the upgrade of the next, in milliseconds.
+const MAX_GAP_MS: u64 = 250;
+/// The time from the upgrade of the last runner to the next version.
+const BETWEEN_VERSIONS: Duration = Duration::from_secs(5);
 const EVENTS: u32 = 100;
 
 fn configuration() -> String {
@@ -248,14 +250,15 @@
         .collect();
     // The entry may spend its whole share of the retries once it is as old as their window.
     thread::sleep(Duration::from_secs(12));
-    for version in ["v2", "v3"] {
+    let mut random = Random::new(10);
+    for version in ["v2", "v3", "v4", "v5", "v6"] {
         for server in &servers {
             let software = if context.has_trouble { version } else { "v1" };
             server.upgrade(software);
             server.wait_until_up();
-            thread::sleep(GAP);
+            thread::sleep(Duration::from_millis(random.below(MAX_GAP_MS)));
         }
-        thread::sleep(Duration::from_secs(8));
+        thread::sleep(BETWEEN_VERSIONS);
     }
     has_ended.store(true, Ordering::SeqCst);
     for client in clients {
