--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -248,6 +248,11 @@
         store.put(&format!("servers/{}", state.id), &row);
     }
 
+    /// Sets the software of the runner before it is listed.
+    pub fn set_software(&self, software: &str) {
+        self.state.lock().unwrap().software = software.to_owned();
+    }
+
     /// Replaces the runner's software: it ends, and starts again under its id after a while.
     pub fn upgrade(&self, software: &str) {
         self.record
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod fleet;
 mod http;
+mod mixed_fleet;
 mod plain_versions;
 mod poison_part;
 mod record;
@@ -92,6 +93,7 @@
         "two-versions" => two_versions::run(&context),
         "unframed" => unframed::run(&context),
         "unload" => unload::run(&context),
+        "mixed-fleet" => mixed_fleet::run(&context),
         "plain-versions" => plain_versions::run(&context),
         "poison-part" => poison_part::run(&context),
         _ => Err(std::io::Error::other("there is no such case")),
--- a/review/harness-2/src/two_versions.rs
+++ b/review/harness-2/src/two_versions.rs
@@ -42,7 +42,7 @@
 }
 
 /// Returns the id of the last complete event, and the software versions of all complete events.
-fn events(body: &str) -> (u32, BTreeSet<String>) {
+pub fn events(body: &str) -> (u32, BTreeSet<String>) {
     let mut last = 0;
     let mut versions = BTreeSet::new();
     let complete = body.rfind("\n\n").map_or("", |end| &body[..end]);
