--- /dev/null
+++ b/review/harness-3/src/plain.rs
@@ -0,0 +1,148 @@
+//! A stand-in for a plain runner whose answers have no length and end with their channel.
+
+use crate::engine::listen;
+use crate::fleet::{Record, unix_ms};
+use crate::http::{Connection, Head};
+use crate::store::Store;
+use serde_json::json;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+const WORK: Duration = Duration::from_millis(60);
+
+struct State {
+    born: u64,
+    tasks: Vec<AbortHandle>,
+    row_sequence: u64,
+    running: u32,
+}
+
+#[derive(Clone)]
+pub struct Plain {
+    pub service: String,
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The address in its row.
+    pub listed: SocketAddr,
+    /// Time between the two halves of an answer.
+    pub pause: Duration,
+    pub record: Record,
+    pub store: Store,
+    state: Arc<Mutex<State>>,
+}
+
+/// The whole body of the answer to a request.
+pub fn whole_body(request: &str) -> String {
+    format!("answer of {request}: {} END", "0123456789".repeat(78))
+}
+
+impl Plain {
+    pub fn new(service: &str, id: &str, address: SocketAddr, listed: SocketAddr, record: &Record, store: &Store) -> Self {
+        Self {
+            service: service.to_owned(),
+            id: id.to_owned(),
+            address,
+            listed,
+            pause: Duration::from_millis(300),
+            record: record.clone(),
+            store: store.clone(),
+            state: Arc::new(Mutex::new(State {
+                born: 0,
+                tasks: Vec::new(),
+                row_sequence: 0,
+                running: 0,
+            })),
+        }
+    }
+
+    pub async fn start(&self) -> io::Result<()> {
+        let listener = listen(self.address).await?;
+        let server = self.clone();
+        let acceptor = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let served = server.clone();
+                let task = tokio::spawn(async move {
+                    let _ = served.serve(Connection::new(stream)).await;
+                });
+                server.state.lock().unwrap().tasks.push(task.abort_handle());
+            }
+        });
+        let mut state = self.state.lock().unwrap();
+        state.born = unix_ms();
+        state.tasks.push(acceptor.abort_handle());
+        drop(state);
+        self.write_row();
+        self.record.line(format!("{} starts", self.id));
+        Ok(())
+    }
+
+    fn write_row(&self) {
+        let row = {
+            let mut state = self.state.lock().unwrap();
+            state.row_sequence += 1;
+            json!({"service": self.service, "address": self.listed.to_string(), "zone": "zone-a",
+                "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
+                "sequence": state.row_sequence, "born": state.born})
+        };
+        self.store.put(&format!("servers/{}", self.id), &row);
+    }
+
+    pub fn running(&self) -> u32 {
+        self.state.lock().unwrap().running
+    }
+
+    /// Ends as a process that is killed: the kernel closes its sockets.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        self.record.line(format!("{} crashes with {} requests running", self.id, state.running));
+        state.running = 0;
+        let tasks = std::mem::take(&mut state.tasks);
+        drop(state);
+        for task in tasks {
+            task.abort();
+        }
+    }
+
+    async fn serve(&self, mut connection: Connection) -> io::Result<()> {
+        while let Some(head) = connection.read_head().await? {
+            let mut body = Vec::new();
+            if !connection.read_body(&head, &mut body).await? {
+                return Ok(());
+            }
+            if head.header("expect-instance").is_some_and(|id| id != self.id) {
+                connection.answer(421, "Not-Run: 1\r\n", "").await?;
+            } else if head.path() == "/healthz" {
+                let headers = format!("Instance-Id: {}\r\nServer-Load: {},0,16\r\n", self.id, self.running());
+                connection.answer(200, &headers, "").await?;
+            } else {
+                return self.run(&mut connection, &head).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn run(&self, connection: &mut Connection, head: &Head) -> io::Result<()> {
+        let request = head.header("request-id").unwrap_or_default();
+        self.state.lock().unwrap().running += 1;
+        self.record.line(format!("{} begins {request}", self.id));
+        sleep(WORK).await;
+        let body = whole_body(request);
+        let (first, second) = body.split_at(body.len() / 2);
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\nRequest-Id: {request}\r\n\
+             Response-Stamp: stamp-{request}\r\n\r\n{first}"
+        );
+        connection.stream.write_all(text.as_bytes()).await?;
+        sleep(self.pause).await;
+        connection.stream.write_all(second.as_bytes()).await?;
+        self.state.lock().unwrap().running -= 1;
+        self.record.line(format!("{} completes {request}", self.id));
+        Ok(())
+    }
+}
