--- a/review/harness-3/src/engine.rs
+++ b/review/harness-3/src/engine.rs
@@ -43,6 +43,7 @@
     running: u32,
     tasks: Vec<AbortHandle>,
     row_sequence: u64,
+    is_leaving: bool,
     /// The crashes by orders beyond `adapter_slots`.
     pub over_ordered: u32,
     /// Streams that a crash broke off.
@@ -53,11 +54,14 @@
 #[derive(Clone)]
 pub struct Engine {
     pub service: String,
+    /// The version of its software.
+    pub software: &'static str,
     pub address: SocketAddr,
     pub slots: u32,
     pub adapter_slots: usize,
     /// Events of each stream.
     pub events: u32,
+    pub steps_per_event: u32,
     pub record: Record,
     pub store: Store,
     pub state: Arc<Mutex<State>>,
@@ -68,10 +72,12 @@
     pub fn new(service: &str, name: &str, address: SocketAddr, adapter_slots: usize, record: &Record, store: &Store) -> Self {
         Self {
             service: service.to_owned(),
+            software: "v1",
             address,
             slots: 32,
             adapter_slots,
             events: 14,
+            steps_per_event: STEPS_PER_EVENT,
             record: record.clone(),
             store: store.clone(),
             name: name.to_owned(),
@@ -86,6 +92,7 @@
                 running: 0,
                 tasks: Vec::new(),
                 row_sequence: 0,
+                is_leaving: false,
                 over_ordered: 0,
                 broken_streams: 0,
                 begun: 0,
@@ -119,13 +126,41 @@
     }
 
 
+    /// Reports that it drains; all its answers say so from now on.
+    pub fn drain(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+        self.write_row("draining");
+        self.record.line(format!("{} reports draining", self.name));
+    }
+
+    /// Is gone for good, whatever it runs.
+    pub fn leave(&self) {
+        let mut state = self.state.lock().unwrap();
+        self.record.line(format!("{} leaves with {} streams running", self.name, state.running));
+        let key = format!("servers/{}", state.id);
+        let tasks = std::mem::take(&mut state.tasks);
+        drop(state);
+        self.store.remove(&key);
+        for task in tasks {
+            task.abort();
+        }
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        if self.state.lock().unwrap().is_leaving {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     pub fn write_row(&self, status: &str) {
         let (key, row) = {
             let mut state = self.state.lock().unwrap();
             state.row_sequence += 1;
             let key = format!("servers/{}", state.id);
             let row = json!({"service": self.service, "address": self.address.to_string(),
-                "zone": "zone-a", "version": "v1", "slots": self.slots, "state": status,
+                "zone": "zone-a", "version": self.software, "slots": self.slots, "state": status,
                 "cold_remaining_ms": 0, "sequence": state.row_sequence, "born": state.born,
                 "stage": "both", "models": [{"name": MODEL, "version": 1, "adapters": []}]});
             (key, row)
@@ -142,7 +177,8 @@
             match head.path() {
                 "/report" => {
                     let report = self.report().to_string();
-                    connection.answer(200, "Content-Type: application/json\r\n", &report).await?;
+                    let headers = format!("Content-Type: application/json\r\n{}", self.leaving_header());
+                    connection.answer(200, &headers, &report).await?;
                 }
                 "/order" => {
                     let (status, crashes) = self.order(&body);
@@ -150,7 +186,7 @@
                         self.crash();
                         return Ok(());
                     }
-                    connection.answer(status, "", "").await?;
+                    connection.answer(status, self.leaving_header(), "").await?;
                 }
                 "/healthz" => {
                     let id = self.state.lock().unwrap().id.clone();
@@ -173,7 +209,8 @@
             adapters.filter(|(_, adapter)| wanted.contains(adapter)).map(|(name, _)| format!("{name}@1")).collect()
         };
         let coming: Vec<String> = listed(&[Adapter::Coming]).iter().map(|name| format!("{MODEL}/{name}")).collect();
-        json!({"stage": "both", "state": "ready", "born": state.born, "busy": false,
+        let status = if state.is_leaving { "draining" } else { "ready" };
+        json!({"stage": "both", "state": status, "born": state.born, "busy": false,
             "models": [{"name": MODEL, "version": 1, "adapters": listed(&[Adapter::Loaded, Adapter::Leaving])}],
             "coming": coming, "sequence": state.sequence, "waiting": 0, "running": state.running,
             "kv_used": 0, "kv_total": 217509, "handles": 0})
@@ -303,7 +340,7 @@
         }
         let left = head.header("deadline-ms").and_then(|ms| ms.parse().ok()).unwrap_or(5_000);
         let deadline = tokio::time::Instant::now() + Duration::from_millis(left);
-        let result = self.stream(connection, &request, deadline).await;
+        let result = self.stream(connection, head, &request, deadline).await;
         let mut state = self.state.lock().unwrap();
         if state.start == start {
             state.running -= 1;
@@ -316,15 +353,18 @@
         result
     }
 
-    async fn stream(&self, connection: &mut Connection, request: &str, deadline: tokio::time::Instant) -> io::Result<bool> {
+    async fn stream(&self, connection: &mut Connection, head: &Head, request: &str, deadline: tokio::time::Instant) -> io::Result<bool> {
         self.record.line(format!("{} begins {request}", self.name));
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
-             Request-Id: {request}\r\nResponse-Stamp: stamp-{request}\r\n\r\n"
+        let stream = head.header("resumes").unwrap_or(request);
+        let after = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}\
+             Request-Id: {request}\r\nResponse-Stamp: stamp-{request}\r\n\r\n",
+            self.leaving_header()
         );
-        connection.stream.write_all(head.as_bytes()).await?;
-        for event in 1..=self.events {
-            for _ in 0..STEPS_PER_EVENT {
+        connection.stream.write_all(text.as_bytes()).await?;
+        for event in after + 1..=self.events {
+            for _ in 0..self.steps_per_event {
                 sleep(STEP).await;
                 // A request whose channel has closed is dropped between two steps of the batch.
                 if connection.is_closed() || tokio::time::Instant::now() > deadline {
@@ -332,7 +372,8 @@
                     return Ok(false);
                 }
             }
-            connection.chunk(&format!("id: {event}\ndata: {request} {event} of {}\n\n", self.events)).await?;
+            let text = format!("id: {event}\ndata: {} {stream} {event} of {}\n\n", self.software, self.events);
+            connection.chunk(&text).await?;
         }
         connection.stream.write_all(b"0\r\n\r\n").await?;
         self.record.line(format!("{} completes {request}", self.name));
--- a/review/harness-3/src/fleet.rs
+++ b/review/harness-3/src/fleet.rs
@@ -41,6 +41,14 @@
 }
 
 impl Node {
+    /// Starts the process again, as a platform does whose system has started before.
+    pub fn restart(&mut self) {
+        self.kill();
+        let text = fs::read_to_string(&self.settings).unwrap();
+        fs::write(&self.settings, text.replace("bootstrap = true", "bootstrap = false")).unwrap();
+        self.start();
+    }
+
     fn start(&mut self) {
         let log = fs::File::options().create(true).append(true).open(&self.log).unwrap();
         // The command of deploy/system.toml, in the repository's root.
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -4,6 +4,7 @@
 mod cut_answer;
 mod engine;
 mod fleet;
+mod forgotten_versions;
 mod http;
 mod link;
 mod plain;
@@ -18,6 +19,7 @@
         match case.as_str() {
             "adapter-slots" => adapter_slots::run(&record, has_trouble).await,
             "cut-answer" => cut_answer::run(&record, has_trouble).await,
+            "forgotten-versions" => forgotten_versions::run(&record, has_trouble).await,
             _ => 2,
         }
     });
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -15,10 +15,22 @@
 struct State {
     revision: u64,
     items: BTreeMap<String, (String, u64, u64)>,
-    events: Vec<(u64, String, Value)>,
+    events: Vec<Event>,
+    /// The newest revision whose change is not kept any more.
+    discarded: u64,
     era: u64,
 }
 
+struct Event {
+    revision: u64,
+    key: String,
+    content: Value,
+    written: Instant,
+}
+
+/// `history_s` of the settings.
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<Mutex<State>>,
@@ -43,8 +55,13 @@
         let (revision, text) = (state.revision, STANDARD.encode(value.to_string()));
         let created = state.items.get(key).map_or(revision, |&(_, _, created)| created);
         state.items.insert(key.to_owned(), (text, revision, created));
-        let item = item(key, &state.items[key]);
-        state.events.push((revision, key.to_owned(), item));
+        let content = item(key, &state.items[key]);
+        state.events.push(Event {
+            revision,
+            key: key.to_owned(),
+            content,
+            written: Instant::now(),
+        });
     }
 
     pub fn remove(&self, key: &str) {
@@ -52,11 +69,23 @@
         if state.items.remove(key).is_some() {
             state.revision += 1;
             let revision = state.revision;
-            let event = json!({"key": key, "revision": revision, "deleted": true});
-            state.events.push((revision, key.to_owned(), event));
+            let content = json!({"key": key, "revision": revision, "deleted": true});
+            state.events.push(Event {
+                revision,
+                key: key.to_owned(),
+                content,
+                written: Instant::now(),
+            });
         }
     }
 
+    /// Forgets the history sooner than after `history_s`.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.discarded = state.revision;
+        state.events.clear();
+    }
+
     async fn connection(&self, mut connection: Connection) {
         while let Ok(Some(head)) = connection.read_head().await {
             let target = head.start.split(' ').nth(1).unwrap_or("/").to_owned();
@@ -74,7 +103,10 @@
                 "/kv-watch" => {
                     let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
                     let wait_ms = query.get("wait_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
-                    (200, self.watch(&prefix, after, Duration::from_millis(wait_ms)).await)
+                    match self.watch(&prefix, after, Duration::from_millis(wait_ms)).await {
+                        Some(changes) => (200, changes),
+                        None => (410, json!({})),
+                    }
                 }
                 _ => (404, json!({})),
             };
@@ -101,19 +133,26 @@
         json!({"items": items, "has_more": has_more, "as_of": state.revision})
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Value {
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<Value> {
         let deadline = Instant::now() + wait;
         loop {
             {
-                let state = self.state.lock().unwrap();
+                let mut state = self.state.lock().unwrap();
+                let old = state.events.iter().take_while(|event| event.written.elapsed() > HISTORY).count();
+                if let Some(last) = state.events.drain(..old).last() {
+                    state.discarded = last.revision;
+                }
+                if after < state.discarded || after > state.revision {
+                    return None;
+                }
                 let events: Vec<&Value> = state
                     .events
                     .iter()
-                    .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
-                    .map(|(_, _, event)| event)
+                    .filter(|event| event.revision > after && event.key.starts_with(prefix))
+                    .map(|event| &event.content)
                     .collect();
                 if !events.is_empty() || Instant::now() >= deadline {
-                    return json!({"events": events, "as_of": state.revision});
+                    return Some(json!({"events": events, "as_of": state.revision}));
                 }
             }
             sleep(Duration::from_millis(10)).await;
