--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod forgotten_versions;
 mod http;
+mod late_heartbeat;
 mod link;
 mod plain;
 mod store;
@@ -20,6 +21,7 @@
             "adapter-slots" => adapter_slots::run(&record, has_trouble).await,
             "cut-answer" => cut_answer::run(&record, has_trouble).await,
             "forgotten-versions" => forgotten_versions::run(&record, has_trouble).await,
+            "late-heartbeat" => late_heartbeat::run(&record, has_trouble).await,
             _ => 2,
         }
     });
--- a/review/harness-3/src/plain.rs
+++ b/review/harness-3/src/plain.rs
@@ -1,17 +1,17 @@
-//! A stand-in for a plain runner whose answers have no length and end with their channel.
+//! A stand-in for a plain runner. Its answers may have no length and end with their channel.
 
 use crate::engine::listen;
 use crate::fleet::{Record, unix_ms};
 use crate::http::{Connection, Head};
 use crate::store::Store;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::task::AbortHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const WORK: Duration = Duration::from_millis(60);
 
@@ -20,6 +20,8 @@
     tasks: Vec<AbortHandle>,
     row_sequence: u64,
     running: u32,
+    is_leaving: bool,
+    arrivals: Vec<(Instant, String)>,
 }
 
 #[derive(Clone)]
@@ -30,8 +32,9 @@
     pub address: SocketAddr,
     /// The address in its row.
     pub listed: SocketAddr,
-    /// Time between the two halves of an answer.
-    pub pause: Duration,
+    pub work: Duration,
+    /// Time between the two halves of an answer without a length; absent if answers have a length.
+    pub pause: Option<Duration>,
     pub record: Record,
     pub store: Store,
     state: Arc<Mutex<State>>,
@@ -49,7 +52,8 @@
             id: id.to_owned(),
             address,
             listed,
-            pause: Duration::from_millis(300),
+            work: WORK,
+            pause: Some(Duration::from_millis(300)),
             record: record.clone(),
             store: store.clone(),
             state: Arc::new(Mutex::new(State {
@@ -57,6 +61,8 @@
                 tasks: Vec::new(),
                 row_sequence: 0,
                 running: 0,
+                is_leaving: false,
+                arrivals: Vec::new(),
             })),
         }
     }
@@ -83,14 +89,45 @@
     }
 
     fn write_row(&self) {
-        let row = {
-            let mut state = self.state.lock().unwrap();
-            state.row_sequence += 1;
-            json!({"service": self.service, "address": self.listed.to_string(), "zone": "zone-a",
-                "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
-                "sequence": state.row_sequence, "born": state.born})
-        };
-        self.store.put(&format!("servers/{}", self.id), &row);
+        let row = self.next_row();
+        self.put_row(&row);
+    }
+
+    /// Returns the row that the runner writes next.
+    pub fn next_row(&self) -> Value {
+        let mut state = self.state.lock().unwrap();
+        state.row_sequence += 1;
+        let status = if state.is_leaving { "draining" } else { "ready" };
+        json!({"service": self.service, "address": self.listed.to_string(), "zone": "zone-a",
+            "version": "v1", "slots": 16, "state": status, "cold_remaining_ms": 0,
+            "sequence": state.row_sequence, "born": state.born})
+    }
+
+    /// The platform's store does a write of the runner.
+    pub fn put_row(&self, row: &Value) {
+        self.store.put(&format!("servers/{}", self.id), row);
+        self.record.line(format!("the store does the write of {}: state={} sequence={}", self.id, row["state"], row["sequence"]));
+    }
+
+    /// Begins to drain: all its answers say so, and so does the row that it writes.
+    pub fn drain(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+        self.write_row();
+    }
+
+    /// Returns the requests that arrived after `after`.
+    pub fn arrivals_after(&self, after: Instant) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let late = state.arrivals.iter().filter(|(at, _)| *at > after);
+        late.map(|(_, request)| request.clone()).collect()
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        if self.state.lock().unwrap().is_leaving {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        }
     }
 
     pub fn running(&self) -> u32 {
@@ -118,10 +155,14 @@
             if head.header("expect-instance").is_some_and(|id| id != self.id) {
                 connection.answer(421, "Not-Run: 1\r\n", "").await?;
             } else if head.path() == "/healthz" {
-                let headers = format!("Instance-Id: {}\r\nServer-Load: {},0,16\r\n", self.id, self.running());
+                let (running, leaving) = (self.running(), self.leaving_header());
+                let headers = format!("Instance-Id: {}\r\nServer-Load: {running},0,16\r\n{leaving}", self.id);
                 connection.answer(200, &headers, "").await?;
             } else {
-                return self.run(&mut connection, &head).await;
+                self.run(&mut connection, &head).await?;
+                if self.pause.is_some() {
+                    return Ok(());
+                }
             }
         }
         Ok(())
@@ -129,18 +170,27 @@
 
     async fn run(&self, connection: &mut Connection, head: &Head) -> io::Result<()> {
         let request = head.header("request-id").unwrap_or_default();
-        self.state.lock().unwrap().running += 1;
+        {
+            let mut state = self.state.lock().unwrap();
+            state.running += 1;
+            state.arrivals.push((Instant::now(), request.to_owned()));
+        }
         self.record.line(format!("{} begins {request}", self.id));
-        sleep(WORK).await;
+        sleep(self.work).await;
         let body = whole_body(request);
-        let (first, second) = body.split_at(body.len() / 2);
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\nRequest-Id: {request}\r\n\
-             Response-Stamp: stamp-{request}\r\n\r\n{first}"
+        let head = format!(
+            "Content-Type: text/plain\r\nRequest-Id: {request}\r\nResponse-Stamp: stamp-{request}\r\n{}",
+            self.leaving_header()
         );
-        connection.stream.write_all(text.as_bytes()).await?;
-        sleep(self.pause).await;
-        connection.stream.write_all(second.as_bytes()).await?;
+        if let Some(pause) = self.pause {
+            let (first, second) = body.split_at(body.len() / 2);
+            let text = format!("HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n{first}");
+            connection.stream.write_all(text.as_bytes()).await?;
+            sleep(pause).await;
+            connection.stream.write_all(second.as_bytes()).await?;
+        } else {
+            connection.answer(200, &head, &body).await?;
+        }
         self.state.lock().unwrap().running -= 1;
         self.record.line(format!("{} completes {request}", self.id));
         Ok(())
