--- a/review/harness-3/src/late_heartbeat.rs
+++ b/review/harness-3/src/late_heartbeat.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 const DRAIN: Duration = Duration::from_secs(2);
-const REQUESTS: u64 = 16;
+const REQUESTS: u64 = 30;
 
 #[derive(Default)]
 struct Counts {
@@ -75,7 +75,7 @@
         leaving.put_row(&heartbeat);
     }
     for number in 0..REQUESTS {
-        send(&fleet, &counts, format!("after-{number:02}"), at(6_050 + 20 * number));
+        send(&fleet, &counts, format!("after-{number:02}"), at(6_050 + 8 * number));
     }
     // It has served for drain_ms after its report and a little longer.
     sleep_until(at(6_150)).await;
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -9,6 +9,7 @@
 mod late_heartbeat;
 mod link;
 mod plain;
+mod shared_path;
 mod store;
 
 fn main() {
@@ -22,6 +23,7 @@
             "cut-answer" => cut_answer::run(&record, has_trouble).await,
             "forgotten-versions" => forgotten_versions::run(&record, has_trouble).await,
             "late-heartbeat" => late_heartbeat::run(&record, has_trouble).await,
+            "shared-path" => shared_path::run(&record, has_trouble).await,
             _ => 2,
         }
     });
--- a/review/harness-3/src/plain.rs
+++ b/review/harness-3/src/plain.rs
@@ -14,6 +14,8 @@
 use tokio::time::{Instant, sleep};
 
 const WORK: Duration = Duration::from_millis(60);
+/// How long a runner is down that a request has crashed.
+const BACK: Duration = Duration::from_secs(2);
 
 struct State {
     born: u64,
@@ -22,6 +24,9 @@
     running: u32,
     is_leaving: bool,
     arrivals: Vec<(Instant, String)>,
+    crashes: Vec<Instant>,
+    /// Requests that crashes broke off.
+    broken_off: u32,
 }
 
 #[derive(Clone)]
@@ -33,6 +38,8 @@
     /// The address in its row.
     pub listed: SocketAddr,
     pub work: Duration,
+    /// The caller whose requests with this path crash the runner when they begin to run.
+    pub deadly: Option<(String, String)>,
     /// Time between the two halves of an answer without a length; absent if answers have a length.
     pub pause: Option<Duration>,
     pub record: Record,
@@ -53,6 +60,7 @@
             address,
             listed,
             work: WORK,
+            deadly: None,
             pause: Some(Duration::from_millis(300)),
             record: record.clone(),
             store: store.clone(),
@@ -63,6 +71,8 @@
                 running: 0,
                 is_leaving: false,
                 arrivals: Vec::new(),
+                crashes: Vec::new(),
+                broken_off: 0,
             })),
         }
     }
@@ -146,6 +156,30 @@
         }
     }
 
+    /// Crashes, and is back after some seconds, under its id.
+    fn crash_and_restart(&self) {
+        let server = self.clone();
+        tokio::spawn(async move {
+            server.state.lock().unwrap().broken_off += server.running().saturating_sub(1);
+            server.crash();
+            sleep(BACK).await;
+            let _ = server.start().await;
+        });
+    }
+
+    /// Returns when it crashed, and how many other requests that broke off.
+    pub fn crashes(&self) -> (Vec<Instant>, u32) {
+        let state = self.state.lock().unwrap();
+        (state.crashes.clone(), state.broken_off)
+    }
+
+    /// Returns the requests whose id begins so, and when they arrived.
+    pub fn arrivals_of(&self, begin: &str) -> Vec<(Instant, String)> {
+        let state = self.state.lock().unwrap();
+        let matching = state.arrivals.iter().filter(|(_, request)| request.starts_with(begin));
+        matching.cloned().collect()
+    }
+
     async fn serve(&self, mut connection: Connection) -> io::Result<()> {
         while let Some(head) = connection.read_head().await? {
             let mut body = Vec::new();
@@ -175,7 +209,13 @@
             state.running += 1;
             state.arrivals.push((Instant::now(), request.to_owned()));
         }
-        self.record.line(format!("{} begins {request}", self.id));
+        let caller = head.header("tenant").unwrap_or("-");
+        self.record.line(format!("{} begins {request} of {caller}", self.id));
+        if self.deadly.as_ref().is_some_and(|(path, deadly)| path == head.path() && deadly == caller) {
+            self.state.lock().unwrap().crashes.push(Instant::now());
+            self.crash_and_restart();
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         sleep(self.work).await;
         let body = whole_body(request);
         let head = format!(
