--- a/review/harness-3/src/fleet.rs
+++ b/review/harness-3/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of a small deployment on loopback addresses, their settings and the record of a case.
 
+use crate::link::Path;
 use crate::store::Store;
 use std::fs;
 use std::io::Write;
@@ -83,6 +84,8 @@
     pub store: Store,
     pub record: Record,
     pub nodes: Vec<Node>,
+    /// The bytes per second of the links between the entries and the store, if they are limited.
+    pub store_link: Option<f64>,
     directory: PathBuf,
 }
 
@@ -113,6 +116,7 @@
             store,
             record,
             nodes: Vec::new(),
+            store_link: None,
             directory,
         }
     }
@@ -136,6 +140,12 @@
         self.start(format!("front-{number}"), "platform-entry", "front", ip, "", &listen, is_first_start)
     }
 
+    /// Starts the link between an entry and the store, before the entry.
+    pub async fn start_store_link(&self, entry: u8, bytes_per_s: f64) -> std::io::Result<()> {
+        let listen = (self.ip(6, entry), STORE_PORT).into();
+        Path::start_limited(listen, (self.ip(5, 1), STORE_PORT).into(), bytes_per_s).await
+    }
+
     pub fn start_agent(&mut self, number: u8, service: &str) -> usize {
         let ip = self.ip(2, number);
         let app = format!("app = \"{}\"\nservice = \"{service}\"\n", self.server(number));
@@ -152,7 +162,10 @@
         listen: &str,
         is_first_start: bool,
     ) -> usize {
-        let store = self.ip(5, 1);
+        let store = match self.store_link {
+            Some(_) if class == "front" => Ipv4Addr::new(127, self.network, 6, ip.octets()[3]),
+            _ => self.ip(5, 1),
+        };
         let memory_mb = if class == "front" { 260 } else { 192 };
         let text = format!(
             "node_name = \"{name}\"\nrole = \"{class}\"\nmachine_class = \"{class}\"\nip = \"{ip}\"\n\
@@ -183,16 +196,21 @@
         self.nodes.len() - 1
     }
 
-    /// Waits until the entry answers its readiness check with 200.
-    pub async fn wait_ready(&self, entry: u8) -> bool {
+    /// Returns whether the entry answers its readiness check with 200.
+    pub async fn is_ready(&self, entry: u8) -> bool {
         let address = SocketAddr::from((self.ip(1, entry), READY_PORT));
+        let Ok(stream) = TcpStream::connect(address).await else {
+            return false;
+        };
+        let mut connection = crate::http::Connection::new(stream);
+        connection.call("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n").await.status == 200
+    }
+
+    /// Waits until the entry says that it is ready.
+    pub async fn wait_ready(&self, entry: u8) -> bool {
         for _ in 0..200 {
-            if let Ok(stream) = TcpStream::connect(address).await {
-                let mut connection = crate::http::Connection::new(stream);
-                let answer = connection.call("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n").await;
-                if answer.status == 200 {
-                    return true;
-                }
+            if self.is_ready(entry).await {
+                return true;
             }
             sleep(Duration::from_millis(50)).await;
         }
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod fleet;
 mod forgotten_versions;
+mod grown_config;
 mod http;
 mod late_heartbeat;
 mod link;
@@ -24,6 +25,7 @@
             "forgotten-versions" => forgotten_versions::run(&record, has_trouble).await,
             "late-heartbeat" => late_heartbeat::run(&record, has_trouble).await,
             "shared-path" => shared_path::run(&record, has_trouble).await,
+            "grown-config" => grown_config::run(&record, has_trouble).await,
             _ => 2,
         }
     });
