--- a/review/harness-3/src/grown_config.rs
+++ b/review/harness-3/src/grown_config.rs
@@ -169,6 +169,7 @@
              Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
+        record.line(format!("client sends {id}"));
         let mut status = 0;
         if let Ok(stream) = TcpStream::connect(front).await {
             let mut connection = Connection::new(stream);
