fix(quarantine): a request that crashes servers is told from equal ones of other accounts

Callers saw: a lookup that crashes each plain server which runs it came every 2 s, beside sound lookups of another account with the same path.

Cause: the fingerprint of a request had host, method, path and body, and not the account. Each sound lookup counted as a completion of the deadly one and discarded the crashes that counted against it. With sound lookups of another path the deadly one was refused after its third crash.

Change: the fingerprint has what the server learns of the caller, the account or else the key. A server may act on it, so that equal content of two accounts is not the same request: neither a completion nor a quarantine of one says anything about the other.

The soak sends such a pair.

--- a/crates/magnoliasail-core/src/gateway/fingerprint.rs
+++ b/crates/magnoliasail-core/src/gateway/fingerprint.rs
@@ -5,13 +5,27 @@
 /// Distinguishes parts of prompts from other pairs of fields.
 const PART_DOMAIN: &[u8] = b"part";
 
-/// Returns the fingerprint of a request's content.
+/// Returns the fingerprint of a request's content and of its caller.
 ///
 /// It is the same each time that a caller sends the request, whatever the id of the attempt, and whichever
-/// service its route leads to at the time. `target` is the path and query of the URL.
+/// service its route leads to at the time. `caller` is what servers learn of the caller: the name of its
+/// client account, or its key where there are no accounts; empty if they learn nothing. Servers may handle
+/// equal content of two callers differently. `target` is the path and query of the URL.
 #[must_use]
-pub fn request_fingerprint(host: &str, method: &str, target: &str, body: &[u8]) -> u64 {
-    hash([host.as_bytes(), method.as_bytes(), target.as_bytes(), body])
+pub fn request_fingerprint(
+    caller: &[u8],
+    host: &str,
+    method: &str,
+    target: &str,
+    body: &[u8],
+) -> u64 {
+    hash([
+        caller,
+        host.as_bytes(),
+        method.as_bytes(),
+        target.as_bytes(),
+        body,
+    ])
 }
 
 /// Returns the fingerprint of a part of a prompt, which has this id.
--- a/crates/magnoliasail-core/tests/gateway/quarantine_clients.rs
+++ b/crates/magnoliasail-core/tests/gateway/quarantine_clients.rs
@@ -1,4 +1,5 @@
-//! What a client that crashes servers does to others that send the same content or name the same parts.
+//! What a client that crashes servers does to others that send the same content or name the same parts, and they to
+//! its quarantine.
 
 use magnoliasail_core::gateway::{
     Quarantine,
@@ -10,8 +11,15 @@
 const STEP_MS: u64 = 2_000;
 const SHARED_PART: u64 = 1;
 
+/// The account whose requests crash servers.
+const ATTACKER: &[u8] = b"attacker";
+
+fn lookup_of(caller: &[u8]) -> u64 {
+    request_fingerprint(caller, "example.com", "GET", "/popular", b"")
+}
+
 fn lookup() -> u64 {
-    request_fingerprint("example.com", "GET", "/popular", b"")
+    lookup_of(ATTACKER)
 }
 
 fn crash(number: u64, requests: Vec<SuspectRequest>) -> CrashReport {
@@ -22,8 +30,8 @@
     }
 }
 
-/// Crashes servers by content that differs from that of others in a header only; `complete` is called
-/// between two crashes. Returns whether the content is refused to everybody.
+/// Crashes servers by content that differs from that of others of the same account in a header only;
+/// `complete` is called between two crashes. Returns whether the content is refused to the account.
 fn is_content_refused(complete: impl Fn(&mut Quarantine, u64)) -> bool {
     let mut quarantine = Quarantine::default();
     for number in 0..6 {
@@ -36,7 +44,35 @@
     quarantine.left_ms(&sent, NOW_MS + 6 * STEP_MS).is_some()
 }
 
-/// Guards others whose equal content completes, here or at another process, while one client crashes servers.
+/// Guards against a request that crashes servers and is never refused, because equal content of another account
+/// completes between the crashes.
+#[test]
+fn content_that_crashes_servers_is_refused_although_it_completes_for_another_account() {
+    let sound = SuspectRequest::new(lookup_of(b"sound"), []);
+    assert!(is_content_refused(|quarantine, now_ms| {
+        quarantine.record_completion(&sound, now_ms);
+        assert!(quarantine.left_ms(&sound, now_ms).is_none());
+    }));
+}
+
+/// Guards other accounts against the refusal of their equal content.
+#[test]
+fn content_that_crashes_servers_for_one_account_is_not_refused_to_another() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        let sent = SuspectRequest::new(lookup(), []);
+        quarantine.record_crash(&crash(number, vec![sent]), NOW_MS + number * STEP_MS);
+    }
+    let left_ms = |caller| {
+        let sent = SuspectRequest::new(lookup_of(caller), []);
+        quarantine.left_ms(&sent, NOW_MS + 3 * STEP_MS)
+    };
+    assert!(left_ms(ATTACKER).is_some());
+    assert!(left_ms(b"sound").is_none());
+}
+
+/// Guards other clients of the account whose equal content completes, here or at another process, while one client
+/// crashes servers.
 #[test]
 fn content_that_completes_for_other_clients_is_not_refused_because_one_client_crashes_servers() {
     let sent = SuspectRequest::new(lookup(), []);
@@ -51,9 +87,9 @@
     }));
 }
 
-/// The harm that remains: the fingerprint has neither the client nor a header.
+/// The harm that remains: the fingerprint has no header but the account.
 #[test]
-fn content_that_completes_for_nobody_between_crashes_is_refused_to_all_clients() {
+fn content_that_completes_for_nobody_between_crashes_is_refused_to_all_clients_of_the_account() {
     assert!(is_content_refused(|_, _| {}));
 }
 
--- a/crates/magnoliasail-soak/src/account_callers.rs
+++ b/crates/magnoliasail-soak/src/account_callers.rs
@@ -20,6 +20,8 @@
 
 /// The key and the name of the account of the usual callers.
 pub(crate) const USUAL_KEY: (&str, &str) = ("usual-key", "usual");
+/// The same of an account that sends content which crashes servers when the usual callers send it.
+pub(crate) const TWIN_KEY: (&str, &str) = ("twin-key", "twin");
 const FLOOD_KEY: (&str, &str) = ("flood-key", "flood");
 /// The quota of the flooding account, in tokens per second.
 const FLOOD_RATE_PER_S: u32 = 2_400;
@@ -32,13 +34,20 @@
 
 /// Returns the client accounts of a soak.
 pub(crate) fn accounts() -> Vec<ClientAccount> {
-    let account = |(key, name), rate_per_s| ClientAccount {
+    vec![account(USUAL_KEY, 0), account(TWIN_KEY, 0), flood_account()]
+}
+
+fn account((key, name): (&'static str, &'static str), rate_per_s: u32) -> ClientAccount {
+    ClientAccount {
         name,
         keys: vec![key],
         rank: 1,
         rate_per_s,
-    };
-    vec![account(USUAL_KEY, 0), account(FLOOD_KEY, FLOOD_RATE_PER_S)]
+    }
+}
+
+fn flood_account() -> ClientAccount {
+    account(FLOOD_KEY, FLOOD_RATE_PER_S)
 }
 
 /// Starts a caller of each entry that sends far more than the quota of its account, until `is_stopped`.
@@ -69,7 +78,7 @@
 
 /// Records a violation if the flooding account used more than its quota allows in some window.
 pub(crate) fn check_flood(ledger: &Ledger) {
-    let [_, flood] = accounts().try_into().expect("two accounts");
+    let flood = flood_account();
     let tokens = ledger.most_runs_of(flood.name, QUOTA_WINDOW) as f64 * CALL_TOKENS;
     let allowed = flood.allowed_tokens() + QUOTA_SHARES * CALL_TOKENS;
     if tokens > allowed {
--- a/crates/magnoliasail-soak/src/poison_callers.rs
+++ b/crates/magnoliasail-soak/src/poison_callers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        account_callers::USUAL_KEY,
+        account_callers::{TWIN_KEY, USUAL_KEY},
         caller::{Call, CallKind, Caller},
         fleet::Fleet,
         standin::Poison,
@@ -29,6 +29,8 @@
 enum Attack {
     /// The same request, at plain servers.
     Request,
+    /// The same request of another account, which is sound.
+    SoundTwin,
     /// Different requests with one part in their prompts, at engines.
     Part,
 }
@@ -43,16 +45,15 @@
     if fleet.seed().is_multiple_of(2) {
         part = part.with_answers();
     }
-    let poisons = [
-        (Attack::Request, Poison::request("poisonous")),
-        (Attack::Part, part),
-    ];
-    let mut tasks = Vec::new();
-    for (attack, poison) in poisons {
+    let (_, account) = USUAL_KEY;
+    for poison in [Poison::request("poisonous").of_account(account), part] {
         let poison = poison.with_detection_time(DETECTION_TIME);
         for server in &fleet.servers {
             server.set_poison(&poison);
         }
+    }
+    let mut tasks = Vec::new();
+    for attack in [Attack::Request, Attack::SoundTwin, Attack::Part] {
         let entries = (0..entry_count).map(|entry| fleet.entry_address(entry));
         let callers = entries.map(|entry| Caller::new(entry, fleet.ledger.clone()));
         tasks.push(tokio::spawn(keep_calling(
@@ -84,6 +85,11 @@
             key: Some(USUAL_KEY),
             ..Call::default()
         },
+        Attack::SoundTwin => Call {
+            id: format!("sound-twin-{number}"),
+            key: Some(TWIN_KEY),
+            ..poisoned_call(Attack::Request, number)
+        },
         Attack::Part => Call {
             id: format!("poisoned-part-{number}"),
             kind: CallKind::ResumableStream,
--- a/crates/magnoliasail-soak/src/standin/poison.rs
+++ b/crates/magnoliasail-soak/src/standin/poison.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct Poison {
     content: Arc<Content>,
+    /// The client account whose requests crash servers; absent if those of all callers do.
+    account: Option<&'static str>,
     /// Time after the last crash that is allowed until requests with the poison must be refused.
     detection_time: Duration,
     /// Time from the start of a run with the poison until the server crashes.
@@ -68,6 +70,7 @@
     fn new(content: Content) -> Self {
         Self {
             content: Arc::new(content),
+            account: None,
             detection_time: DETECTION_TIME,
             crash_delay: CRASH_DELAY,
             error_interval: 0,
@@ -76,6 +79,15 @@
         }
     }
 
+    /// Returns the poison in the requests of one client account only; equal content of others is sound.
+    #[must_use]
+    pub fn of_account(self, account: &'static str) -> Self {
+        Self {
+            account: Some(account),
+            ..self
+        }
+    }
+
     /// Returns the poison with another time until requests with it must be refused.
     #[must_use]
     pub fn with_detection_time(self, detection_time: Duration) -> Self {
@@ -135,6 +147,11 @@
 
     /// Returns whether a request contains the poison.
     pub(super) fn is_in<B>(&self, request: &Request<B>) -> bool {
+        let sent_by = request.headers().get("tenant");
+        let is_of_account = |name: &str| sent_by.is_some_and(|sent_by| sent_by == name);
+        if !self.account.is_none_or(is_of_account) {
+            return false;
+        }
         match &*self.content {
             Content::Request(text) => request.uri().path().ends_with(text),
             Content::Part(id) => {
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -123,7 +123,13 @@
     let target = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let parts = metadata.prompt_prefixes.iter();
     let suspect = SuspectRequest::new(
-        request_fingerprint(host, head.method.as_str(), target, &body),
+        request_fingerprint(
+            headers::forwarded_caller(&headers),
+            host,
+            head.method.as_str(),
+            target,
+            &body,
+        ),
         parts.map(|part| part_fingerprint(part)),
     );
     let outgoing = OutgoingRequest {
--- a/crates/magnoliasail/tests/crashing_requests.rs
+++ b/crates/magnoliasail/tests/crashing_requests.rs
@@ -5,7 +5,8 @@
 use {
     self::common::{assert_no_violations, run_with_fleet, small_fleet},
     magnoliasail_soak::{
-        Call, CallKind, Caller, Fleet, FleetSettings, Outcome, PROPAGATION_TIME, Poison,
+        Call, CallKind, Caller, ClientAccount, Fleet, FleetSettings, Outcome, PROPAGATION_TIME,
+        Poison,
     },
     std::{
         future::Future,
@@ -99,6 +100,69 @@
     });
 }
 
+/// Sends a lookup of the shared path for an account to each entry in turn until `end`; returns the outcomes.
+async fn look_up_until(
+    fleet: &Fleet,
+    account: &'static str,
+    interval: Duration,
+    end: Instant,
+) -> Vec<Outcome> {
+    let mut callers: Vec<Caller> = (0..ENTRIES)
+        .map(|entry| Caller::new(fleet.entry_address(entry), fleet.ledger.clone()))
+        .collect();
+    let mut outcomes = Vec::new();
+    while Instant::now() < end {
+        let number = outcomes.len();
+        let call = Call {
+            id: format!("{account}-{number}"),
+            content: "popular".to_owned(),
+            key: Some((account, account)),
+            ..Call::default()
+        };
+        let entry = number % callers.len();
+        outcomes.push(callers[entry].call(&call).await);
+        sleep(interval).await;
+    }
+    outcomes
+}
+
+/// Guards against a request that crashes servers and is never refused, because sound ones of another account with the
+/// same path complete between the crashes; and against their refusal. `review/10` failed because of it.
+#[test]
+fn request_that_crashed_three_servers_is_refused_beside_sound_ones_of_another_account() {
+    const SOUND_INTERVAL: Duration = Duration::from_millis(60);
+    const DURATION: Duration = Duration::from_secs(12);
+    let settings = FleetSettings {
+        entries: ENTRIES,
+        engines: ENGINES,
+        plain_servers: 6,
+        ..small_fleet(115)
+    };
+    run_with_fleet(settings, |mut fleet| async move {
+        let account = |name| ClientAccount {
+            name,
+            keys: vec![name],
+            rank: 1,
+            rate_per_s: 0,
+        };
+        fleet.publish_accounts(&[account("bad"), account("sound")]);
+        let poison = Poison::request("popular").of_account("bad");
+        set_poison(&fleet, &poison);
+        sleep(PROPAGATION_TIME).await;
+        let end = Instant::now() + DURATION;
+        let (bad, sound) = tokio::join!(
+            look_up_until(&fleet, "bad", CALL_INTERVAL, end),
+            look_up_until(&fleet, "sound", SOUND_INTERVAL, end),
+        );
+        assert!(poison.crashes() >= 2, "{} crashes", poison.crashes());
+        assert_no_violations(&fleet);
+        assert_eq!(bad.last(), Some(&Outcome::NotRun), "{}", fleet.output());
+        let last_sound = &sound[sound.len() / 2..];
+        let is_served = |outcome: &Outcome| *outcome == Outcome::Served;
+        assert!(last_sound.iter().all(is_served), "{}", fleet.output());
+    });
+}
+
 /// Guards against entries that count only the crashes of plain servers that they see themselves.
 #[test]
 fn crashes_of_plain_servers_that_different_entries_see_count_together() {
