fix(agent): the slot of an unload that waits for runs stays taken

Cause: an engine answers an unload with 200 if it is done and with 202 if it waits for runs. Both freed the slot at the agent, which ordered the next load before a report had shown the adapter gone. The agent no longer counts the run of a caller that has left, while the engine still works on it until it notices the closed connection.

Change: an accepted unload keeps its slot until a report requested after it no longer has the adapter. Until then no request starts on it, reports are requested as during a load, and no more is unloaded than is missing; after 200 ms another adapter makes room. order_given has the number of taken slots.

The soak's engine stand-in keeps an adapter until its runs have ended, and callers leave early. The scheduler's test harness moves to a file of its own.

--- a/crates/magnoliasail-core/src/gateway/adapter_readiness.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_readiness.rs
@@ -25,8 +25,10 @@
         match self.adapters.state(adapter) {
             Some(SlotState::Resident) => AdapterReadiness::Resident,
             Some(SlotState::Loading) => AdapterReadiness::Loading,
-            None if self.is_copied(adapter) => AdapterReadiness::Copied,
-            None => AdapterReadiness::Absent,
+            Some(SlotState::Unloading { .. }) | None if self.is_copied(adapter) => {
+                AdapterReadiness::Copied
+            }
+            Some(SlotState::Unloading { .. }) | None => AdapterReadiness::Absent,
         }
     }
 }
--- a/crates/magnoliasail-core/src/gateway/adapter_slots.rs
+++ b/crates/magnoliasail-core/src/gateway/adapter_slots.rs
@@ -19,6 +19,12 @@
     Loading,
     /// The adapter is loaded and can serve requests.
     Resident,
+    /// The engine has accepted an unload, which waits for runs that the agent no longer counts, such as those
+    /// whose callers have left. No request starts on the adapter any more.
+    Unloading {
+        /// When the engine accepted the unload.
+        since_ms: TimeMs,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +73,26 @@
             .count()
     }
 
+    /// Returns the number of adapters whose unload waits for their runs and was accepted later than
+    /// `accepted_after_ms`.
+    #[must_use]
+    pub fn unloading(&self, accepted_after_ms: TimeMs) -> usize {
+        self.slots
+            .values()
+            .filter(|slot| match slot.state {
+                SlotState::Unloading { since_ms } => since_ms > accepted_after_ms,
+                SlotState::Loading | SlotState::Resident => false,
+            })
+            .count()
+    }
+
+    /// Returns whether an unload waits for its runs.
+    #[must_use]
+    pub fn is_any_unloading(&self) -> bool {
+        let is_unloading = |slot: &Slot| matches!(slot.state, SlotState::Unloading { .. });
+        self.slots.values().any(is_unloading)
+    }
+
     /// Returns the number of resident adapters that are not in use.
     #[must_use]
     pub fn unused(&self) -> usize {
@@ -91,6 +117,15 @@
         self.slots.get(adapter).map(|slot| slot.state)
     }
 
+    /// Returns whether an adapter is loaded or being loaded.
+    #[must_use]
+    pub fn is_held(&self, adapter: &str) -> bool {
+        matches!(
+            self.state(adapter),
+            Some(SlotState::Loading | SlotState::Resident)
+        )
+    }
+
     /// Returns the version of an adapter that is loaded or being loaded.
     #[must_use]
     pub fn version(&self, adapter: &str) -> Option<u64> {
@@ -122,6 +157,14 @@
         slot.is_fetch = is_fetch;
     }
 
+    /// Records that the engine has accepted to unload an adapter once its runs have ended. The slot stays taken until
+    /// a report no longer has the adapter.
+    pub fn start_unload(&mut self, adapter: &str, now_ms: TimeMs) {
+        if let Some(slot) = self.slots.get_mut(adapter) {
+            slot.state = SlotState::Unloading { since_ms: now_ms };
+        }
+    }
+
     /// Frees the slot of an adapter that was unloaded or whose load was rejected.
     pub fn free(&mut self, adapter: &str) {
         self.slots.remove(adapter);
@@ -180,7 +223,9 @@
                 adapter.version,
                 now_ms,
             ));
-            if !loading.contains_key(name) {
+            // The engine reports an adapter that it unloads until its runs have ended.
+            let is_unloading = matches!(slot.state, SlotState::Unloading { .. });
+            if !loading.contains_key(name) && !is_unloading {
                 slot.state = SlotState::Resident;
                 slot.version = adapter.version;
                 load_times_ms.extend(slot.ordered_ms.take().map(|at_ms| now_ms - at_ms));
@@ -202,10 +247,11 @@
         self.slots.clear();
     }
 
-    /// Returns the full names of the adapters that have a slot, with their decayed use counts.
+    /// Returns the full names of the adapters that are loaded or being loaded, with their decayed use counts.
     pub fn uses(&self, now_ms: TimeMs) -> impl Iterator<Item = (&Arc<str>, f64)> {
         self.slots
             .iter()
+            .filter(|(_, slot)| !matches!(slot.state, SlotState::Unloading { .. }))
             .map(move |(name, slot)| (name, slot.uses_at(now_ms)))
     }
 }
--- a/crates/magnoliasail-core/src/gateway/engine_loads.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_loads.rs
@@ -34,12 +34,25 @@
         if self.has_room(&missing) {
             return Some(self.order_adapter(&missing, now_ms));
         }
+        if self.awaits_unloads(now_ms) {
+            return None;
+        }
         let victim = self
             .adapters
             .victim(now_ms, |name| self.queue.needs_adapter(name))?;
         Some(self.orders.issue_adapter(OrderKind::Unload, &victim, None))
     }
 
+    /// Returns whether the unloads in progress will soon make room for all missing adapters, so that no further
+    /// adapter has to go.
+    fn awaits_unloads(&self, now_ms: TimeMs) -> bool {
+        /// A run whose connection was closed mostly ends sooner. One that goes on may take as long as its stream.
+        const MAX_UNLOAD_WAIT_MS: u64 = 200;
+        let accepted_after_ms = now_ms.saturating_sub(MAX_UNLOAD_WAIT_MS);
+        let unloading = self.adapters.unloading(accepted_after_ms);
+        unloading > 0 && unloading >= self.missing_adapters(now_ms).len()
+    }
+
     /// Returns whether an adapter may be fetched now: by a permit, or while there is nobody to give one, within
     /// this engine's own limit.
     fn may_fetch(&self, adapter: &str, now_ms: TimeMs) -> bool {
--- a/crates/magnoliasail-core/src/gateway/engine_refusals.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_refusals.rs
@@ -155,7 +155,7 @@
             let has_slot = request
                 .adapter
                 .as_ref()
-                .is_none_or(|adapter| adapters.state(adapter).is_some());
+                .is_none_or(|adapter| adapters.is_held(adapter));
             let since_ms = request.arrived_ms.max(ready_ms);
             let is_overdue = now_ms > since_ms + max_wait_ms;
             let is_outdated = has_slot && is_held_back(adapters, &latest_starts, request);
--- a/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_scheduler.rs
@@ -179,11 +179,14 @@
             .filter(|&version| version > 0)
     }
 
-    /// Returns whether loads are in progress or the engine's state is unknown, so that the next
+    /// Returns whether loads or unloads are in progress or the engine's state is unknown, so that the next
     /// report should be requested soon.
     #[must_use]
     pub fn has_pending_loads(&self) -> bool {
-        self.models.is_loading() || !self.orders.has_sequence() || self.adapters.loading() > 0
+        self.models.is_loading()
+            || !self.orders.has_sequence()
+            || self.adapters.loading() > 0
+            || self.adapters.is_any_unloading()
     }
 
     /// Returns the ticket for a report that is requested now.
@@ -309,7 +312,8 @@
             return;
         };
         match outcome {
-            OrderOutcome::Accepted | OrderOutcome::Done => self.apply_order(&pending),
+            OrderOutcome::Accepted => self.apply_order(&pending, false, now_ms),
+            OrderOutcome::Done => self.apply_order(&pending, true, now_ms),
             OrderOutcome::Rejected => {
                 if let Some(adapter) = &pending.adapter {
                     self.adapters.free(adapter);
@@ -370,12 +374,17 @@
         }
     }
 
-    /// Applies an order that the engine has accepted or completed.
-    fn apply_order(&mut self, pending: &PendingOrder) {
+    /// Applies an order that the engine is carrying out, or has completed if `is_done` is set. An unload that is not
+    /// done waits for runs, and its slot stays taken.
+    fn apply_order(&mut self, pending: &PendingOrder, is_done: bool, now_ms: TimeMs) {
         match (&pending.adapter, pending.order.kind) {
             (Some(adapter), OrderKind::Unload) => {
                 self.copies.add(adapter_key(adapter));
-                self.adapters.free(adapter);
+                if is_done {
+                    self.adapters.free(adapter);
+                } else {
+                    self.adapters.start_unload(adapter, now_ms);
+                }
             }
             (Some(_), OrderKind::Load) => {}
             (None, _) => self.models.mark_loading(),
--- a/crates/magnoliasail-core/src/gateway/expected_waits.rs
+++ b/crates/magnoliasail-core/src/gateway/expected_waits.rs
@@ -99,8 +99,12 @@
         match self.adapters.state(adapter) {
             Some(SlotState::Resident) => 0,
             Some(SlotState::Loading) => self.load_times.mean_ms() as u64,
-            None if self.is_copied(adapter) => self.expected_copy_load_ms(request.arrived_ms),
-            None => self.local_fetch_ms(request.arrived_ms) as u64,
+            Some(SlotState::Unloading { .. }) | None if self.is_copied(adapter) => {
+                self.expected_copy_load_ms(request.arrived_ms)
+            }
+            Some(SlotState::Unloading { .. }) | None => {
+                self.local_fetch_ms(request.arrived_ms) as u64
+            }
         }
     }
 }
--- a/crates/magnoliasail-core/src/gateway/weights_memory.rs
+++ b/crates/magnoliasail-core/src/gateway/weights_memory.rs
@@ -5,6 +5,12 @@
 use {super::EngineScheduler, std::sync::Arc};
 
 impl EngineScheduler {
+    /// Returns the number of adapter slots that are taken, also by adapters that are being loaded or unloaded.
+    #[must_use]
+    pub fn taken_slots(&self) -> usize {
+        self.adapters.taken()
+    }
+
     /// Returns whether an adapter that has no place fits beside those that have one.
     pub(super) fn has_room(&self, adapter: &str) -> bool {
         let is_place_free = self.adapters.taken() < self.limits.adapter_slots as usize;
--- a/crates/magnoliasail-core/tests/gateway/fake_engine.rs
+++ b/crates/magnoliasail-core/tests/gateway/fake_engine.rs
@@ -5,7 +5,10 @@
         EngineLimits, EngineReport, EngineScheduler, LoadedModel, ModelLimits, Order, OrderKind,
         OrderOutcome, SchedulerSettings, VersionedAdapter,
     },
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// Name of the only base model.
@@ -50,6 +53,10 @@
     pub(crate) started_ms: u64,
     pub(crate) loaded: BTreeMap<Arc<str>, u64>,
     pub(crate) loading: BTreeMap<Arc<str>, u64>,
+    /// Adapters that runs use which the agent no longer counts; their unload waits for these runs.
+    pub(crate) lingering: BTreeSet<Arc<str>>,
+    /// Adapters whose unload waits.
+    pub(crate) unloading: BTreeSet<Arc<str>>,
     /// The version that is loaded if an order names none; 1 if an adapter is not listed.
     pub(crate) newest: BTreeMap<Arc<str>, u64>,
     /// Whether more adapters were ordered than there are slots or memory for.
@@ -94,6 +101,10 @@
                 self.has_crashed |= self.exceeds_limits(in_slots.len());
                 OrderOutcome::Accepted
             }
+            OrderKind::Unload if self.lingering.contains(adapter) => {
+                self.unloading.insert(Arc::clone(adapter));
+                OrderOutcome::Accepted
+            }
             OrderKind::Unload => {
                 self.loaded.remove(adapter);
                 OrderOutcome::Done
@@ -116,6 +127,14 @@
         self.loaded.extend(completed);
     }
 
+    /// Ends the runs that the agent no longer counts, so that unloads which wait for them complete.
+    pub(crate) fn end_lingering_runs(&mut self) {
+        self.lingering.clear();
+        for adapter in std::mem::take(&mut self.unloading) {
+            self.loaded.remove(&adapter);
+        }
+    }
+
     /// Restarts the engine, which loses its base model and adapters.
     pub(crate) fn restart(&mut self) {
         *self = Self {
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -1,150 +1,18 @@
 //! Tests of the engine scheduler: loads, evictions, versions, ranks and refusals.
 
 use {
-    super::fake_engine::{FakeEngine, MODEL, limits},
+    super::{
+        fake_engine::{MODEL, limits},
+        scheduler_harness::Harness,
+    },
     arbtest::arbtest,
     magnoliasail_core::gateway::{
         AdapterVersion, EngineAction, EngineLimits, EngineRefusal, EngineRequest, EngineScheduler,
         OrderKind, OrderOutcome, RateSource, RateStatement, RequestRate, RequestedPause,
         SchedulerSettings, ServerNotice, adapter_key,
     },
-    std::{collections::BTreeMap, sync::Arc},
 };
 
-/// A scheduler with a fake engine that answers at once; the test decides when loads complete.
-struct Harness {
-    scheduler: EngineScheduler,
-    engine: FakeEngine,
-    now_ms: u64,
-    next_key: u64,
-    /// Full adapter names by running request.
-    running: BTreeMap<u64, Arc<str>>,
-    /// Full adapter names by request.
-    adapters: BTreeMap<u64, Arc<str>>,
-    started: Vec<u64>,
-    /// Keys of refused requests, with their reasons and retry delays in milliseconds.
-    refused: Vec<(u64, EngineRefusal, u64)>,
-    orders: Vec<(OrderKind, Option<Arc<str>>)>,
-}
-
-impl Harness {
-    fn new() -> Self {
-        Self::with_settings(SchedulerSettings::default())
-    }
-
-    fn with_settings(settings: SchedulerSettings) -> Self {
-        Self::with_limits(settings, limits())
-    }
-
-    fn with_limits(settings: SchedulerSettings, limits: EngineLimits) -> Self {
-        let mut scheduler = EngineScheduler::new(SchedulerSettings {
-            replacement_spread_ms: 1,
-            ..settings
-        });
-        scheduler.configure(limits.clone());
-        let mut harness = Self {
-            scheduler,
-            engine: FakeEngine::with_limits(limits),
-            now_ms: 100_000,
-            next_key: 1,
-            running: BTreeMap::new(),
-            adapters: BTreeMap::new(),
-            started: Vec::new(),
-            refused: Vec::new(),
-            orders: Vec::new(),
-        };
-        harness.report();
-        harness
-    }
-
-    fn submit(&mut self, adapter: &str, rank: u32) -> u64 {
-        self.submit_within(adapter, rank, 5_000, 100)
-    }
-
-    fn submit_within(&mut self, adapter: &str, rank: u32, deadline_ms: u64, kv_tokens: u64) -> u64 {
-        let key = self.next_key;
-        self.next_key += 1;
-        let adapter: Arc<str> = format!("{MODEL}/{adapter}").into();
-        self.adapters.insert(key, Arc::clone(&adapter));
-        let request = EngineRequest {
-            key,
-            model: MODEL.into(),
-            adapter: Some(adapter),
-            rank,
-            prompt_tokens: kv_tokens,
-            kv_tokens,
-            arrived_ms: self.now_ms,
-            objective_ms: self.now_ms + 500,
-            deadline_ms: self.now_ms + deadline_ms,
-            ..EngineRequest::default()
-        };
-        self.step(|scheduler, now_ms, actions| scheduler.submit(request, now_ms, actions));
-        key
-    }
-
-    fn finish(&mut self, key: u64) {
-        self.running.remove(&key);
-        self.step(|scheduler, now_ms, actions| {
-            scheduler.finish(key, true, now_ms, actions);
-        });
-    }
-
-    fn report(&mut self) {
-        let ticket = self.scheduler.report_ticket();
-        let report = self.engine.report();
-        self.step(|scheduler, now_ms, actions| {
-            scheduler.apply_report(&report, ticket, now_ms, actions)
-        });
-    }
-
-    fn complete_loads(&mut self) {
-        self.engine.complete_loads();
-        self.report();
-    }
-
-    /// Feeds an input to the scheduler and carries out the resulting actions.
-    fn step(&mut self, input: impl FnOnce(&mut EngineScheduler, u64, &mut Vec<EngineAction>)) {
-        let mut actions = Vec::new();
-        input(&mut self.scheduler, self.now_ms, &mut actions);
-        while let Some(action) = (!actions.is_empty()).then(|| actions.remove(0)) {
-            match action {
-                EngineAction::Start { key } => self.start(key),
-                EngineAction::Refuse {
-                    key,
-                    reason,
-                    retry_after_ms,
-                } => self.refused.push((key, reason, retry_after_ms)),
-                EngineAction::Order(order) => {
-                    self.orders.push((order.kind, order.adapter.clone()));
-                    if order.kind == OrderKind::Unload {
-                        let name =
-                            format!("{MODEL}/{}", order.adapter.as_deref().unwrap_or_default());
-                        assert!(
-                            !self.running.values().any(|used| **used == *name),
-                            "{name} was in use"
-                        );
-                    }
-                    let outcome = self.engine.order(&order);
-                    self.scheduler
-                        .record_order_outcome(outcome, self.now_ms, &mut actions);
-                }
-            }
-        }
-    }
-
-    fn start(&mut self, key: u64) {
-        let adapter = Arc::clone(&self.adapters[&key]);
-        let short_name = adapter.split_once('/').expect("a full name").1;
-        assert!(
-            self.engine.loaded.contains_key(short_name),
-            "{adapter} is not loaded"
-        );
-        self.started.push(key);
-        self.running.insert(key, adapter);
-        assert!(self.running.len() <= limits().batch_slots as usize);
-    }
-}
-
 #[test]
 fn requests_for_an_adapter_share_the_load_ordered_for_the_first() {
     let mut harness = Harness::new();
@@ -622,9 +490,17 @@
                 }
                 5 | 6 => {
                     if let Some(&key) = harness.running.keys().next() {
-                        harness.finish(key);
+                        if source.arbitrary()? {
+                            harness.finish(key);
+                        } else {
+                            harness.cancel(key);
+                        }
                     }
                 }
+                7 if source.arbitrary()? => {
+                    harness.engine.end_lingering_runs();
+                    harness.report();
+                }
                 7 => harness.complete_loads(),
                 8 => harness.report(),
                 _ => {
--- a/crates/magnoliasail-soak/src/caller.rs
+++ b/crates/magnoliasail-soak/src/caller.rs
@@ -191,6 +191,11 @@
         outcome
     }
 
+    /// Makes a call and leaves after a while, whatever has arrived. The connection is closed if the call has not ended.
+    pub async fn call_and_leave(&mut self, call: &Call, after: Duration) -> Option<Outcome> {
+        timeout(after, self.call(call)).await.ok()
+    }
+
     /// Returns the call that resumes a stream which broke off after its first event, or `None` if
     /// the latest call, `call`, had another outcome.
     #[must_use]
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -38,6 +38,10 @@
 /// One call of a caller in this many stops reading for a while.
 const READING_PAUSE_INTERVAL: u32 = 16;
 const READING_PAUSE: Duration = Duration::from_millis(1_200);
+/// One call of a caller in this many is left before its answer is complete.
+const LEAVING_INTERVAL: u32 = 9;
+/// The most time until then, in milliseconds.
+const MAX_STAY_MS: u32 = 60;
 /// Time for the fleet to recover after the last fault, before the callers stop.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 /// Time for a change in the store to apply, also if a read of it times out.
@@ -462,6 +466,11 @@
             key: Some(USUAL_KEY),
             ..Call::default()
         };
+        if number.is_multiple_of(LEAVING_INTERVAL) {
+            let stay = Duration::from_millis(u64::from(number % MAX_STAY_MS));
+            caller.call_and_leave(&call, stay).await;
+            continue;
+        }
         state.calls.fetch_add(1, Ordering::SeqCst);
         let mut outcome = caller.call(&call).await;
         if let Some(resumed_call) = caller.resumed_call(&call, outcome) {
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{
+        adapters::Adapters,
         answers::text_response,
         endless::{EndlessAnswer, is_control_request, serve_endless},
         poison::Poison,
@@ -27,7 +28,6 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde_json::{Value, json},
     std::{
-        collections::BTreeMap,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -99,8 +99,7 @@
     pub(super) has_model: bool,
     /// Number of orders accepted by this incarnation.
     pub(super) sequence: u64,
-    /// When each adapter's load completes.
-    pub(super) adapters: BTreeMap<String, Instant>,
+    pub(super) adapters: Adapters,
     pub(super) faults: ServerFaults,
     pub(super) draining_since: Option<Instant>,
     /// Whether every answer says that the server is leaving.
@@ -131,7 +130,7 @@
         self.incarnation += 1;
         self.has_model = false;
         self.sequence = 0;
-        self.adapters.clear();
+        self.adapters = Adapters::default();
         self.draining_since = None;
         self.is_leaving = false;
         self.statements = Statements::default();
@@ -176,7 +175,7 @@
             incarnation: 1,
             has_model: true,
             sequence: 0,
-            adapters: BTreeMap::new(),
+            adapters: Adapters::default(),
             faults: ServerFaults::default(),
             draining_since: None,
             is_leaving: false,
--- a/crates/magnoliasail-soak/src/standin/control.rs
+++ b/crates/magnoliasail-soak/src/standin/control.rs
@@ -9,29 +9,19 @@
     http_body_util::BodyExt,
     hyper::{Request, Response, StatusCode, body::Incoming},
     serde_json::{Value, json},
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tokio::time::sleep,
 };
 
-const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(30);
 const MODEL_LOAD_TIME: Duration = Duration::from_millis(200);
 
 impl BackendServer {
     pub(super) fn report(&self) -> Response<Body> {
         let report = self.with(|state| {
-            let now = Instant::now();
-            let resident: Vec<String> = state
-                .adapters
-                .iter()
-                .filter(|(_, ready)| **ready <= now)
-                .map(|(name, _)| format!("{name}@1"))
-                .collect();
-            let loading: Vec<String> = state
-                .adapters
-                .iter()
-                .filter(|(_, ready)| **ready > now)
-                .map(|(name, _)| format!("{MODEL}/{name}@1"))
-                .collect();
+            let loaded = state.adapters.names(true);
+            let resident: Vec<String> = loaded.map(|name| format!("{name}@1")).collect();
+            let coming = state.adapters.names(false);
+            let loading: Vec<String> = coming.map(|name| format!("{MODEL}/{name}@1")).collect();
             let models = if state.has_model {
                 json!([{"name": MODEL, "version": 1, "adapters": resident}])
             } else {
@@ -81,18 +71,11 @@
                 return StatusCode::ACCEPTED;
             };
             if order["operation"] == "unload" {
-                state.adapters.remove(adapter);
-                return StatusCode::OK;
+                return state.adapters.unload(adapter);
             }
-            state
-                .adapters
-                .insert(adapter.to_owned(), Instant::now() + ADAPTER_LOAD_TIME);
-            if state.adapters.len() > ADAPTER_SLOTS {
-                let detail = format!(
-                    "{} was ordered to hold {} adapters",
-                    state.id,
-                    state.adapters.len()
-                );
+            let held = state.adapters.load(adapter);
+            if held > ADAPTER_SLOTS {
+                let detail = format!("{} was ordered to hold {held} adapters", state.id);
                 self.ledger.record_violation("adapter slots", detail);
             }
             StatusCode::ACCEPTED
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform's store and for backend servers, which speak the platform's protocol.
 
+mod adapters;
 mod answers;
 mod backend_server;
 mod control;
--- a/crates/magnoliasail-soak/src/standin/runs.rs
+++ b/crates/magnoliasail-soak/src/standin/runs.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        adapters::AdapterRun,
         answers::{event_count, stream_event, text_response, with_response_headers},
         backend_server::{BackendServer, Body, ServerKind},
         poison::Poison,
@@ -11,10 +12,7 @@
     hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming},
     magnoliasail_wire::stream_body,
     rand::Rng,
-    std::{
-        io,
-        time::{Duration, Instant},
-    },
+    std::{io, time::Duration},
     tokio::time::sleep,
 };
 
@@ -45,9 +43,10 @@
         if let Some(poison) = &poison {
             poison.record_arrival(&id, &self.ledger);
         }
-        if let Some(refusal) = self.refusal(&headers, vm) {
-            return Ok(refusal);
-        }
+        let run = match self.start_run(&headers, vm) {
+            Ok(run) => run,
+            Err(refusal) => return Ok(refusal),
+        };
         self.check_drain(&id);
         let server = self.with(|state| state.id.clone());
         self.ledger.record_run(&id, &server);
@@ -70,7 +69,7 @@
         if let Some(poison) = poison {
             if self.kind == ServerKind::Engine && poison.is_answered() {
                 let end = StreamEnd::Crash(poison);
-                let stream = self.stream(&stream_id, resume_after, end);
+                let stream = self.stream(&stream_id, resume_after, end, run);
                 return Ok(with_response_headers(stream, &id, &server));
             }
             self.crash_and_restart(poison);
@@ -86,7 +85,7 @@
             } else {
                 StreamEnd::Complete
             };
-            let stream = self.stream(&stream_id, resume_after, end);
+            let stream = self.stream(&stream_id, resume_after, end, run);
             return Ok(with_response_headers(stream, &id, &server));
         }
         sleep(PLAIN_RUN_TIME + Duration::from_millis(faults.delay_ms)).await;
@@ -117,43 +116,40 @@
         Response::new(BoxBody::new(body.map_err(io::Error::other)))
     }
 
-    /// Returns a refusal if the server cannot run the request. A refused request has not run.
-    fn refusal(&self, headers: &HeaderMap, vm: VmKey) -> Option<Response<Body>> {
+    /// Starts the run of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the server cannot run the request. A refused request has not run.
+    #[expect(clippy::result_large_err, reason = "a stand-in, off any hot path")]
+    fn start_run(
+        &self,
+        headers: &HeaderMap,
+        vm: VmKey,
+    ) -> Result<Option<AdapterRun>, Response<Body>> {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let (id, is_refused) = self.with(|state| {
             let draw = state.random.random::<f64>();
             (state.id.clone(), draw < state.faults.refused_share)
         });
         if text("expect-instance").is_some_and(|expected| expected != id) {
-            return Some(text_response(
-                StatusCode::MISDIRECTED_REQUEST,
-                String::new(),
-            ));
+            return Err(not_run(StatusCode::MISDIRECTED_REQUEST));
         }
         self.check_statements(vm, text("request-id").unwrap_or_default());
         if let Some(refusal) = self.pause_refusal(vm) {
-            return Some(refusal);
+            return Err(refusal);
         }
         if is_refused {
-            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
-            response.headers_mut().insert("not-run", 1.into());
-            return Some(response);
+            return Err(not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
         if self.kind == ServerKind::Plain {
-            return None;
+            return Ok(None);
         }
         let adapter = text("model")
             .and_then(|model| model.split_once('/'))
             .map(|(_, adapter)| adapter);
-        let is_resident = self.with(|state| {
-            adapter.is_none_or(|adapter| {
-                state
-                    .adapters
-                    .get(adapter)
-                    .is_some_and(|ready| *ready <= Instant::now())
-            })
-        });
-        (!is_resident).then(|| text_response(StatusCode::MISDIRECTED_REQUEST, String::new()))
+        let start_run = |name| self.with(|state| state.adapters.start_run(name));
+        adapter.map(start_run).transpose().map_err(not_run)
     }
 
     /// Checks that the key of a request stayed at its entry, and that the request names its own account.
@@ -178,8 +174,15 @@
         }
     }
 
-    /// Returns the events of the stream that the attempt `id` began.
-    fn stream(&self, id: &str, resume_after: u64, end: StreamEnd) -> Response<Body> {
+    /// Returns the events of the stream that the attempt `id` began. Like the engine that it stands in for, it
+    /// notices a closed connection only when it writes the next event.
+    fn stream(
+        &self,
+        id: &str,
+        resume_after: u64,
+        end: StreamEnd,
+        run: Option<AdapterRun>,
+    ) -> Response<Body> {
         let (event_delay_ms, version) =
             self.with(|state| (state.faults.event_delay_ms, state.software_version.clone()));
         let event_gap = EVENT_GAP + Duration::from_millis(event_delay_ms);
@@ -188,6 +191,7 @@
         let last = event_count(&id);
         let server = self.clone();
         let task = tokio::spawn(async move {
+            let _run = run;
             for number in resume_after + 1..=last {
                 sleep(event_gap).await;
                 server.wait_while_silent().await;
@@ -214,6 +218,15 @@
     }
 }
 
+/// Returns a response which proves that the request has not run, by its status or by a header.
+fn not_run(status: StatusCode) -> Response<Body> {
+    let mut response = text_response(status, String::new());
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        response.headers_mut().insert("not-run", 1.into());
+    }
+    response
+}
+
 /// How a stream ends.
 enum StreamEnd {
     /// With its last event.
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -360,10 +360,12 @@
 
     /// Logs the outcome of an order, and passes it to the scheduler.
     pub(super) fn record_order_outcome(self: &Rc<Self>, order: &Order, outcome: OrderOutcome) {
+        let taken_slots = self.scheduler.borrow().taken_slots();
         emit(
             EventId::OrderGiven,
             format_args!(
-                "order={:?} model={} adapter={:?} version={:?} sequence={} token={} outcome={outcome:?}",
+                "order={:?} model={} adapter={:?} version={:?} sequence={} token={} taken_slots={taken_slots} \
+                 outcome={outcome:?}",
                 order.kind,
                 order.model,
                 order.adapter,
