fix(entry): requests that cross the close of their connection at a drain are answered

Cause: 2.6 s after SIGTERM the HTTP library's graceful shutdown closed every connection that it took for idle: also one with half a head, with a whole request that the process had not read yet, or with a request on a link that holds bytes back. The kernel answers unread bytes with a reset. The listener was closed with established connections in its queue. Reading a body did not end with the grace period.

Change: the entry decides itself when a connection may be closed. It reads what has arrived, waits for the rest of a partial request and for the first request of a new connection, serves the connections in the listener's queue, and closes an idle connection with a refusal, status 408: a caller whose request was on its way reads it as the answer, which says that it has not run. Then it reads and discards until the caller has closed its side. Event 518 names requests that met the close. Requests whose bodies are on their way at the exit are refused as not run.

--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -10,7 +10,9 @@
 mod announcements;
 mod caller;
 mod client_account;
+mod connection;
 mod fleet;
+mod held_links;
 mod ledger;
 mod poison_callers;
 mod proxy;
@@ -21,6 +23,7 @@
 pub use self::{
     caller::{Call, CallKind, Caller, Outcome, Resumption},
     client_account::{ClientAccount, QUOTA_WINDOW},
+    connection::{Connection, lookup},
     fleet::{Fleet, FleetSettings, PROPAGATION_TIME, RETRY_WINDOW},
     ledger::{Ledger, RetryBudget, RunRecord, Violation},
     proxy::{Proxy, ProxyMode},
--- a/crates/magnoliasail-soak/src/proxy.rs
+++ b/crates/magnoliasail-soak/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use {
     std::{
+        io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
@@ -52,18 +53,20 @@
 /// A loopback proxy in front of one target address. Clones control the same proxy.
 #[derive(Clone, Debug)]
 pub struct Proxy {
+    address: SocketAddr,
     control: Arc<Mutex<Control>>,
 }
 
 impl Proxy {
-    /// Starts a proxy that listens on `listen` and forwards to `target`.
+    /// Starts a proxy that listens on `listen`, port 0 for any, and forwards to `target`.
     ///
     /// # Errors
     ///
     /// Returns an error if `listen` cannot be bound.
-    pub async fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let proxy = Self {
+            address: listener.local_addr()?,
             control: Arc::default(),
         };
         let acceptor = proxy.clone();
@@ -75,6 +78,12 @@
         Ok(proxy)
     }
 
+    /// Returns the address on which the proxy listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sets how the proxy treats bytes and connections, also those that are open.
     pub fn set_mode(&self, mode: ProxyMode) {
         self.with(|control| control.mode = mode);
@@ -122,43 +131,44 @@
             number,
             ProxyMode::BlockedFromServer,
         );
-        // The side that ends first ends both. Dropping a socket with unread bytes sends a reset.
-        tokio::select! {
-            () = forward => {}
-            () = backward => {}
-        }
+        // A side that fails ends both. Dropping a socket with unread bytes sends a reset. A side that has ended
+        // cleanly has passed its end on, and the other one goes on.
+        let _ = tokio::try_join!(forward, backward);
     }
 
+    /// Copies bytes until the reading side ends, and passes its end on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a side fails or the connection is to be reset.
     async fn copy(
         self,
         mut read: OwnedReadHalf,
         mut write: OwnedWriteHalf,
         number: u64,
         blocking_mode: ProxyMode,
-    ) {
+    ) -> io::Result<()> {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             let length = tokio::select! {
-                length = read.read(&mut buffer) => length.unwrap_or(0),
-                () = self.wait_for_reset(number) => return,
+                length = read.read(&mut buffer) => length?,
+                () = self.wait_for_reset(number) => return Err(io::ErrorKind::ConnectionReset.into()),
             };
-            if length == 0 {
-                return;
-            }
             let (mode, is_discarded) =
                 self.with(|control| (control.mode, number <= control.discard_up_to));
             if let ProxyMode::Delayed { delay_ms } = mode {
                 sleep(Duration::from_millis(delay_ms)).await;
             }
+            if length == 0 {
+                return write.shutdown().await;
+            }
             if is_discarded || mode == ProxyMode::Blocked || mode == blocking_mode {
                 // A stream with missing bytes is corrupt, so what follows on it is discarded too.
                 // The same holds for all older connections.
                 self.with(|control| control.discard_up_to = control.discard_up_to.max(number));
                 continue;
             }
-            if write.write_all(&buffer[..length]).await.is_err() {
-                return;
-            }
+            write.write_all(&buffer[..length]).await?;
         }
     }
 
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -238,10 +238,16 @@
             }
             1 => {
                 self.record_fault(format!(
-                    "terminate process {process}, restart it {duration:?} + 3s later"
+                    "terminate process {process}, behind links that hold bytes for half of {duration:?} if it is an \
+                     entry; restart it {duration:?} + 3s later"
                 ));
-                self.fleet.signal(process, "TERM");
-                sleep(duration + Duration::from_secs(3)).await;
+                if process < usize::from(self.settings.fleet.entries) {
+                    self.terminate_behind_held_link(process, duration / 2)
+                        .await?;
+                } else {
+                    self.fleet.signal(process, "TERM");
+                    sleep(duration + Duration::from_secs(3)).await;
+                }
                 self.fleet.restart(process)?;
             }
             2 => {
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -160,6 +160,8 @@
     CallerLeft = 516,
     /// A client account has used its quota, and requests of it are refused.
     QuotaExceeded = 517,
+    /// A request arrived on a connection that a draining entry had just closed with a refusal.
+    RequestCrossedClose = 518,
     /// A caller resumes a stream, and the software version that began it was looked up.
     OriginLookup = 520,
 }
@@ -231,6 +233,7 @@
             | Self::CrashesDiscounted
             | Self::CallerLeft
             | Self::QuotaExceeded
+            | Self::RequestCrossedClose
             | Self::OrderGiven
             | Self::FetchEntryPicked
             | Self::FetchPermitted
--- a/crates/magnoliasail/src/gateway/entry/callers.rs
+++ b/crates/magnoliasail/src/gateway/entry/callers.rs
@@ -1,23 +1,26 @@
 //! Connections from callers, and the platform's readiness checks.
 
 use {
-    super::{request::handle_request, response_body::ResponseBody, state::EntryState},
+    super::{
+        caller_connection::{ConnectionPhase, serve_connection},
+        response_body::ResponseBody,
+        state::EntryState,
+    },
     crate::{
         events::{EventId, emit},
         gateway::{phase::Phase, sockets::set_caller_socket_options},
     },
     bytes::Bytes,
+    futures_util::FutureExt,
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
-    hyper_util::{
-        rt::{TokioIo, TokioTimer},
-        server::graceful::GracefulShutdown,
-    },
-    std::{convert::Infallible, rc::Rc, time::Duration},
+    hyper_util::rt::TokioIo,
+    std::{convert::Infallible, future::pending, io, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{mpsc, watch},
+        task::yield_now,
         time::sleep,
     },
 };
@@ -26,10 +29,61 @@
 /// platform checks once a second and takes a VM out after two failures.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Time for which an idle connection stays open beyond the configured timeout, on which callers
-/// rely.
-const IDLE_MARGIN_MS: u64 = 1_000;
-const MIN_READ_BUFFER_BYTES: usize = 32_768;
+
+/// The connections of callers.
+struct CallerConnections {
+    state: Rc<EntryState>,
+    phase: watch::Sender<ConnectionPhase>,
+    /// Held by each connection until it has ended.
+    is_open: mpsc::Sender<Infallible>,
+}
+
+impl CallerConnections {
+    fn serve(&self, accepted: io::Result<TcpStream>) -> io::Result<()> {
+        let stream = accepted?;
+        set_caller_socket_options(&stream)?;
+        let is_open = self.is_open.clone();
+        let connection = serve_connection(Rc::clone(&self.state), stream, self.phase.subscribe());
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(is_open);
+        });
+        Ok(())
+    }
+
+    /// Serves the connections that are established already, so that closing the listener resets none of them.
+    async fn serve_pending(&self, listener: &TcpListener) {
+        loop {
+            // The runtime looks for what has arrived while the process did not run.
+            yield_now().await;
+            let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
+                return;
+            };
+            if let Err(error) = self.serve(Ok(stream)) {
+                emit(EventId::AcceptFailed, error);
+            }
+        }
+    }
+
+    /// Closes the connections that are idle, and waits until all have ended.
+    async fn close(
+        self,
+        phase: &mut watch::Receiver<Phase>,
+        mut all_closed: mpsc::Receiver<Infallible>,
+    ) {
+        self.phase.send_replace(ConnectionPhase::ClosingIdle);
+        drop(self.is_open);
+        let close_at_exit = async {
+            Phase::Stopping.reached(phase).await;
+            self.phase.send_replace(ConnectionPhase::Stopping);
+            pending().await
+        };
+        tokio::select! {
+            _ = all_closed.recv() => {}
+            () = close_at_exit => {}
+        }
+    }
+}
 
 /// Serves callers until the process drains and the requests in progress have finished.
 pub(super) async fn serve_callers(
@@ -37,51 +91,32 @@
     listener: TcpListener,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let graceful = GracefulShutdown::new();
-    let drain_notice_over = async {
-        Phase::Draining.reached(&mut phase).await;
-        sleep(DRAIN_NOTICE).await;
+    let (is_open, all_closed) = mpsc::channel(1);
+    let connections = CallerConnections {
+        state,
+        phase: watch::Sender::new(ConnectionPhase::Open),
+        is_open,
     };
-    tokio::pin!(drain_notice_over);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut drain_notice_over => break,
+    {
+        let drain_notice_over = async {
+            Phase::Draining.reached(&mut phase).await;
+            sleep(DRAIN_NOTICE).await;
         };
-        match accepted {
-            Ok((stream, _)) => serve_connection(&state, stream, &graceful),
-            Err(error) => {
+        tokio::pin!(drain_notice_over);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = &mut drain_notice_over => break,
+            };
+            if let Err(error) = connections.serve(accepted.map(|(stream, _)| stream)) {
                 emit(EventId::AcceptFailed, error);
                 sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
+    connections.serve_pending(&listener).await;
     drop(listener);
-    graceful.shutdown().await;
-}
-
-fn serve_connection(state: &Rc<EntryState>, stream: TcpStream, graceful: &GracefulShutdown) {
-    if let Err(error) = set_caller_socket_options(&stream) {
-        emit(EventId::AcceptFailed, error);
-        return;
-    }
-    let limits = *state.table.borrow().limits();
-    let service = {
-        let state = Rc::clone(state);
-        service_fn(move |request| handle_request(Rc::clone(&state), request))
-    };
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(
-            limits.idle_timeout_ms + IDLE_MARGIN_MS,
-        ))
-        .max_buf_size(MIN_READ_BUFFER_BYTES.max(limits.max_head_bytes))
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::task::spawn_local(async move {
-        // An error needs no handling here: it drops the request in progress, which cancels it.
-        let _ = connection.await;
-    });
+    connections.close(&mut phase, all_closed).await;
 }
 
 /// Responds to the platform's readiness checks: 200 if the entry accepts new connections, 503 if not.
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -9,9 +9,11 @@
 
 mod attempt;
 mod buffered_body;
+mod caller_connection;
 mod callers;
 mod collected_response;
 mod configuration_copies;
+mod connection_activity;
 mod dispatch;
 mod dispatch_log;
 mod end_check;
--- a/crates/magnoliasail/src/gateway/entry/refusal.rs
+++ b/crates/magnoliasail/src/gateway/entry/refusal.rs
@@ -67,6 +67,8 @@
     StoppedUnrun,
     /// The entry exits, and the request may have run.
     StoppedRunning,
+    /// The entry exits and closes the connection, on which it reads no further request.
+    ConnectionClosed,
 }
 
 impl RefusalCause {
@@ -108,7 +110,7 @@
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::QuotaExceeded | Self::QuotaTooSmall => StatusCode::TOO_MANY_REQUESTS,
-            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooSlow | Self::ConnectionClosed => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
             | Self::BuffersFull
             | Self::NoServer
@@ -165,7 +167,9 @@
             }
             Self::ExpiredUnrun => "the deadline passed before the request ran; retry it",
             Self::ExpiredRunning => "the deadline passed; the request may have run",
-            Self::StoppedUnrun => "this entry exits; send the request to another one",
+            Self::StoppedUnrun | Self::ConnectionClosed => {
+                "this entry exits; send the request to another one"
+            }
             Self::StoppedRunning => "this entry exits; the request may have run",
             Self::BrokenOff => {
                 "the server failed before its response was complete; the request may have run"
@@ -203,16 +207,7 @@
     cause: RefusalCause,
     retry_after_ms: Option<u64>,
 ) -> Response<ResponseBody> {
-    let name: &'static str = cause.into();
-    let outcome = if cause.is_not_run() {
-        "not_run"
-    } else {
-        "unknown"
-    };
-    let body = serde_json::json!({
-        "error": { "code": name, "message": cause.message(), "outcome": outcome },
-    });
-    let mut response = Response::new(ResponseBody::complete(Bytes::from(body.to_string())));
+    let mut response = Response::new(ResponseBody::complete(Bytes::from(error_body(cause))));
     *response.status_mut() = cause.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -225,6 +220,33 @@
     response
 }
 
+fn error_body(cause: RefusalCause) -> String {
+    let name: &'static str = cause.into();
+    let outcome = if cause.is_not_run() {
+        "not_run"
+    } else {
+        "unknown"
+    };
+    let body = serde_json::json!({
+        "error": { "code": name, "message": cause.message(), "outcome": outcome },
+    });
+    body.to_string()
+}
+
+/// Builds the response with which the entry closes a connection, as the bytes to send. A request that is on its way
+/// has not run and will not run, and may be sent to another entry at once.
+pub(super) fn closing_response() -> Vec<u8> {
+    let cause = RefusalCause::ConnectionClosed;
+    let body = error_body(cause);
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {}\r\nconnection: close\r\ncontent-type: application/json\r\nretry-after: 0\r\n\
+         content-length: {length}\r\n\r\n{body}",
+        cause.status()
+    )
+    .into_bytes()
+}
+
 /// Logs a refused or failed request; `left_ms` is the time that was left to its deadline.
 pub(super) fn log_refusal(
     id: Option<&str>,
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -53,7 +53,15 @@
     metrics.requests.inc();
     metrics.running.inc();
     let running = RunningGuard(Rc::clone(&metrics));
-    let mut response = match prepare(&state, request, metadata).await {
+    let prepared = {
+        let mut phase = phase.clone();
+        tokio::select! {
+            biased;
+            prepared = prepare(&state, request, metadata) => prepared,
+            () = Phase::Stopping.reached(&mut phase) => Err(RefusalCause::StoppedUnrun),
+        }
+    };
+    let mut response = match prepared {
         Ok(dispatch) => dispatch.run().await,
         Err(cause) => {
             let startup_retry_ms = if state.is_store_lost.get() {
@@ -64,6 +72,8 @@
             let retry_ms = match cause {
                 RefusalCause::NoConfiguration => Some(startup_retry_ms),
                 RefusalCause::BuffersFull => Some(FULL_RETRY_MS),
+                // Another entry may take it at once.
+                RefusalCause::StoppedUnrun => Some(0..1),
                 _ => None,
             };
             let retry_after_ms = retry_ms.map(|range_ms| rand::rng().random_range(range_ms));
