fix(entry): a draining entry refuses a stream that it would cut at its exit

Callers saw: a request whose body arrived 4.5 s after the SIGTERM of its entry was passed on, and its stream was cut when the process exited 7.6 s after the SIGTERM.

Cause: nothing asked whether a stream can end before the exit; a response that has begun can only be cut.

Change: from a third of the grace period on, a stream is refused as not run, to be sent to another entry at once. Plain requests are served as before.

Evidence: a_stream_that_would_outlast_the_drain_is_refused_as_not_run got no whole answer before and a 503 now, without a run.

--- a/crates/magnoliasail/src/gateway/entry/callers.rs
+++ b/crates/magnoliasail/src/gateway/entry/callers.rs
@@ -100,6 +100,7 @@
     {
         let drain_notice_over = async {
             Phase::Draining.reached(&mut phase).await;
+            connections.state.start_draining();
             sleep(DRAIN_NOTICE).await;
         };
         tokio::pin!(drain_notice_over);
--- a/crates/magnoliasail/src/gateway/entry/request.rs
+++ b/crates/magnoliasail/src/gateway/entry/request.rs
@@ -123,6 +123,9 @@
     let id = metadata.id.as_deref().unwrap_or_default();
     let route = state.table.borrow().find(host, head.uri.path(), id);
     let route = route.ok_or(RefusalCause::NoRoute)?;
+    if route.kind.is_stream() && state.is_too_late_for_streams() {
+        return Err(RefusalCause::StoppedUnrun);
+    }
     let mut headers = headers::forwarded_to_server(&head.headers);
     let account = authorize(state, &route, &head.headers, &mut headers)?;
     let rank = account.as_ref().and_then(|account| account.rank);
--- a/crates/magnoliasail/src/gateway/entry/state.rs
+++ b/crates/magnoliasail/src/gateway/entry/state.rs
@@ -46,6 +46,8 @@
     pub(super) clock: SteadyClock,
     pub(super) metrics: Rc<GatewayMetrics>,
     pub(super) phase: watch::Receiver<Phase>,
+    /// When the process began to drain, by its clock.
+    pub(super) draining_since_ms: Cell<Option<u64>>,
     pub(super) table: RefCell<RouteTable>,
     pub(super) directory: RefCell<Directory>,
     /// Links to agents, by the IP address of their VM.
@@ -133,6 +135,7 @@
             clock,
             metrics: GatewayMetrics::new(RefusalCause::iter().map(Into::into)),
             phase,
+            draining_since_ms: Cell::default(),
             table: RefCell::default(),
             directory: RefCell::default(),
             links: RefCell::default(),
@@ -166,6 +169,21 @@
         *self.phase.borrow() == Phase::Serving && self.is_initialized()
     }
 
+    /// Records that the process drains.
+    pub(super) fn start_draining(&self) {
+        self.draining_since_ms.set(Some(self.clock.now_ms()));
+    }
+
+    /// Returns whether the process exits so soon that a stream which starts now would be cut.
+    pub(super) fn is_too_late_for_streams(&self) -> bool {
+        /// Divides the grace period; a stream has the rest after the quotient.
+        const STREAM_START_DIVISOR: u64 = 3;
+        let start_time_ms = self.settings.grace_ms / STREAM_START_DIVISOR;
+        let now_ms = self.clock.now_ms();
+        let since_ms = self.draining_since_ms.get();
+        since_ms.is_some_and(|since_ms| now_ms > since_ms + start_time_ms)
+    }
+
     /// Returns whether the entry has a configuration and the server list.
     pub(super) fn is_initialized(&self) -> bool {
         self.table.borrow().version().is_some() && self.listed_since_ms.get().is_some()
--- a/crates/magnoliasail/tests/terminated_entry_connections.rs
+++ b/crates/magnoliasail/tests/terminated_entry_connections.rs
@@ -4,7 +4,9 @@
 
 use {
     self::common::{assert_no_violations, run_with_fleet, small_fleet},
-    magnoliasail_soak::{Connection, Fleet, Proxy, ProxyMode, lookup},
+    magnoliasail_soak::{
+        Connection, Fleet, PROPAGATION_TIME, Proxy, ProxyMode, ServerFaults, lookup,
+    },
     std::{net::SocketAddr, time::Duration},
     tokio::time::{Instant, sleep, sleep_until},
 };
@@ -211,3 +213,35 @@
         assert_no_violations(&fleet);
     });
 }
+
+/// Guards against a stream that is served although the entry exits before its end, because its body arrived late in the
+/// drain over a slow link.
+#[test]
+fn a_stream_that_would_outlast_the_drain_is_refused_as_not_run() {
+    with_terminated_entry(122, |mut fleet| async move {
+        fleet.publish_route_timeout(Duration::from_secs(15));
+        sleep(PROPAGATION_TIME).await;
+        for server in &fleet.servers {
+            // A stream has five events at least.
+            server.set_faults(ServerFaults {
+                event_delay_ms: 900,
+                ..ServerFaults::default()
+            });
+        }
+        let mut connection = open_used(&fleet, "first").await;
+        fleet.signal(ENTRY, "TERM");
+        sleep(Duration::from_secs(1)).await;
+        connection
+            .send(
+                "POST /stream/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: late\r\nmodel: base/a0\r\n\
+                 token-count: 100,50\r\nprompt-prefix: aa:60,bb:40\r\ndeadline-ms: 15000\r\n\
+                 transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+            )
+            .await;
+        sleep(Duration::from_millis(3_500)).await;
+        connection.send("0\r\n\r\n").await;
+        assert_eq!(connection.status().await, Some(503), "{}", fleet.output());
+        assert!(fleet.ledger.runs("late").is_empty());
+        assert_no_violations(&fleet);
+    });
+}
