fix(pool): a part of an early answer to an upload is not passed on as complete

Callers would see: a 200 with a part of its body as a complete answer, from a server that answers a long upload at once without a length, ends what it sends and then resets the connection.

Cause: the end of such an answer counts once the server proves to be alive, which it is. That the upload had not been sent, or that a reset followed, was lost in the HTTP library and the kernel.

Change: the socket of a connection remembers whether the last write failed or waits, and is kept until the end has been checked. A success without a length or chunks is broken off if its request was not sent when it ended, or if a reset had arrived when the check was answered. The kernel takes 16 kB ahead of the server. Framed answers and failures are not affected.

--- a/crates/magnoliasail-soak/src/caller.rs
+++ b/crates/magnoliasail-soak/src/caller.rs
@@ -79,6 +79,8 @@
     pub resumption: Option<Resumption>,
     /// The end of the path, and the body of calls that have one.
     pub content: String,
+    /// The length of that body, which is filled up if the content is shorter.
+    pub body_bytes: usize,
     /// Time for which the caller stops reading after the first bytes of the answer.
     pub reading_pause: Duration,
     /// The key of a client account, and the name of that account.
@@ -96,6 +98,7 @@
             deadline: Duration::from_millis(2_500),
             resumption: None,
             content: "x".to_owned(),
+            body_bytes: 0,
             reading_pause: Duration::ZERO,
             key: None,
             prompt_parts: "aa:60,bb:40".to_owned(),
@@ -329,7 +332,8 @@
     let body = if call.kind == CallKind::Safe {
         Bytes::new()
     } else {
-        Bytes::from(call.content.clone())
+        let filler_bytes = call.body_bytes.saturating_sub(call.content.len());
+        Bytes::from(call.content.clone() + &".".repeat(filler_bytes))
     };
     let mut request = Request::builder()
         .method(method)
--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -29,7 +29,7 @@
     proxy::{Proxy, ProxyMode},
     soak::{Soak, SoakReport, SoakSettings},
     standin::{
-        BackendServer, DEFAULT_HISTORY, EndlessAnswer, EraHeader, Poison, ServerFaults, ServerKind,
-        Store, StoreMode,
+        BackendServer, DEFAULT_HISTORY, EarlyEnd, EndlessAnswer, EraHeader, Poison, RawAnswer,
+        ServerFaults, ServerKind, Store, StoreMode,
     },
 };
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -7,10 +7,10 @@
 use {
     super::{
         adapters::Adapters,
-        answers::text_response,
-        endless::{EndlessAnswer, is_control_request, serve_endless},
+        answers::{stream_event, text_response},
         poison::Poison,
         rate_check::RateCheck,
+        raw_answer::{RawAnswer, is_control_request, serve_raw},
         statements::{Statements, VmKey},
         store::Store,
     },
@@ -117,7 +117,7 @@
     pub(super) holder: Option<String>,
     pub(super) random: SmallRng,
     pub(super) poisons: Vec<Poison>,
-    pub(super) endless_answer: Option<EndlessAnswer>,
+    pub(super) raw_answer: Option<RawAnswer>,
     /// Number of streams whose connection was closed before their end.
     pub(super) abandoned_streams: u32,
     /// Whether answers to requests have neither a length nor chunks, and end with their connection.
@@ -187,7 +187,7 @@
             holder: None,
             random: SmallRng::seed_from_u64(seed),
             poisons: Vec::new(),
-            endless_answer: None,
+            raw_answer: None,
             abandoned_streams: 0,
             has_unframed_answers: false,
         };
@@ -284,9 +284,9 @@
         self.with(|state| state.has_unframed_answers = is_unframed);
     }
 
-    /// Makes the server send answers without end, except to its agent's reports and orders.
-    pub fn set_endless_answer(&self, answer: Option<EndlessAnswer>) {
-        self.with(|state| state.endless_answer = answer);
+    /// Makes the server write its answers byte by byte, except to its agent's reports and orders.
+    pub fn set_raw_answer(&self, answer: Option<RawAnswer>) {
+        self.with(|state| state.raw_answer = answer);
     }
 
     /// Crashes the server after a moment, and starts it again under the same id.
@@ -463,14 +463,18 @@
         while let Ok((stream, peer)) = listener.accept().await {
             let server = self.clone();
             let last_used = Arc::new(Mutex::new(Instant::now()));
-            let endless_answer = server.with(|state| state.endless_answer);
-            if let Some(answer) = endless_answer
-                && !is_control_request(&stream).await
+            let raw_answer = server.with(|state| state.raw_answer);
+            if let Some(answer) = raw_answer
+                && !is_control_request(&stream, answer).await
             {
-                let ledger = server.ledger.clone();
+                let (kind, ledger) = (server.kind, server.ledger.clone());
                 let task = tokio::spawn(async move {
+                    let part = match kind {
+                        ServerKind::Engine => stream_event("early", 1, "v1"),
+                        ServerKind::Plain => "a part of".to_owned(),
+                    };
                     // An error means that the caller has closed the connection.
-                    let _ = serve_endless(stream, answer, ledger).await;
+                    let _ = serve_raw(stream, answer, &part, ledger).await;
                 });
                 self.track_task(task.abort_handle());
                 continue;
@@ -509,7 +513,13 @@
         peer: SocketAddr,
     ) -> Result<Response<Body>, io::Error> {
         let is_control = matches!(request.uri().path(), "/report" | "/order");
-        if self.with(|state| state.is_closed || (state.endless_answer.is_some() && !is_control)) {
+        // Raw answers are given on new connections.
+        let is_raw = |state: &State| match state.raw_answer {
+            Some(RawAnswer::Endless(_)) => !is_control,
+            Some(_) => !is_control && request.uri().path() != "/healthz",
+            None => false,
+        };
+        if self.with(|state| state.is_closed || is_raw(state)) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let vm = self.with(|state| (!state.has_single_vm).then_some(peer));
--- a/crates/magnoliasail-soak/src/standin/endless.rs
+++ b/crates/magnoliasail-soak/src/standin/endless.rs
@@ -3,10 +3,7 @@
 use {
     crate::ledger::Ledger,
     std::io,
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
-    },
+    tokio::{io::AsyncWriteExt, net::TcpStream},
 };
 
 /// Bytes after which the server gives up, and records that its caller goes on reading.
@@ -24,22 +21,17 @@
     Body,
 }
 
-/// Serves a connection: answers its first request without end, unless it asks for a report or gives an
-/// order.
+/// Answers the request with this id without end.
 ///
 /// # Errors
 ///
 /// Returns an error once the caller has closed the connection.
-pub(super) async fn serve_endless(
+pub(super) async fn write_endless(
     mut stream: TcpStream,
     answer: EndlessAnswer,
+    id: &str,
     ledger: Ledger,
 ) -> io::Result<()> {
-    let request = read_head(&mut stream).await?;
-    let id = request
-        .lines()
-        .find_map(|line| line.strip_prefix("request-id: "))
-        .unwrap_or_default();
     let start = match answer {
         EndlessAnswer::Garbage => String::new(),
         EndlessAnswer::Head => "HTTP/1.1 200 OK\r\nfiller: ".to_owned(),
@@ -57,19 +49,3 @@
     ledger.record_violation("answers without end are broken off", detail);
     Ok(())
 }
-
-/// Returns whether the first request of a connection is one that the server answers well in any case.
-pub(super) async fn is_control_request(stream: &TcpStream) -> bool {
-    let mut start = [0; 16];
-    let length = stream.peek(&mut start).await.unwrap_or(0);
-    let start = &start[..length];
-    start.starts_with(b"GET /report") || start.starts_with(b"POST /order")
-}
-
-async fn read_head(stream: &mut TcpStream) -> io::Result<String> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await?);
-    }
-    Ok(String::from_utf8_lossy(&head).into_owned())
-}
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod poison;
 mod rate_check;
+mod raw_answer;
 mod runs;
 mod statements;
 mod store;
@@ -15,6 +16,7 @@
     backend_server::{BackendServer, ServerFaults, ServerKind},
     endless::EndlessAnswer,
     poison::Poison,
+    raw_answer::{EarlyEnd, RawAnswer},
     store::{DEFAULT_HISTORY, EraHeader, Store, StoreMode},
 };
 
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -393,9 +393,12 @@
                 state.send_part(link, Part { attempt, bytes }).await;
             }
             Ok(None) => {
-                if !response.is_framed() && !is_unframed_end_complete(state, &run).await {
-                    state.record_broken_off(key, &response.lost_end());
-                    return AttemptEnd::Aborted;
+                if !response.is_framed() {
+                    let is_complete = is_unframed_end_complete(state, &run).await;
+                    if !is_complete || response.is_cut_off() {
+                        state.record_broken_off(key, &response.lost_end());
+                        return AttemptEnd::Aborted;
+                    }
                 }
                 let status = response.status;
                 response.release();
--- a/crates/magnoliasail/src/gateway/entry/attempt.rs
+++ b/crates/magnoliasail/src/gateway/entry/attempt.rs
@@ -382,9 +382,13 @@
                         BodyUpdate::End
                     }
                     Ok(None) => {
+                        let is_success = response.status.is_success();
+                        let socket = response.socket();
                         // Its connection has ended, and leaves its place to that of the check.
                         response_slot.take();
                         match check.run().await {
+                            // The reset arrived before the answer to the check, which was sent later.
+                            _ if is_success && socket.is_cut_off() => BodyUpdate::Aborted,
                             evidence if evidence.is_complete() => BodyUpdate::End,
                             EndEvidence::Gone => BodyUpdate::Aborted,
                             _ => BodyUpdate::Unproven,
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         byte_limit::{ByteLimit, TooLong},
-        sockets::{SocketError, connect},
+        server_stream::{ServerSocket, ServerStream},
+        sockets::{ConnectSnafu, SocketError, connect},
         steady_clock::SteadyClock,
     },
     crate::events::{EventId, emit},
@@ -18,7 +19,7 @@
     hyper_util::rt::TokioIo,
     magnoliasail_core::gateway::IdleLimit,
     magnoliasail_platform::headers,
-    snafu::Snafu,
+    snafu::{ResultExt, Snafu},
     std::{
         cell::{Cell, RefCell},
         io,
@@ -134,6 +135,7 @@
     sender: Sender,
     /// When it was opened. All that arrives on it comes from the process that accepted it.
     opened_at: Instant,
+    socket: Rc<ServerSocket>,
 }
 
 struct IdleConnection {
@@ -326,9 +328,13 @@
             .await
             .map_err(|source| SendError::Unconnected { source })?;
         let opened_at = Instant::now();
+        let address = self.address;
+        let socket = ServerSocket::new(stream)
+            .context(ConnectSnafu { address })
+            .context(UnconnectedSnafu)?;
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(ServerStream(Rc::clone(&socket))))
             .await;
         let (sender, connection) = handshake.map_err(|source| SendError::ConnectionLost {
             address: self.address,
@@ -339,7 +345,11 @@
             let _ = connection.await;
             drop(guard);
         });
-        Ok(Connection { sender, opened_at })
+        Ok(Connection {
+            sender,
+            opened_at,
+            socket,
+        })
     }
 
     /// Returns a connection to the pool, unless the server closes it.
@@ -366,6 +376,7 @@
     pub(super) async fn next_part(&mut self) -> Result<Option<Bytes>, SendError> {
         loop {
             match self.body.frame().await {
+                None if self.is_cut_off() => return Err(self.lost_request()),
                 None => return Ok(None),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -400,6 +411,25 @@
             || self.headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Returns whether the response is a success that ended with its connection before the whole request was sent, or
+    /// whether the server has reset the connection. Such a response may have been cut at any place.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.status.is_success() && !self.is_framed() && self.connection.socket.is_cut_off()
+    }
+
+    /// Returns what shows later whether the server has reset the connection.
+    pub(super) fn socket(&self) -> Rc<ServerSocket> {
+        Rc::clone(&self.connection.socket)
+    }
+
+    /// Returns the error of a response that ended before its request was sent.
+    fn lost_request(&self) -> SendError {
+        SendError::Truncated {
+            address: self.pool.address,
+            cause: "the connection ended before the request was sent".to_owned(),
+        }
+    }
+
     /// Returns the error of a response that ended with its connection because its server is gone.
     pub(super) fn lost_end(&self) -> SendError {
         SendError::Truncated {
--- a/crates/magnoliasail/src/gateway/sockets.rs
+++ b/crates/magnoliasail/src/gateway/sockets.rs
@@ -24,6 +24,7 @@
 
 /// Error when opening a socket.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub(super) enum SocketError {
     /// Listening on an address failed.
     #[snafu(display(
--- a/crates/magnoliasail/tests/endless_responses.rs
+++ b/crates/magnoliasail/tests/endless_responses.rs
@@ -4,7 +4,9 @@
 
 use {
     self::common::{assert_no_violations, run_with_fleet, small_fleet},
-    magnoliasail_soak::{Call, CallKind, Caller, EndlessAnswer, Outcome, PROPAGATION_TIME},
+    magnoliasail_soak::{
+        Call, CallKind, Caller, EndlessAnswer, Outcome, PROPAGATION_TIME, RawAnswer,
+    },
     tokio::time::sleep,
 };
 
@@ -23,7 +25,7 @@
         let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
         for answer in ANSWERS {
             for server in [0, 2] {
-                fleet.servers[server].set_endless_answer(Some(answer));
+                fleet.servers[server].set_raw_answer(Some(RawAnswer::Endless(answer)));
             }
             for number in 0..CALLS {
                 let call = Call {
@@ -35,7 +37,7 @@
                 let _ = sender.send(caller.call(&call).await);
             }
             for server in [0, 2] {
-                fleet.servers[server].set_endless_answer(None);
+                fleet.servers[server].set_raw_answer(None);
             }
             sleep(PROPAGATION_TIME).await;
         }
