fix(pool): a status below 200 that ends a request is a failure of its server

Callers saw: an answer of a server with the status 101 as their answer, which broke the connection of 2 of 8. Statuses 000, 001 and 099 came as 502 before, too: the HTTP library refuses them.

Cause: 101 answers a request to change the protocol. None makes one, and nothing checked.

Change: such an answer is a failure of its server, at entries and agents; the request may have run.

Evidence: answers_with_a_status_that_is_none_are_failures_of_their_server failed for 101 and holds.

--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -75,6 +75,16 @@
         /// The address of the server.
         address: SocketAddr,
     },
+    /// The response has a status that ends no request.
+    #[snafu(display(
+        "{address} sent the status {status}, which ends no request; the request may have run"
+    ))]
+    UnusableStatus {
+        /// The address of the server.
+        address: SocketAddr,
+        /// The status.
+        status: StatusCode,
+    },
     /// The response body is too long or ended early.
     #[snafu(display(
         "the response body from {address} is incomplete: {cause}; the request may have run"
@@ -230,6 +240,13 @@
                 },
             };
             let (head, body) = response.into_parts();
+            // No request asks for another protocol.
+            if head.status.is_informational() {
+                return Err(SendError::UnusableStatus {
+                    address: self.address,
+                    status: head.status,
+                });
+            }
             if !headers::matches_request(head.status, &head.headers, request_id) {
                 return Err(SendError::Mismatched {
                     address: self.address,
--- a/crates/magnoliasail/tests/early_responses.rs
+++ b/crates/magnoliasail/tests/early_responses.rs
@@ -74,6 +74,24 @@
     assert_never_complete(126, CallKind::Stream, EarlyEnd::EndThenReset);
 }
 
+/// Guards against an answer with a status that is none.
+#[test]
+fn answers_with_a_status_that_is_none_are_failures_of_their_server() {
+    for (network, kind) in [(127, CallKind::Unsafe), (128, CallKind::Stream)] {
+        run_with_fleet(small_fleet(network), |fleet| async move {
+            for status in ["000", "001", "099", "101"] {
+                let outcomes = outcomes_of(&fleet, kind, RawAnswer::Status(status)).await;
+                let is_failure = |outcome: &Outcome| match outcome {
+                    Outcome::Failed(status) => status.as_u16() == 502,
+                    outcome => *outcome == Outcome::NotRun,
+                };
+                assert!(outcomes.iter().all(is_failure), "{status}: {outcomes:?}");
+            }
+            assert_no_violations(&fleet);
+        });
+    }
+}
+
 /// A sound server may answer before it has read a long body, and says how long its answer is.
 #[test]
 fn early_answers_with_a_length_are_passed_on() {
