--- a/crates/magnoliasail-soak/src/poison_callers.rs
+++ b/crates/magnoliasail-soak/src/poison_callers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         account_callers::{TWIN_KEY, USUAL_KEY},
-        caller::{Call, CallKind, Caller},
+        caller::{Call, CallKind, Caller, Outcome},
         fleet::Fleet,
         standin::Poison,
     },
@@ -65,6 +65,28 @@
     tasks
 }
 
+/// Records a violation if an entry does not serve the sound request that equals the poisonous one of another account.
+pub(crate) async fn check_sound_twin(fleet: &Fleet) {
+    const TRIES: usize = 3;
+    for entry in 0..fleet.entry_count() {
+        let mut caller = Caller::new(fleet.entry_address(entry), fleet.ledger.clone());
+        let mut outcomes = Vec::new();
+        for number in 0..TRIES {
+            let call = Call {
+                id: format!("last-twin-{entry}-{number}"),
+                ..poisoned_call(Attack::SoundTwin, number)
+            };
+            outcomes.push(caller.call(&call).await);
+        }
+        if !outcomes.contains(&Outcome::Served) {
+            let detail = format!("entry {entry}: {outcomes:?}");
+            fleet
+                .ledger
+                .record_violation("equal requests of another account are served", detail);
+        }
+    }
+}
+
 async fn keep_calling(attack: Attack, mut callers: Vec<Caller>, is_stopped: Arc<AtomicBool>) {
     let mut number = 0;
     while !is_stopped.load(Ordering::SeqCst) {
