refactor(gateway): one file for each type of a connection's state and streams

No change of behaviour. The state of a caller's connection, its stream and the body of a response get a file each, and so do the socket and the stream of a connection to a server. Tests of terminated entries share the check of their answers.

--- a/crates/magnoliasail/src/gateway/entry/caller_connection.rs
+++ b/crates/magnoliasail/src/gateway/entry/caller_connection.rs
@@ -15,7 +15,9 @@
 
 use {
     super::{
-        connection_activity::{ConnectionActivity, ObservedBody, ObservedStream},
+        connection_activity::ConnectionActivity,
+        observed_body::ObservedBody,
+        observed_stream::ObservedStream,
         refusal::{RefusalCause, closing_response},
         request::handle_request,
         state::EntryState,
--- a/crates/magnoliasail/src/gateway/entry/callers.rs
+++ b/crates/magnoliasail/src/gateway/entry/callers.rs
@@ -39,8 +39,12 @@
 }
 
 impl CallerConnections {
-    fn serve(&self, accepted: io::Result<TcpStream>) -> io::Result<()> {
-        let stream = accepted?;
+    /// Serves a new connection until it ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the options of its socket cannot be set.
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
         set_caller_socket_options(&stream)?;
         let is_open = self.is_open.clone();
         let connection = serve_connection(Rc::clone(&self.state), stream, self.phase.subscribe());
@@ -59,7 +63,7 @@
             let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
                 return;
             };
-            if let Err(error) = self.serve(Ok(stream)) {
+            if let Err(error) = self.serve(stream) {
                 emit(EventId::AcceptFailed, error);
             }
         }
@@ -109,7 +113,7 @@
                 accepted = listener.accept() => accepted,
                 () = &mut drain_notice_over => break,
             };
-            if let Err(error) = connections.serve(accepted.map(|(stream, _)| stream)) {
+            if let Err(error) = accepted.and_then(|(stream, _)| connections.serve(stream)) {
                 emit(EventId::AcceptFailed, error);
                 sleep(ACCEPT_BACKOFF).await;
             }
--- a/crates/magnoliasail/src/gateway/entry/mod.rs
+++ b/crates/magnoliasail/src/gateway/entry/mod.rs
@@ -22,6 +22,8 @@
 mod grant_view;
 mod in_flight;
 mod link_notice;
+mod observed_body;
+mod observed_stream;
 mod origin_lookup;
 mod past_versions;
 mod quarantine;
--- a/crates/magnoliasail/src/gateway/mod.rs
+++ b/crates/magnoliasail/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod pool;
 mod process;
 mod quarantine_log;
+mod server_socket;
 mod server_stream;
 mod sockets;
 mod stall;
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         byte_limit::{ByteLimit, TooLong},
-        server_stream::{ServerSocket, ServerStream},
+        server_socket::ServerSocket,
+        server_stream::ServerStream,
         sockets::{ConnectSnafu, SocketError, connect},
         steady_clock::SteadyClock,
     },
--- a/crates/magnoliasail/tests/terminated_entry_connections.rs
+++ b/crates/magnoliasail/tests/terminated_entry_connections.rs
@@ -28,6 +28,18 @@
     connection
 }
 
+/// Asserts that each connection gets a response, which may say that the request has not run.
+async fn assert_answered(fleet: &Fleet, connections: impl Iterator<Item = &mut Connection>) {
+    for connection in connections {
+        let status = connection.status().await;
+        assert!(
+            matches!(status, Some(200 | 503)),
+            "{status:?}\n{}",
+            fleet.output()
+        );
+    }
+}
+
 /// Returns the two halves of a request head.
 fn halves(id: &str) -> (String, String) {
     let request = lookup(id, None);
@@ -64,14 +76,7 @@
         }
         sleep_until(terminated_at + DRAIN_NOTICE + Duration::from_millis(200)).await;
         fleet.signal(ENTRY, "CONT");
-        for connection in used.iter_mut().chain(&mut new) {
-            let status = connection.status().await;
-            assert!(
-                matches!(status, Some(200 | 503)),
-                "{status:?}\n{}",
-                fleet.output()
-            );
-        }
+        assert_answered(&fleet, used.iter_mut().chain(&mut new)).await;
         for connection in &mut idle {
             assert_eq!(
                 connection.status().await,
@@ -111,14 +116,7 @@
                 .send(&lookup(&format!("new-{number}"), None))
                 .await;
         }
-        for connection in used.iter_mut().chain(&mut new) {
-            let status = connection.status().await;
-            assert!(
-                matches!(status, Some(200 | 503)),
-                "{status:?}\n{}",
-                fleet.output()
-            );
-        }
+        assert_answered(&fleet, used.iter_mut().chain(&mut new)).await;
         assert_no_violations(&fleet);
     });
 }
