--- a/crates/magnoliasail-soak/src/account_callers.rs
+++ b/crates/magnoliasail-soak/src/account_callers.rs
@@ -21,7 +21,7 @@
 /// The key and the name of the account of the usual callers.
 pub(crate) const USUAL_KEY: (&str, &str) = ("usual-key", "usual");
 /// The same of an account that sends content which crashes servers when the usual callers send it.
-pub(crate) const TWIN_KEY: (&str, &str) = ("twin-key", "twin");
+pub(crate) const OTHER_KEY: (&str, &str) = ("other-key", "other");
 const FLOOD_KEY: (&str, &str) = ("flood-key", "flood");
 /// The quota of the flooding account, in tokens per second.
 const FLOOD_RATE_PER_S: u32 = 2_400;
@@ -34,7 +34,11 @@
 
 /// Returns the client accounts of a soak.
 pub(crate) fn accounts() -> Vec<ClientAccount> {
-    vec![account(USUAL_KEY, 0), account(TWIN_KEY, 0), flood_account()]
+    vec![
+        account(USUAL_KEY, 0),
+        account(OTHER_KEY, 0),
+        flood_account(),
+    ]
 }
 
 fn account((key, name): (&'static str, &'static str), rate_per_s: u32) -> ClientAccount {
--- a/crates/magnoliasail-soak/src/poison_callers.rs
+++ b/crates/magnoliasail-soak/src/poison_callers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        account_callers::{TWIN_KEY, USUAL_KEY},
+        account_callers::{OTHER_KEY, USUAL_KEY},
         caller::{Call, CallKind, Caller, Outcome},
         fleet::Fleet,
         standin::Poison,
@@ -30,7 +30,7 @@
     /// The same request, at plain servers.
     Request,
     /// The same request of another account, which is sound.
-    SoundTwin,
+    EqualRequest,
     /// Different requests with one part in their prompts, at engines.
     Part,
 }
@@ -53,7 +53,7 @@
         }
     }
     let mut tasks = Vec::new();
-    for attack in [Attack::Request, Attack::SoundTwin, Attack::Part] {
+    for attack in [Attack::Request, Attack::EqualRequest, Attack::Part] {
         let entries = (0..entry_count).map(|entry| fleet.entry_address(entry));
         let callers = entries.map(|entry| Caller::new(entry, fleet.ledger.clone()));
         tasks.push(tokio::spawn(keep_calling(
@@ -66,15 +66,15 @@
 }
 
 /// Records a violation if an entry does not serve the sound request that equals the poisonous one of another account.
-pub(crate) async fn check_sound_twin(fleet: &Fleet) {
+pub(crate) async fn check_equal_request(fleet: &Fleet) {
     const TRIES: usize = 3;
     for entry in 0..fleet.entry_count() {
         let mut caller = Caller::new(fleet.entry_address(entry), fleet.ledger.clone());
         let mut outcomes = Vec::new();
         for number in 0..TRIES {
             let call = Call {
-                id: format!("last-twin-{entry}-{number}"),
-                ..poisoned_call(Attack::SoundTwin, number)
+                id: format!("last-equal-{entry}-{number}"),
+                ..poisoned_call(Attack::EqualRequest, number)
             };
             outcomes.push(caller.call(&call).await);
         }
@@ -107,9 +107,9 @@
             key: Some(USUAL_KEY),
             ..Call::default()
         },
-        Attack::SoundTwin => Call {
-            id: format!("sound-twin-{number}"),
-            key: Some(TWIN_KEY),
+        Attack::EqualRequest => Call {
+            id: format!("equal-{number}"),
+            key: Some(OTHER_KEY),
             ..poisoned_call(Attack::Request, number)
         },
         Attack::Part => Call {
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -12,7 +12,7 @@
         caller::{Call, CallKind, Caller, Outcome},
         fleet::{Fleet, FleetSettings},
         ledger::{Ledger, Violation},
-        poison_callers::{check_sound_twin, start_poison_callers},
+        poison_callers::{check_equal_request, start_poison_callers},
         proxy::ProxyMode,
         standin::{DEFAULT_HISTORY, ServerFaults, StoreMode, adapter_name},
     },
@@ -185,7 +185,7 @@
         check_flood(&self.fleet.ledger);
         self.check_recovery().await;
         if self.settings.has_poison {
-            check_sound_twin(&self.fleet).await;
+            check_equal_request(&self.fleet).await;
         }
         // A request that was reported as not run must not run later either: wait out its deadline.
         sleep(CALL_DEADLINE).await;
