--- a/review/stand-ins-3/src/cases/drain.rs
+++ b/review/stand-ins-3/src/cases/drain.rs
@@ -38,9 +38,9 @@
             event_ms: 70,
             manner: "plain".to_owned(),
             work_ms: 0,
+            software: "v1".to_owned(),
         };
-        let models = r#"[{"name":"m0","version":1,"adapters":["a1@1"]}]"#;
-        fleet.list(&settings.id, "drafting-models", settings.address, settings.born, SLOTS, models);
+        fleet.list(&settings, "drafting-models", "ready");
         runners.push(RunnerProcess::start(&settings, &format!("model{number}"), &record)?);
         let name = format!("side-zone-a-{number}");
         processes.push(fleet.start_agent(number, &name, "drafting-models", fleet.store_address)?);
--- a/review/stand-ins-3/src/cases/mod.rs
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -1,7 +1,10 @@
 //! One module a case.
 
 mod drain;
+mod endless;
+mod joined;
 mod unframed;
+mod version;
 
 use crate::fleet::Fleet;
 use std::path::Path;
@@ -38,6 +41,9 @@
     let outcome = match case {
         "unframed" => unframed::run(fleet),
         "drain" => drain::run(fleet),
+        "joined" => joined::run(fleet),
+        "endless" => endless::run(fleet),
+        "version" => version::run(fleet),
         _ => Err("no such case".to_owned()),
     };
     if let Err(error) = outcome {
@@ -53,6 +59,7 @@
 "routes":[
 {{"host":"catalogue.example","path_prefix":"/draft/","service":"drafting-models","kind":"streaming","sticky":true,"resumable":false,"timeout_ms":5000,"target_latency_ms":500,"gap_aim_ms":250,"priority":0,"max_attempts":1}},
 {{"host":"catalogue.example","path_prefix":"/deferred/","service":"drafting-models","kind":"streaming","sticky":true,"resumable":false,"timeout_ms":10000,"target_latency_ms":1000,"gap_aim_ms":250,"priority":1,"max_attempts":1}},
+{{"host":"catalogue.example","path_prefix":"/queue/","service":"drafting-models","kind":"streaming","sticky":true,"resumable":true,"timeout_ms":10000,"target_latency_ms":1000,"gap_aim_ms":250,"priority":1,"max_attempts":2}},
 {{"host":"catalogue.example","path_prefix":"/order/","service":"orders-desk","kind":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"max_attempts":1}},
 {{"host":"catalogue.example","path_prefix":"/lookup/","service":"orders-desk","kind":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"max_attempts":2}}],
 "services":[
--- a/review/stand-ins-3/src/cases/unframed.rs
+++ b/review/stand-ins-3/src/cases/unframed.rs
@@ -26,9 +26,10 @@
         event_ms: 0,
         manner: "unframed".to_owned(),
         work_ms: 600,
+        software: "v1".to_owned(),
     };
     fleet.store.put("op/config", &configuration(5, 32));
-    fleet.list(&desk.id, "orders-desk", desk.address, desk.born, 6, "[]");
+    fleet.list(&desk, "orders-desk", "ready");
     let mut runner = RunnerProcess::start(&desk, "desk1", &record)?;
     let entry = fleet.start_entry(1)?;
     if !fleet.wait_ready(1, Duration::from_secs(8)) {
@@ -61,7 +62,7 @@
         thread::sleep(Duration::from_millis(2_000));
         let again = RunnerSettings { born: unix_ms(), ..desk.clone() };
         runner = RunnerProcess::start(&again, "desk1", &record)?;
-        fleet.list(&again.id, "orders-desk", again.address, again.born, 6, "[]");
+        fleet.list(&again, "orders-desk", "ready");
         record.line("the runner has started again under its id");
         thread::sleep(Duration::from_millis(300));
         record.line("the machine of the entry wakes (SIGCONT)");
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -1,10 +1,9 @@
 //! A small deployment on loopback addresses: the project's programs as processes, and the store.
 
-use crate::store::Store;
+use crate::{runner::RunnerSettings, store::Store};
 use std::{
     fs,
-    io::{Read, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     os::unix::fs::OpenOptionsExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -52,6 +51,15 @@
         let _ = Command::new("kill").args(["-s", name, &id]).status();
     }
 
+    /// Returns the resident memory of the process, in megabytes.
+    pub fn memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_024
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -77,6 +85,8 @@
     /// The folder of the case.
     pub case: PathBuf,
     bounds: &'static str,
+    /// Whether the whole system starts for the first time.
+    is_first_start: std::cell::Cell<bool>,
 }
 
 /// The kinds of machines, as the third byte of an address.
@@ -84,7 +94,6 @@
 const SIDE: u8 = 2;
 const DESK: u8 = 3;
 const STORE: u8 = 4;
-const PATH: u8 = 5;
 
 impl Fleet {
     /// Takes a loopback network and free ports, and starts the store.
@@ -110,6 +119,7 @@
                 binary: binary.clone(),
                 case: case.to_owned(),
                 bounds,
+                is_first_start: std::cell::Cell::new(true),
             };
             if fleet.are_ports_free() && fleet.store.serve(fleet.store_address).is_ok() {
                 return Ok(fleet);
@@ -118,8 +128,13 @@
         Err("no free ports".to_owned())
     }
 
+    /// Records that processes which start from now on are not those of the first start.
+    pub fn end_first_start(&self) {
+        self.is_first_start.set(false);
+    }
+
     fn are_ports_free(&self) -> bool {
-        [FRONT, SIDE, DESK, STORE, PATH].into_iter().all(|kind| {
+        [FRONT, SIDE, DESK, STORE].into_iter().all(|kind| {
             self.ports.iter().all(|&port| {
                 TcpListener::bind(address(self.network, kind, 1, port)).is_ok()
                     && TcpListener::bind(address(self.network, kind, 2, port)).is_ok()
@@ -127,6 +142,11 @@
         })
     }
 
+    /// Returns a record that is not written, for runners that say much.
+    pub fn quiet_record(&self) -> Record {
+        Record::new()
+    }
+
     /// The address on which an entry serves clients.
     pub fn front(&self, number: u8) -> SocketAddr {
         address(self.network, FRONT, number, self.ports[0])
@@ -137,21 +157,11 @@
         address(self.network, SIDE, number, self.ports[0])
     }
 
-    /// The address of the agent of a side machine, on which it accepts entries.
-    pub fn agent(&self, number: u8) -> SocketAddr {
-        address(self.network, SIDE, number, self.ports[2])
-    }
-
     /// The address of a runner without a model.
     pub fn desk(&self, number: u8) -> SocketAddr {
         address(self.network, DESK, number, self.ports[0])
     }
 
-    /// An address for a proxy on the way to the store.
-    pub fn path(&self, number: u8) -> SocketAddr {
-        address(self.network, PATH, number, self.ports[4])
-    }
-
     /// Starts an entry, as the deploy file does.
     pub fn start_entry(&self, number: u8) -> Result<Process, String> {
         let ip = address(self.network, FRONT, number, 0).ip();
@@ -204,6 +214,7 @@
     ) -> String {
         let (first, last) = (self.ports[2], self.ports[3]);
         let bounds = self.bounds;
+        let bootstrap = self.is_first_start.get();
         let serves = if class == "front" { "front" } else { "side" };
         format!(
             r#"node_name = "{name}"
@@ -215,7 +226,7 @@
 region = "region"
 internal_ports = [{first}, {last}]
 seeds = []
-bootstrap = true
+bootstrap = {bootstrap}
 in_tolerance = false
 discovery = "platform"
 entry = "vip"
@@ -284,9 +295,17 @@
     }
 
     /// Writes the row of a runner.
-    pub fn list(&self, id: &str, service: &str, at: SocketAddr, born: u64, slots: u32, models: &str) {
+    pub fn list(&self, runner: &RunnerSettings, service: &str, state: &str) {
+        let (id, at, born, slots) = (&runner.id, runner.address, runner.born, runner.slots);
+        let software = &runner.software;
+        let quoted: Vec<String> = runner.adapters.iter().map(|name| format!("\"{name}\"")).collect();
+        let models = if runner.is_engine {
+            format!(r#"[{{"name":"m0","version":1,"adapters":[{}]}}]"#, quoted.join(","))
+        } else {
+            "[]".to_owned()
+        };
         let row = format!(
-            r#"{{"service":"{service}","address":"{at}","zone":"zone-a","version":"v1","slots":{slots},"state":"ready","cold_remaining_ms":0,"sequence":1,"born":{born},"models":{models}}}"#
+            r#"{{"service":"{service}","address":"{at}","zone":"zone-a","version":"{software}","slots":{slots},"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{born},"models":{models}}}"#
         );
         self.store.put(&format!("servers/{id}"), &row);
     }
@@ -318,33 +337,3 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Forwards a channel to `target` until one side closes it, or `is_silent` says that it is forgotten.
-pub fn forward(
-    stream: TcpStream,
-    target: SocketAddr,
-    is_silent: impl Fn() -> bool + Clone + Send + 'static,
-) {
-    let Ok(onward) = TcpStream::connect_timeout(&target, Duration::from_secs(1)) else {
-        return;
-    };
-    for (mut from, mut to) in [
-        (stream.try_clone().unwrap(), onward.try_clone().unwrap()),
-        (onward, stream),
-    ] {
-        let is_silent = is_silent.clone();
-        let _ = from.set_nodelay(true);
-        thread::spawn(move || {
-            let mut part = [0; 65_536];
-            while let Ok(length) = from.read(&mut part) {
-                if is_silent() {
-                    // The channel is forgotten: nothing more passes, and nobody is told.
-                    continue;
-                }
-                if length == 0 || to.write_all(&part[..length]).is_err() {
-                    break;
-                }
-            }
-            let _ = to.shutdown(std::net::Shutdown::Both);
-        });
-    }
-}
--- a/review/stand-ins-3/src/processes.rs
+++ b/review/stand-ins-3/src/processes.rs
@@ -2,8 +2,8 @@
 
 use crate::{fleet::Record, runner::RunnerSettings};
 use std::{
-    io::{BufRead, BufReader},
-    process::{Child, Command, Stdio},
+    io::{BufRead, BufReader, Write},
+    process::{Child, ChildStdin, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -15,6 +15,7 @@
 /// A runner in a process of its own; it is killed when this is dropped.
 pub struct RunnerProcess {
     child: Child,
+    input: Option<ChildStdin>,
     pub said: Said,
 }
 
@@ -25,7 +26,7 @@
         let mut child = Command::new(own)
             .arg("runner")
             .args(settings.to_arguments())
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .map_err(|error| error.to_string())?;
@@ -38,7 +39,8 @@
                 record.line(format!("runner {label}: {line}"));
             }
         });
-        let runner = Self { child, said };
+        let input = child.stdin.take();
+        let runner = Self { child, input, said };
         let deadline = Instant::now() + Duration::from_secs(3);
         while Instant::now() < deadline {
             if runner.has_said("listens") {
@@ -53,6 +55,14 @@
         self.said.lock().unwrap().iter().any(|(_, line)| line.starts_with(start))
     }
 
+    /// Tells the runner that it leaves.
+    pub fn leave(&mut self) {
+        if let Some(input) = &mut self.input {
+            let _ = writeln!(input, "leave");
+            let _ = input.flush();
+        }
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/review/stand-ins-3/src/runner.rs
+++ b/review/stand-ins-3/src/runner.rs
@@ -31,6 +31,8 @@
     pub manner: String,
     /// Work of a plain request.
     pub work_ms: u64,
+    /// The version of the runner's software, which the data of its events name.
+    pub software: String,
 }
 
 impl RunnerSettings {
@@ -47,6 +49,7 @@
             self.event_ms.to_string(),
             self.manner.clone(),
             self.work_ms.to_string(),
+            self.software.clone(),
         ]
     }
 
@@ -65,6 +68,7 @@
             event_ms: next()?.parse().ok()?,
             manner: next()?,
             work_ms: next()?.parse().ok()?,
+            software: next()?,
         })
     }
 }
@@ -83,6 +87,8 @@
     adapters: BTreeMap<String, Adapter>,
     /// The newest version of each adapter, which a load without a version brings.
     newest: u64,
+    /// Whether the runner leaves, which it says in its reports and in all its answers.
+    is_leaving: bool,
 }
 
 struct Runner {
@@ -102,6 +108,15 @@
     }
     let runner = Arc::new(Runner { settings, state: Mutex::new(state), changed: Condvar::new() });
     say(format!("listens id={} born={}", runner.settings.id, runner.settings.born));
+    let listening = Arc::clone(&runner);
+    thread::spawn(move || {
+        for line in io::stdin().lines().map_while(Result::ok) {
+            if line == "leave" {
+                listening.state.lock().unwrap().is_leaving = true;
+                say("leaves".to_owned());
+            }
+        }
+    });
     for stream in listener.incoming().flatten() {
         let runner = Arc::clone(&runner);
         thread::spawn(move || {
@@ -126,11 +141,13 @@
             match (request.method(), path.as_str()) {
                 ("GET", "/report") if self.settings.is_engine => {
                     let report = self.report();
-                    http::respond(&mut stream, "200 OK", &[("Content-Type", "application/json")], report.as_bytes())?;
+                    let mut headers = vec![("Content-Type", "application/json")];
+                    headers.extend(self.leaving());
+                    http::respond(&mut stream, "200 OK", &headers, report.as_bytes())?;
                 }
                 ("POST", "/order") if self.settings.is_engine => {
                     let status = self.order(&String::from_utf8_lossy(&request.body));
-                    http::respond(&mut stream, status, &[], b"")?;
+                    http::respond(&mut stream, status, &self.leaving(), b"")?;
                 }
                 ("GET", "/healthz") => {
                     say("health check".to_owned());
@@ -139,6 +156,9 @@
                         http::respond(&mut stream, "421 Misdirected Request", &[("Not-Run", "1")], b"")?;
                         continue;
                     }
+                    if self.settings.manner == "endless" {
+                        return self.answer_without_end(&mut stream);
+                    }
                     let headers = [("Instance-Id", self.settings.id.as_str()), ("Server-Load", load.as_str())];
                     http::respond(&mut stream, "200 OK", &headers, b"")?;
                 }
@@ -153,6 +173,12 @@
         Ok(())
     }
 
+    /// Returns the header of a runner that leaves.
+    fn leaving(&self) -> Vec<(&'static str, &'static str)> {
+        let is_leaving = self.state.lock().unwrap().is_leaving;
+        if is_leaving { vec![("Server-Leaving", "1")] } else { Vec::new() }
+    }
+
     fn is_expected(&self, request: &Message) -> bool {
         let expected = request.header("expect-instance");
         expected.is_empty() || expected == self.settings.id
@@ -165,7 +191,9 @@
     fn refuse(&self, stream: &mut TcpStream, request: &Message, status: &str) -> io::Result<()> {
         let id = request.header("request-id").to_owned();
         say(format!("refuses {id} {status}"));
-        http::respond(stream, status, &[("Request-Id", &id), ("Not-Run", "1")], b"")
+        let mut headers = vec![("Request-Id", id.as_str()), ("Not-Run", "1")];
+        headers.extend(self.leaving());
+        http::respond(stream, status, &headers, b"")
     }
 
     /// Runs a stream of events on an adapter.
@@ -224,8 +252,9 @@
     fn write_events(&self, stream: &mut TcpStream, request: &Message, id: &str) -> io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {}\r\nWeight-Versions: 1\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.stamp(request)
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}\r\n",
+            self.stamp(request),
+            if self.leaving().is_empty() { "" } else { "Server-Leaving: 1\r\n" }
         );
         let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
         thread::sleep(Duration::from_millis(self.settings.event_ms));
@@ -234,7 +263,7 @@
             if number > first {
                 thread::sleep(Duration::from_millis(self.settings.event_ms));
             }
-            let event = format!("id: {number}\ndata: {id} {number}\n\n");
+            let event = format!("id: {number}\ndata: {number} of {}\n\n", self.settings.software);
             http::write_chunk(stream, event.as_bytes())?;
         }
         http::write_chunk(stream, b"")
@@ -263,13 +292,13 @@
                 say(format!("ends {id}"));
                 Ok(false)
             }
-            // A faulty runner, which hands out wrong bytes: one byte of the name of a header is another one.
-            "spoiled" => {
+            // The answer has neither a length nor chunks, and is whole.
+            "endless" | "whole" => {
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
-                let headers = [("Request-Id", id.as_str()), ("Respo\x6ese-Stamq", stamp.as_str())];
-                http::respond(stream, "200 OK", &headers, &body)?;
+                let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\r\n");
+                stream.write_all(&[head.as_bytes(), body.as_slice()].concat())?;
                 say(format!("ends {id}"));
-                Ok(true)
+                Ok(false)
             }
             _ => {
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
@@ -281,6 +310,20 @@
         }
     }
 
+    /// Answers a health check with a body that goes on until the caller closes the channel, at 4 MB a second.
+    fn answer_without_end(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.settings.id
+        );
+        stream.write_all(head.as_bytes())?;
+        let part = [b'x'; 40_000];
+        loop {
+            http::write_chunk(stream, &part)?;
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     fn report(&self) -> String {
         let mut state = self.state.lock().unwrap();
         self.end_loads(&mut state);
@@ -296,10 +339,11 @@
             .filter_map(|(name, adapter)| Some(format!("\"m0/{name}@{}\"", adapter.coming.as_ref()?.0)))
             .collect();
         format!(
-            r#"{{"stage":"both","models":[{{"name":"m0","version":1,"adapters":[{}]}}],"busy":false,"sequence":{},"waiting":0,"running":{},"kv_used":0,"kv_total":200000,"handles":0,"state":"ready","coming":[{}],"at_hand":{{"in_memory":["m0"],"on_disk":["m0"]}},"born":{}}}"#,
+            r#"{{"stage":"both","models":[{{"name":"m0","version":1,"adapters":[{}]}}],"busy":false,"sequence":{},"waiting":0,"running":{},"kv_used":0,"kv_total":200000,"handles":0,"state":"{}","coming":[{}],"at_hand":{{"in_memory":["m0"],"on_disk":["m0"]}},"born":{}}}"#,
             held.join(","),
             state.sequence,
             state.running,
+            if state.is_leaving { "draining" } else { "ready" },
             coming.join(","),
             self.settings.born
         )
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -22,6 +22,8 @@
     revision: u64,
     items: BTreeMap<String, Change>,
     history: Vec<Change>,
+    /// Watches from a revision before this one get 410.
+    compacted: u64,
 }
 
 /// The store. Clones share the same keys.
@@ -54,6 +56,15 @@
         self.write(key, None);
     }
 
+    /// Drops the history of the changes so far. Waiting watches from before get 410.
+    pub fn compact(&self) {
+        let (content, changed) = &*self.shared;
+        let mut content = content.lock().unwrap();
+        content.compacted = content.revision;
+        content.history.clear();
+        changed.notify_all();
+    }
+
     fn write(&self, key: &str, value: Option<String>) {
         let (content, changed) = &*self.shared;
         let mut content = content.lock().unwrap();
@@ -77,12 +88,15 @@
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = http::read_message(&mut stream, &mut buffer, |_| {}) {
             thread::sleep(Duration::from_millis(4));
-            let body = match request.target().split('?').next() {
-                Some("/kv-range") => self.range(&request),
-                Some("/kv-watch") => self.watch(&request),
-                _ => None,
+            let (status, body) = match request.target().split('?').next() {
+                Some("/kv-range") => ("200 OK", self.range(&request)),
+                Some("/kv-watch") => match self.watch(&request) {
+                    Some(body) => ("200 OK", Some(body)),
+                    None => ("410 Gone", Some("{}".to_owned())),
+                },
+                _ => ("404 Not Found", None),
             };
-            let (status, body) = body.map_or(("404 Not Found", "{}".to_owned()), |body| ("200 OK", body));
+            let body = body.unwrap_or_else(|| "{}".to_owned());
             let headers = [("Content-Type", "application/json"), ("Store-Era", "0")];
             if http::respond(&mut stream, status, &headers, body.as_bytes()).is_err() {
                 return;
@@ -115,6 +129,9 @@
         let (content, changed) = &*self.shared;
         let mut content = content.lock().unwrap();
         loop {
+            if after < content.compacted {
+                return None;
+            }
             let events: Vec<String> = content
                 .history
                 .iter()
