--- a/review/stand-ins-3/src/cases/endless.rs
+++ b/review/stand-ins-3/src/cases/endless.rs
@@ -22,10 +22,10 @@
 const MEMORY_MB: u64 = 260;
 /// Ends of one process that the rule allows, less one.
 const MAX_ENDS: usize = 3;
-const CLIENTS: u32 = 20;
+const CLIENTS: u32 = 28;
 /// Time between two requests of one client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
-const LENGTH: Duration = Duration::from_secs(45);
+const LENGTH: Duration = Duration::from_secs(95);
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
 pub fn run(fleet: Fleet) -> Result<(), String> {
--- a/review/stand-ins-3/src/cases/mod.rs
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -3,6 +3,8 @@
 mod drain;
 mod endless;
 mod joined;
+mod lengths;
+mod resumed;
 mod unframed;
 mod version;
 
@@ -41,6 +43,8 @@
     let outcome = match case {
         "unframed" => unframed::run(fleet),
         "drain" => drain::run(fleet),
+        "lengths" => lengths::run(fleet),
+        "resumed" => resumed::run(fleet),
         "joined" => joined::run(fleet),
         "endless" => endless::run(fleet),
         "version" => version::run(fleet),
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -48,7 +48,10 @@
 impl Process {
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &id]).status();
+        let _ = Command::new("kill")
+            .args(["-s", name, &id])
+            .stderr(Stdio::null())
+            .status();
     }
 
     /// Returns the resident memory of the process, in megabytes.
--- a/review/stand-ins-3/src/runner.rs
+++ b/review/stand-ins-3/src/runner.rs
@@ -250,11 +250,19 @@
     }
 
     fn write_events(&self, stream: &mut TcpStream, request: &Message, id: &str) -> io::Result<()> {
+        let mut more = String::new();
+        if !self.leaving().is_empty() {
+            more.push_str("Server-Leaving: 1\r\n");
+        }
+        if self.settings.manner == "two-lengths" && is_spoiled(id) {
+            // The length of the first half of the events.
+            let half: usize = (1..=self.settings.events / 2).map(|number| self.event(number).len()).sum();
+            more.push_str(&format!("Content-Length: {half}\r\n"));
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {}\r\nWeight-Versions: 1\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}\r\n",
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{more}\r\n",
             self.stamp(request),
-            if self.leaving().is_empty() { "" } else { "Server-Leaving: 1\r\n" }
         );
         let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
         thread::sleep(Duration::from_millis(self.settings.event_ms));
@@ -263,12 +271,15 @@
             if number > first {
                 thread::sleep(Duration::from_millis(self.settings.event_ms));
             }
-            let event = format!("id: {number}\ndata: {number} of {}\n\n", self.settings.software);
-            http::write_chunk(stream, event.as_bytes())?;
+            http::write_chunk(stream, self.event(number).as_bytes())?;
         }
         http::write_chunk(stream, b"")
     }
 
+    fn event(&self, number: u64) -> String {
+        format!("id: {number}\ndata: {number} of {}\n\n", self.settings.software)
+    }
+
     /// Runs a plain request; returns whether the channel is kept.
     fn run_plain(&self, stream: &mut TcpStream, request: &Message) -> io::Result<bool> {
         let id = request.header("request-id").to_owned();
@@ -292,6 +303,20 @@
                 say(format!("ends {id}"));
                 Ok(false)
             }
+            // The answer comes in chunks, and names a length too, which is not that of its body.
+            "two-lengths" if is_spoiled(&id) => {
+                thread::sleep(Duration::from_millis(self.settings.work_ms));
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\
+                     Transfer-Encoding: chunked\r\nContent-Length: {}\r\n\r\n",
+                    body.len() / 2
+                );
+                stream.write_all(head.as_bytes())?;
+                http::write_chunk(stream, &body)?;
+                http::write_chunk(stream, b"")?;
+                say(format!("ends {id}, with chunks of {} bytes and a length of {}", body.len(), body.len() / 2));
+                Ok(true)
+            }
             // The answer has neither a length nor chunks, and is whole.
             "endless" | "whole" => {
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
@@ -401,6 +426,13 @@
     }
 }
 
+/// Returns whether a faulty runner spoils its answer to a request: to one in twenty, by the number in its id.
+pub fn is_spoiled(id: &str) -> bool {
+    let digits: String = id.chars().rev().take_while(char::is_ascii_digit).collect();
+    let number: String = digits.chars().rev().collect();
+    number.parse::<u32>().is_ok_and(|number| number % 20 == 7)
+}
+
 /// Returns the whole body of the answer of a plain runner.
 pub fn plain_body(id: &str) -> Vec<u8> {
     let line = format!("record of {id}; ");
