--- a/review/stand-ins-3/src/cases/endless.rs
+++ b/review/stand-ins-3/src/cases/endless.rs
@@ -49,7 +49,11 @@
             software: "v1".to_owned(),
         };
         fleet.list(&settings, "orders-desk", "ready");
-        runners.push(RunnerProcess::start(&settings, &format!("desk{number}"), &fleet.quiet_record())?);
+        runners.push(RunnerProcess::start(
+            &settings,
+            &format!("desk{number}"),
+            &fleet.quiet_record(),
+        )?);
     }
     let mut entries = Vec::new();
     for number in 1..=ENTRIES {
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -21,12 +21,18 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { started_at: Instant::now(), lines: Arc::default() }
+        Self {
+            started_at: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
         let at = self.started_at.elapsed();
-        self.lines.lock().unwrap().push((at, text.as_ref().to_owned()));
+        self.lines
+            .lock()
+            .unwrap()
+            .push((at, text.as_ref().to_owned()));
     }
 
     pub fn write(&self, path: &Path) {
@@ -48,9 +54,8 @@
 impl Process {
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let _ = Command::new("kill")
-            .args(["-s", name, &id])
-            .stderr(Stdio::null())
+        let _ = Command::new("sh")
+            .args(["-c", "kill -s \"$0\" \"$1\" 2>/dev/null", name, &id])
             .status();
     }
 
@@ -106,7 +111,6 @@
             return Err("target/release/magnoliasail is missing; build it first".to_owned());
         }
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
-        fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let seed = std::process::id();
         for attempt in 0..100 {
             let network = 10 + ((seed + attempt * 7) % 200) as u8;
@@ -125,6 +129,7 @@
                 is_first_start: std::cell::Cell::new(true),
             };
             if fleet.are_ports_free() && fleet.store.serve(fleet.store_address).is_ok() {
+                fs::create_dir_all(&fleet.folder).map_err(|error| error.to_string())?;
                 return Ok(fleet);
             }
         }
@@ -287,13 +292,18 @@
             .spawn()
             .map_err(|error| error.to_string())?;
         self.record.line(format!("process {name} ({role}) starts"));
-        Ok(Process { child, name: name.to_owned() })
+        Ok(Process {
+            child,
+            name: name.to_owned(),
+        })
     }
 
     /// Returns the last lines that a process logged and that contain one of `words`.
     pub fn log_lines(&self, name: &str, words: &[&str]) -> Vec<String> {
         let text = fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
-        let lines = text.lines().filter(|line| words.iter().any(|word| line.contains(word)));
+        let lines = text
+            .lines()
+            .filter(|line| words.iter().any(|word| line.contains(word)));
         lines.map(str::to_owned).collect()
     }
 
@@ -301,9 +311,16 @@
     pub fn list(&self, runner: &RunnerSettings, service: &str, state: &str) {
         let (id, at, born, slots) = (&runner.id, runner.address, runner.born, runner.slots);
         let software = &runner.software;
-        let quoted: Vec<String> = runner.adapters.iter().map(|name| format!("\"{name}\"")).collect();
+        let quoted: Vec<String> = runner
+            .adapters
+            .iter()
+            .map(|name| format!("\"{name}\""))
+            .collect();
         let models = if runner.is_engine {
-            format!(r#"[{{"name":"m0","version":1,"adapters":[{}]}}]"#, quoted.join(","))
+            format!(
+                r#"[{{"name":"m0","version":1,"adapters":[{}]}}]"#,
+                quoted.join(",")
+            )
         } else {
             "[]".to_owned()
         };
@@ -313,30 +330,35 @@
         self.store.put(&format!("servers/{id}"), &row);
     }
 
-    /// Writes `record.txt`, removes the temporary folder and ends the script.
-    pub fn finish(&self, processes: Vec<Process>, code: i32) -> ! {
+    /// Ends all processes and the script.
+    pub fn finish(self, processes: Vec<Process>, code: i32) -> ! {
         drop(processes);
-        self.record.write(&self.case.join("record.txt"));
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        } else {
-            eprintln!("logs: {}", self.folder.display());
-        }
+        drop(self);
         std::process::exit(code)
     }
 }
 
+impl Drop for Fleet {
+    /// Writes `record.txt` and removes the temporary folder.
+    fn drop(&mut self) {
+        self.record.write(&self.case.join("record.txt"));
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
 fn address(network: u8, kind: u8, number: u8, port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, kind, number)), port)
 }
 
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 /// Whether the disruption takes place.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
-
--- a/review/stand-ins-3/src/http.rs
+++ b/review/stand-ins-3/src/http.rs
@@ -55,7 +55,10 @@
     let mut index = 0;
     while index < bytes.len() {
         let hex = text.get(index + 1..index + 3);
-        match (bytes[index], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+        match (
+            bytes[index],
+            hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 decoded.push(byte);
                 index += 3;
@@ -103,7 +106,10 @@
         }
     }
     let is_response = message.first.starts_with("HTTP/");
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         message.is_complete = read_chunks(stream, buffer, &mut message.body, &mut on_data)?;
     } else if let Ok(length) = message.header("content-length").parse::<usize>() {
         while buffer.len() < length {
@@ -170,7 +176,9 @@
 }
 
 fn find(buffer: &[u8], needle: &[u8]) -> Option<usize> {
-    buffer.windows(needle.len()).position(|window| window == needle)
+    buffer
+        .windows(needle.len())
+        .position(|window| window == needle)
 }
 
 /// Writes a response with a length.
--- a/review/stand-ins-3/src/processes.rs
+++ b/review/stand-ins-3/src/processes.rs
@@ -52,7 +52,11 @@
     }
 
     pub fn has_said(&self, start: &str) -> bool {
-        self.said.lock().unwrap().iter().any(|(_, line)| line.starts_with(start))
+        self.said
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|(_, line)| line.starts_with(start))
     }
 
     /// Tells the runner that it leaves.
--- a/review/stand-ins-3/src/runner.rs
+++ b/review/stand-ins-3/src/runner.rs
@@ -27,7 +27,7 @@
     /// Events of a stream, and the time before each of them.
     pub events: u64,
     pub event_ms: u64,
-    /// How a plain runner answers: `plain`, `unframed` or another way that the case names.
+    /// How a plain runner answers: `plain`, `unframed`, `whole` or `endless`; see `run_plain`.
     pub manner: String,
     /// Work of a plain request.
     pub work_ms: u64,
@@ -61,7 +61,11 @@
             id: next()?,
             born: next()?.parse().ok()?,
             slots: next()?.parse().ok()?,
-            adapters: next()?.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect(),
+            adapters: next()?
+                .split(',')
+                .filter(|name| !name.is_empty())
+                .map(str::to_owned)
+                .collect(),
             is_engine: next()?.parse().ok()?,
             load_ms: next()?.parse().ok()?,
             events: next()?.parse().ok()?,
@@ -100,14 +104,31 @@
 /// Runs a runner until the process is killed.
 pub fn run(settings: RunnerSettings) -> io::Result<()> {
     let listener = TcpListener::bind(settings.address)?;
-    let mut state = State { newest: 1, ..State::default() };
+    let mut state = State {
+        newest: 1,
+        ..State::default()
+    };
     for adapter in &settings.adapters {
         let (name, version) = adapter.split_once('@').unwrap_or((adapter, "1"));
         let version = version.parse().unwrap_or(1);
-        state.adapters.insert(name.to_owned(), Adapter { version, runs: 0, coming: None });
+        state.adapters.insert(
+            name.to_owned(),
+            Adapter {
+                version,
+                runs: 0,
+                coming: None,
+            },
+        );
     }
-    let runner = Arc::new(Runner { settings, state: Mutex::new(state), changed: Condvar::new() });
-    say(format!("listens id={} born={}", runner.settings.id, runner.settings.born));
+    let runner = Arc::new(Runner {
+        settings,
+        state: Mutex::new(state),
+        changed: Condvar::new(),
+    });
+    say(format!(
+        "listens id={} born={}",
+        runner.settings.id, runner.settings.born
+    ));
     let listening = Arc::clone(&runner);
     thread::spawn(move || {
         for line in io::stdin().lines().map_while(Result::ok) {
@@ -137,7 +158,12 @@
         stream.set_nodelay(true)?;
         let mut buffer = Vec::new();
         while let Some(request) = http::read_message(&mut stream, &mut buffer, |_| {})? {
-            let path = request.target().split('?').next().unwrap_or_default().to_owned();
+            let path = request
+                .target()
+                .split('?')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
             match (request.method(), path.as_str()) {
                 ("GET", "/report") if self.settings.is_engine => {
                     let report = self.report();
@@ -153,13 +179,21 @@
                     say("health check".to_owned());
                     let load = format!("0,0,{}", self.settings.slots);
                     if !self.is_expected(&request) {
-                        http::respond(&mut stream, "421 Misdirected Request", &[("Not-Run", "1")], b"")?;
+                        http::respond(
+                            &mut stream,
+                            "421 Misdirected Request",
+                            &[("Not-Run", "1")],
+                            b"",
+                        )?;
                         continue;
                     }
                     if self.settings.manner == "endless" {
                         return self.answer_without_end(&mut stream);
                     }
-                    let headers = [("Instance-Id", self.settings.id.as_str()), ("Server-Load", load.as_str())];
+                    let headers = [
+                        ("Instance-Id", self.settings.id.as_str()),
+                        ("Server-Load", load.as_str()),
+                    ];
                     http::respond(&mut stream, "200 OK", &headers, b"")?;
                 }
                 _ if self.settings.is_engine => self.run_stream(&mut stream, &request)?,
@@ -176,7 +210,11 @@
     /// Returns the header of a runner that leaves.
     fn leaving(&self) -> Vec<(&'static str, &'static str)> {
         let is_leaving = self.state.lock().unwrap().is_leaving;
-        if is_leaving { vec![("Server-Leaving", "1")] } else { Vec::new() }
+        if is_leaving {
+            vec![("Server-Leaving", "1")]
+        } else {
+            Vec::new()
+        }
     }
 
     fn is_expected(&self, request: &Message) -> bool {
@@ -226,13 +264,20 @@
                 if state.running < self.settings.slots {
                     break state.adapters[name].version;
                 }
-                state = self.changed.wait_timeout(state, Duration::from_millis(20)).unwrap().0;
+                state = self
+                    .changed
+                    .wait_timeout(state, Duration::from_millis(20))
+                    .unwrap()
+                    .0;
             }
         };
         {
             let mut state = self.state.lock().unwrap();
             state.running += 1;
-            if let Some(held) = adapter.as_ref().and_then(|name| state.adapters.get_mut(name)) {
+            if let Some(held) = adapter
+                .as_ref()
+                .and_then(|name| state.adapters.get_mut(name))
+            {
                 held.runs += 1;
             }
         }
@@ -240,31 +285,36 @@
         let outcome = self.write_events(stream, request, &id);
         let mut state = self.state.lock().unwrap();
         state.running -= 1;
-        if let Some(held) = adapter.as_ref().and_then(|name| state.adapters.get_mut(name)) {
+        if let Some(held) = adapter
+            .as_ref()
+            .and_then(|name| state.adapters.get_mut(name))
+        {
             held.runs -= 1;
         }
         self.changed.notify_all();
         drop(state);
-        say(format!("{} {id}", if outcome.is_ok() { "ends" } else { "drops" }));
+        say(format!(
+            "{} {id}",
+            if outcome.is_ok() { "ends" } else { "drops" }
+        ));
         outcome
     }
 
     fn write_events(&self, stream: &mut TcpStream, request: &Message, id: &str) -> io::Result<()> {
-        let mut more = String::new();
-        if !self.leaving().is_empty() {
-            more.push_str("Server-Leaving: 1\r\n");
-        }
-        if self.settings.manner == "two-lengths" && is_spoiled(id) {
-            // The length of the first half of the events.
-            let half: usize = (1..=self.settings.events / 2).map(|number| self.event(number).len()).sum();
-            more.push_str(&format!("Content-Length: {half}\r\n"));
-        }
+        let more = if self.leaving().is_empty() {
+            ""
+        } else {
+            "Server-Leaving: 1\r\n"
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {}\r\nWeight-Versions: 1\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{more}\r\n",
             self.stamp(request),
         );
-        let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+        let first = request
+            .header("last-event-id")
+            .parse::<u64>()
+            .map_or(1, |last| last + 1);
         thread::sleep(Duration::from_millis(self.settings.event_ms));
         stream.write_all(head.as_bytes())?;
         for number in first..=self.settings.events {
@@ -277,7 +327,10 @@
     }
 
     fn event(&self, number: u64) -> String {
-        format!("id: {number}\ndata: {number} of {}\n\n", self.settings.software)
+        format!(
+            "id: {number}\ndata: {number} of {}\n\n",
+            self.settings.software
+        )
     }
 
     /// Runs a plain request; returns whether the channel is kept.
@@ -293,41 +346,38 @@
         match self.settings.manner.as_str() {
             // The answer has neither a length nor chunks; the second half follows after the work.
             "unframed" => {
-                let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\r\n");
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\r\n"
+                );
                 let (first, second) = body.split_at(body.len() / 2);
                 stream.write_all(head.as_bytes())?;
                 stream.write_all(first)?;
-                say(format!("has sent {} of {} bytes of {id}", first.len(), body.len()));
+                say(format!(
+                    "has sent {} of {} bytes of {id}",
+                    first.len(),
+                    body.len()
+                ));
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
                 stream.write_all(second)?;
                 say(format!("ends {id}"));
                 Ok(false)
             }
-            // The answer comes in chunks, and names a length too, which is not that of its body.
-            "two-lengths" if is_spoiled(&id) => {
-                thread::sleep(Duration::from_millis(self.settings.work_ms));
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\
-                     Transfer-Encoding: chunked\r\nContent-Length: {}\r\n\r\n",
-                    body.len() / 2
-                );
-                stream.write_all(head.as_bytes())?;
-                http::write_chunk(stream, &body)?;
-                http::write_chunk(stream, b"")?;
-                say(format!("ends {id}, with chunks of {} bytes and a length of {}", body.len(), body.len() / 2));
-                Ok(true)
-            }
             // The answer has neither a length nor chunks, and is whole.
             "endless" | "whole" => {
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
-                let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\r\n");
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\r\n"
+                );
                 stream.write_all(&[head.as_bytes(), body.as_slice()].concat())?;
                 say(format!("ends {id}"));
                 Ok(false)
             }
             _ => {
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
-                let headers = [("Request-Id", id.as_str()), ("Response-Stamp", stamp.as_str())];
+                let headers = [
+                    ("Request-Id", id.as_str()),
+                    ("Response-Stamp", stamp.as_str()),
+                ];
                 http::respond(stream, "200 OK", &headers, &body)?;
                 say(format!("ends {id}"));
                 Ok(true)
@@ -361,14 +411,20 @@
         let coming: Vec<String> = state
             .adapters
             .iter()
-            .filter_map(|(name, adapter)| Some(format!("\"m0/{name}@{}\"", adapter.coming.as_ref()?.0)))
+            .filter_map(|(name, adapter)| {
+                Some(format!("\"m0/{name}@{}\"", adapter.coming.as_ref()?.0))
+            })
             .collect();
         format!(
             r#"{{"stage":"both","models":[{{"name":"m0","version":1,"adapters":[{}]}}],"busy":false,"sequence":{},"waiting":0,"running":{},"kv_used":0,"kv_total":200000,"handles":0,"state":"{}","coming":[{}],"at_hand":{{"in_memory":["m0"],"on_disk":["m0"]}},"born":{}}}"#,
             held.join(","),
             state.sequence,
             state.running,
-            if state.is_leaving { "draining" } else { "ready" },
+            if state.is_leaving {
+                "draining"
+            } else {
+                "ready"
+            },
             coming.join(","),
             self.settings.born
         )
@@ -412,27 +468,25 @@
             return "200 OK";
         }
         let version = number("version").unwrap_or(state.newest);
-        if state.adapters.get(&name).is_some_and(|held| held.version == version && held.coming.is_none()) {
+        if state
+            .adapters
+            .get(&name)
+            .is_some_and(|held| held.version == version && held.coming.is_none())
+        {
             return "200 OK";
         }
         state.sequence += 1;
-        let adapter = state
-            .adapters
-            .entry(name)
-            .or_insert(Adapter { version: 0, runs: 0, coming: None });
+        let adapter = state.adapters.entry(name).or_insert(Adapter {
+            version: 0,
+            runs: 0,
+            coming: None,
+        });
         adapter.coming = Some((version, None));
         self.end_loads(&mut state);
         "202 Accepted"
     }
 }
 
-/// Returns whether a faulty runner spoils its answer to a request: to one in twenty, by the number in its id.
-pub fn is_spoiled(id: &str) -> bool {
-    let digits: String = id.chars().rev().take_while(char::is_ascii_digit).collect();
-    let number: String = digits.chars().rev().collect();
-    number.parse::<u32>().is_ok_and(|number| number % 20 == 7)
-}
-
 /// Returns the whole body of the answer of a plain runner.
 pub fn plain_body(id: &str) -> Vec<u8> {
     let line = format!("record of {id}; ");
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -152,7 +152,11 @@
 }
 
 fn item_json(change: &Change) -> String {
-    let Change { key, value, revision } = change;
+    let Change {
+        key,
+        value,
+        revision,
+    } = change;
     match value {
         Some(value) => format!(
             r#"{{"key":"{key}","value":"{value}","revision":{revision},"created_rev":{revision},"lease":0}}"#
