--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -1,4 +1,4 @@
-//! The scripts of the review cases 11 to 15, and the runners that they start.
+//! The scripts of the review cases 12 to 15, and the runners that they start.
 
 mod cases;
 mod fleet;
--- a/review/stand-ins-3/src/runner.rs
+++ b/review/stand-ins-3/src/runner.rs
@@ -27,7 +27,7 @@
     /// Events of a stream, and the time before each of them.
     pub events: u64,
     pub event_ms: u64,
-    /// How a plain runner answers: `plain`, `unframed`, `whole` or `endless`; see `run_plain`.
+    /// How a plain runner answers: `plain`, `whole` or `endless`; see `run_plain`.
     pub manner: String,
     /// Work of a plain request.
     pub work_ms: u64,
@@ -344,24 +344,6 @@
         let stamp = self.stamp(request);
         let body = plain_body(&id);
         match self.settings.manner.as_str() {
-            // The answer has neither a length nor chunks; the second half follows after the work.
-            "unframed" => {
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n\r\n"
-                );
-                let (first, second) = body.split_at(body.len() / 2);
-                stream.write_all(head.as_bytes())?;
-                stream.write_all(first)?;
-                say(format!(
-                    "has sent {} of {} bytes of {id}",
-                    first.len(),
-                    body.len()
-                ));
-                thread::sleep(Duration::from_millis(self.settings.work_ms));
-                stream.write_all(second)?;
-                say(format!("ends {id}"));
-                Ok(false)
-            }
             // The answer has neither a length nor chunks, and is whole.
             "endless" | "whole" => {
                 thread::sleep(Duration::from_millis(self.settings.work_ms));
