fix(entry): only a complete history of the store shows all software versions

Cause: a history that begins late was taken to reach back to the start of the youngest listed server whose row is older than it (`known_for_ms=14416` in event 314, 1 s after the history was discarded), or else for the time that the settings name. Both bound its reach from above. So the remaining version counted as the only one (520 `source=only_version`, 12 of 12).

The search for the oldest kept revision, HistorySpan and the setting for the time of the history go. Why it works: nothing else that is published bounds the reach of a history from below.

Lost by it: streams of the only version after a loss of all processes, once the history lacks its first change.

--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -46,7 +46,6 @@
 mod freshness;
 mod grant_agent;
 mod grant_views;
-mod history_search;
 mod holdings;
 mod host_copies;
 mod idle_limit;
@@ -121,14 +120,13 @@
     freshness::Freshness,
     grant_agent::{GrantAgent, GrantCandidate, pick_grant_agent, rate_without_agent},
     grant_views::{GrantView, GrantViews, GrantedRate, RateQuestion, agent_list_fingerprint},
-    history_search::HistorySearch,
     holdings::{Holding, Holdings, HoldingsTracker, adapter_key},
     idle_limit::IdleLimit,
     order::{Order, OrderKind, OrderOutcome},
     origin_evidence::{OriginEvidence, OriginRecord, OriginVerdict},
     origin_replicas::{ReplicaCandidate, pick_replicas, pick_witnesses},
     pacer::Pacer,
-    past_versions::{HistorySpan, PastVersions},
+    past_versions::PastVersions,
     placement::{Affinity, Candidate, Placement, PlacementCosts, plain_wait_ms},
     quarantine::{ProvenCompletion, Quarantine},
     quota::{Quota, QuotaUnit},
--- a/crates/magnoliasail-core/src/gateway/past_versions.rs
+++ b/crates/magnoliasail-core/src/gateway/past_versions.rs
@@ -1,7 +1,8 @@
 //! The software versions that the history of the server list shows.
 //!
-//! A process that has just started sees only the servers that are listed now. The history shows those that
-//! left before, as far back as it is kept.
+//! A process that has just started sees only the servers that are listed now. The history also shows those
+//! that left before, if it is complete. A history that begins later proves nothing: the store may discard it at
+//! any time, and nothing in it says when. A version that left shortly before may be missing from it.
 
 use {
     super::{
@@ -14,20 +15,14 @@
     },
 };
 
-/// How far back the history of the server list goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HistorySpan {
-    /// To the first change ever.
-    Complete,
-    /// For this time, in milliseconds, unless the store has discarded it sooner.
-    Kept(u64),
-}
-
-/// The rows and removals of servers in a history, in the order of their revisions.
+/// The rows and removals of servers in a history that begins with the first change, in the order of their
+/// revisions.
 #[derive(Clone, Debug, Default)]
 pub struct PastVersions {
     /// The ids of the servers whose rows the history shows.
     shown: HashSet<Arc<str>>,
+    /// The starts of these servers, by id and start time: a server may start again under its id.
+    shown_starts: HashSet<(Arc<str>, Option<u64>)>,
     versions: BTreeMap<Arc<str>, BTreeSet<Option<Arc<str>>>>,
     /// Whether a server was removed whose row the history does not show.
     has_unknown: bool,
@@ -37,6 +32,7 @@
     /// Adds the row of a server.
     pub fn add_row(&mut self, entry: &ServerEntry) {
         self.shown.insert(Arc::clone(&entry.id));
+        self.shown_starts.insert(start_of(entry));
         self.versions
             .entry(Arc::clone(&entry.service))
             .or_default()
@@ -53,45 +49,20 @@
         self.has_unknown |= !self.shown.contains(id);
     }
 
-    /// Returns for how long all versions are known, in milliseconds; `u64::MAX` if it is since the first
-    /// change, and `None` if the history does not show them all.
-    ///
-    /// `listed` are the servers listed now, and `unix_ms` is the Unix time. If a listed server's row is not in the
-    /// history, the history begins after that row was written, and so after the start of the server.
-    pub fn known_for_ms<'a>(
-        &self,
-        span: HistorySpan,
-        listed: impl IntoIterator<Item = &'a ServerEntry>,
-        unix_ms: u64,
-    ) -> Option<u64> {
-        if self.has_unknown {
-            return None;
-        }
-        let mut older = listed
-            .into_iter()
-            .filter(|entry| !self.shown.contains(&entry.id))
-            .peekable();
-        match span {
-            HistorySpan::Complete => older.peek().is_none().then_some(u64::MAX),
-            HistorySpan::Kept(kept_ms) => {
-                let ages_ms = older.filter_map(|entry| entry.started_ms);
-                let youngest_ms = ages_ms.map(|started_ms| unix_ms.saturating_sub(started_ms));
-                Some(
-                    youngest_ms
-                        .min()
-                        .map_or(kept_ms, |age_ms| age_ms.min(kept_ms)),
-                )
-            }
-        }
+    /// Returns whether the history shows every server that it removes and every start in `listed`, the servers listed
+    /// now. If not, it lacks changes although its first revision was asked for.
+    pub fn is_complete<'a>(&self, listed: impl IntoIterator<Item = &'a ServerEntry>) -> bool {
+        let is_shown = |entry: &ServerEntry| self.shown_starts.contains(&start_of(entry));
+        !self.has_unknown && listed.into_iter().all(is_shown)
     }
 
-    /// Returns the versions of each service in `services` and in the history, as known for `known_for_ms`.
+    /// Returns the versions that each service in `services` and in the history has ever had. The history has to
+    /// be complete.
     ///
-    /// When the history's rows were written is unknown, so that their versions count as listed now.
+    /// When its rows were written is unknown, so that their versions count as listed now.
     pub fn into_messages(
         mut self,
         services: impl IntoIterator<Item = Arc<str>>,
-        known_for_ms: u64,
     ) -> Vec<ServiceVersions> {
         for service in services {
             self.versions.entry(service).or_default();
@@ -104,9 +75,13 @@
             ServiceVersions {
                 service: service.as_ref().to_owned(),
                 versions: versions.into_iter().map(listed).collect(),
-                known_for_ms,
+                known_for_ms: u64::MAX,
             }
         };
         self.versions.into_iter().map(message).collect()
     }
 }
+
+fn start_of(entry: &ServerEntry) -> (Arc<str>, Option<u64>) {
+    (Arc::clone(&entry.id), entry.started_ms)
+}
