fix(entry): versions are known only since the list was read without a gap

Cause: an entry that could not watch on (410 after a discarded history, or a restoration) lists the servers anew. What came and left meanwhile is not in the list, but the entry's `known_for_ms` went on, to u64::MAX in a process of the first start, and it told agents that started later, who then confirmed it.

Change: the follower reports a list that is read anew (event 316 store_history_lost, which had no line before), and VersionHistory counts from then. Agents that lived through it still add what they know.

Test: stream_is_not_joined_to_the_only_software_of_a_list_that_was_read_anew. The store turns an entry away, two engines of other software come and leave, the history is discarded and all other processes are lost.

--- a/crates/magnoliasail-core/src/gateway/version_history.rs
+++ b/crates/magnoliasail-core/src/gateway/version_history.rs
@@ -24,7 +24,8 @@
 pub struct VersionHistory {
     services: HashMap<Arc<str>, ServiceHistory>,
     refreshed_ms: Option<TimeMs>,
-    /// Whether the process has started with the whole system, so that no stream is older.
+    /// Whether the process has started with the whole system and has missed no change of the list since, so
+    /// that it knows all versions of a service that it has not heard of yet.
     is_first_start: bool,
 }
 
@@ -75,6 +76,14 @@
         is_new
     }
 
+    /// Records that changes of the list may have been missed up to now: a version may have come and left unseen.
+    pub fn record_gap(&mut self, now_ms: TimeMs) {
+        self.is_first_start = false;
+        for history in self.services.values_mut() {
+            history.known_since_ms = Some(now_ms);
+        }
+    }
+
     /// Adds what another process knows of a service.
     pub fn add(&mut self, known: &ServiceVersions, now_ms: TimeMs) {
         let history = self.service(&known.service.as_str().into(), now_ms);
--- a/crates/magnoliasail-core/tests/gateway/stream_origins.rs
+++ b/crates/magnoliasail-core/tests/gateway/stream_origins.rs
@@ -223,6 +223,18 @@
     assert_eq!(history.known_for_ms("other", NOW_MS), 0);
 }
 
+/// A process that has read the list anew has not seen the versions that came and left meanwhile.
+#[test]
+fn versions_are_known_only_since_changes_were_missed() {
+    let service: Arc<str> = "s".into();
+    let mut history = VersionHistory::new(true);
+    history.record(&service, None, NOW_MS);
+    history.record_gap(NOW_MS + 1_000);
+    history.record(&"other".into(), None, NOW_MS + 1_500);
+    assert_eq!(history.known_for_ms("s", NOW_MS + 3_000), 2_000);
+    assert_eq!(history.known_for_ms("other", NOW_MS + 3_000), 1_500);
+}
+
 #[test]
 fn time_for_which_versions_are_known_is_passed_on_and_grows() {
     let half_ms = StreamOrigins::RETENTION_MS / 2;
--- a/crates/magnoliasail/src/events.rs
+++ b/crates/magnoliasail/src/events.rs
@@ -79,6 +79,8 @@
     HistoryRead = 314,
     /// The history of the server list could not be read, or does not show all servers.
     HistoryUnread = 315,
+    /// The platform's store no longer has the history for a watch, and its keys are read again.
+    StoreHistoryLost = 316,
     /// A version of the configuration was applied.
     ConfigurationAdopted = 320,
     /// A configuration or a version announcement that the operator published is invalid.
@@ -216,6 +218,7 @@
             | Self::Reloaded
             | Self::StoreRegained
             | Self::HistoryRead
+            | Self::StoreHistoryLost
             | Self::ConfigurationAdopted
             | Self::ServerListed
             | Self::ServerRemoved
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -94,6 +94,11 @@
         self.0.directory.borrow_mut().mark_list_unreliable(now_ms);
     }
 
+    fn on_list_anew(&self) {
+        let now_ms = self.0.clock.now_ms();
+        self.0.versions.borrow_mut().record_gap(now_ms);
+    }
+
     fn on_answer_discarded(&self, reason: DiscardReason) {
         self.0.metrics.count_discarded_store_answer(reason);
     }
--- a/crates/magnoliasail/src/gateway/follower.rs
+++ b/crates/magnoliasail/src/gateway/follower.rs
@@ -47,6 +47,9 @@
     /// Handles a restoration of the store from a copy. The changes of a new list follow.
     fn on_new_era(&self);
 
+    /// Handles that the keys are listed anew. Keys may have been written and removed unseen.
+    fn on_list_anew(&self) {}
+
     /// Handles a response that is not used because of its era. A failed read is reported next.
     fn on_answer_discarded(&self, reason: DiscardReason);
 
@@ -150,12 +153,20 @@
                 }
                 Err(FollowError::NewEra) => {
                     self.report_new_era();
+                    self.observer.on_list_anew();
                     // A store that enters one era after another is read at a limited rate.
                     if !std::mem::replace(&mut has_unread_era, true) {
                         continue;
                     }
                 }
-                Err(FollowError::Compacted) => self.follow.list_afresh(),
+                Err(FollowError::Compacted) => {
+                    emit(
+                        EventId::StoreHistoryLost,
+                        format_args!("{}", self.location()),
+                    );
+                    self.follow.list_afresh();
+                    self.observer.on_list_anew();
+                }
                 Err(error) => {
                     if !std::mem::replace(&mut is_lost, true) {
                         emit(
--- a/crates/magnoliasail/tests/stale_software_versions.rs
+++ b/crates/magnoliasail/tests/stale_software_versions.rs
@@ -18,6 +18,8 @@
 /// The processes of the larger fleet, in which some engines are replaced.
 const ENTRIES: usize = 2;
 const ENGINES: usize = 4;
+/// The engines that others of newer software replace.
+const REPLACED: [usize; 2] = [0, 2];
 /// Delay of each event that keeps streams running until their server or entry fails.
 const LONG_STREAM: ServerFaults = ServerFaults {
     error_share: 0.0,
@@ -96,7 +98,6 @@
 /// Cuts the second entry off from the store, replaces two engines by others of newer software, and starts streams at
 /// the first entry. Returns their tasks when all have events.
 async fn streams_beside_replaced_engines(fleet: &Fleet) -> Vec<Task> {
-    const REPLACED: [usize; 2] = [0, 2];
     // The proxies of the processes follow those of the agents; entries come first.
     let store_path = &fleet.proxies[ENGINES + 1];
     store_path.set_mode(ProxyMode::Blocked);
@@ -198,6 +199,45 @@
     });
 }
 
+/// Guards against taking the versions of a new list for all that have served. The store turns an entry away while engines
+/// of other software come and leave, and discards its history. All other processes are lost with what they knew.
+#[test]
+fn stream_is_not_joined_to_the_only_software_of_a_list_that_was_read_anew() {
+    let settings = FleetSettings {
+        entries: ENTRIES as u8,
+        engines: ENGINES as u8,
+        plain_servers: 1,
+        ..small_fleet(180)
+    };
+    run_with_fleet(settings, |mut fleet| async move {
+        let tasks = streams_beside_replaced_engines(&fleet).await;
+        for engine in REPLACED {
+            fleet.remove_server(engine);
+            fleet.servers[engine].crash();
+        }
+        fleet.store.compact();
+        // All processes but the second entry.
+        let others = || (0..ENTRIES + ENGINES).filter(|&process| process != 1);
+        others().for_each(|process| fleet.kill(process));
+        let resumed: Vec<Call> = end(tasks)
+            .await
+            .into_iter()
+            .filter_map(|(_, call)| call)
+            .collect();
+        assert!(!resumed.is_empty(), "{}", fleet.output());
+        for process in others() {
+            fleet.restart(process).expect("the process starts");
+        }
+        fleet.proxies[ENGINES + 1].set_mode(ProxyMode::Open);
+        sleep(PROPAGATION_TIME).await;
+        let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
+        for call in &resumed {
+            assert_eq!(caller.call(call).await, Outcome::NotRun);
+        }
+        assert_no_violations(&fleet);
+    });
+}
+
 /// The store turns an entry away while engines of other software take the place of some. Streams that begin
 /// there through another entry are resumed at this one.
 #[test]
