fix(agent): an announced version counts from the earliest time it can be of

Cause: what a process read after its first complete read counted as announced just then, less 0.8 s that nothing checked.

Change: ReadAges bounds when the changes of a response were written, by the reads before it and by when its store held the watch; RecentPauses, from the tick that an agent has anyway, tells that a response may have lain unread since the process stood still. One rule for starts, pauses, outages and new lists. Event 340 names the age, 120 a pause of an agent.

The stand-in for engines has adapter versions and can be busy; the ledger checks the bound.

--- a/crates/magnoliasail-core/src/gateway/engine_versions.rs
+++ b/crates/magnoliasail-core/src/gateway/engine_versions.rs
@@ -17,23 +17,9 @@
 const BEGIN_MARGIN_MS: u64 = 300;
 
 impl EngineScheduler {
-    /// Records a version of an adapter that was announced just now.
-    pub fn announce(&mut self, announced: &AdapterVersion, now_ms: TimeMs) {
-        self.record_announcement(announced, now_ms, now_ms);
-    }
-
-    /// Records a version of an adapter that was announced at an unknown earlier time. Older ones serve no
-    /// further requests.
-    pub fn announce_earlier(&mut self, announced: &AdapterVersion, now_ms: TimeMs) {
-        self.record_announcement(announced, 0, now_ms);
-    }
-
-    fn record_announcement(
-        &mut self,
-        announced: &AdapterVersion,
-        announced_ms: TimeMs,
-        now_ms: TimeMs,
-    ) {
+    /// Records a version of an adapter. `announced_ms` is the earliest time at which it can have been announced, or 0 if
+    /// that is unknown; older versions then serve no further requests.
+    pub fn announce(&mut self, announced: &AdapterVersion, announced_ms: TimeMs, now_ms: TimeMs) {
         let max_age_ms = self
             .settings
             .max_outdated_ms
--- a/crates/magnoliasail-core/src/gateway/mod.rs
+++ b/crates/magnoliasail-core/src/gateway/mod.rs
@@ -66,8 +66,10 @@
 mod quota_lease;
 mod quota_share;
 mod rate_limit;
+mod read_ages;
 mod recent_crashes;
 mod recent_maximum;
+mod recent_pauses;
 mod replacements;
 mod request_metadata;
 mod request_rate;
@@ -134,7 +136,9 @@
     quota_lease::{QuotaLease, QuotaStep},
     quota_share::{QUOTA_SHARES, QuotaShare, pick_quota_agent, quota_share_key},
     rate_limit::{RateChange, RateLimit, RateSource},
+    read_ages::ReadAges,
     recent_maximum::RecentMaximum,
+    recent_pauses::RecentPauses,
     request_metadata::RequestMetadata,
     request_rate::{RateStatement, RequestRate},
     retry_budget::RetryBudget,
--- a/crates/magnoliasail-core/src/liveness.rs
+++ b/crates/magnoliasail-core/src/liveness.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Returns the time of the last tick.
+    #[must_use]
+    pub const fn last_tick_ms(&self) -> TimeMs {
+        self.last_tick_ms
+    }
+
     /// Records a tick and returns the length of the pause that it ended, in milliseconds, if any.
     pub fn observe(&mut self, now_ms: TimeMs) -> Option<u64> {
         let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
--- a/crates/magnoliasail-core/tests/gateway/main.rs
+++ b/crates/magnoliasail-core/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod quarantine_shared_parts;
 mod quarantine_table;
 mod quota_fleet;
+mod read_ages;
 mod request_rates;
 mod retries;
 mod routes;
--- a/crates/magnoliasail-core/tests/gateway/outdated_adapters.rs
+++ b/crates/magnoliasail-core/tests/gateway/outdated_adapters.rs
@@ -98,7 +98,8 @@
             adapter: Self::name(adapter).into(),
             version,
         };
-        self.scheduler.announce(&announced, self.now_ms);
+        self.scheduler
+            .announce(&announced, self.now_ms, self.now_ms);
     }
 
     fn step(&mut self, input: impl FnOnce(&mut EngineScheduler, u64, &mut Vec<EngineAction>)) {
@@ -395,7 +396,7 @@
         version: 2,
     };
     let announced_ms = play.now_ms;
-    play.scheduler.announce_earlier(&announced, announced_ms);
+    play.scheduler.announce(&announced, 0, announced_ms);
     play.advance_by(1_000);
     assert_eq!(play.older_runs(2, announced_ms), 0);
     assert_eq!(play.runs.last().expect("a run").version, 2);
--- a/crates/magnoliasail-core/tests/gateway/scheduler.rs
+++ b/crates/magnoliasail-core/tests/gateway/scheduler.rs
@@ -179,7 +179,7 @@
         version: 2,
     };
     let now_ms = harness.now_ms;
-    harness.scheduler.announce(&announced, now_ms);
+    harness.scheduler.announce(&announced, now_ms, now_ms);
     harness.now_ms += 10;
     harness.report();
     let next = harness.submit("a", 1);
@@ -633,6 +633,7 @@
             version: 7,
         },
         harness.now_ms,
+        harness.now_ms,
     );
     harness.hear(LEAVING);
     let later = harness.submit("a", 1);
--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -14,7 +14,8 @@
         client_account::ClientAccount,
         ledger::Ledger,
         proxy::Proxy,
-        standin::{BackendServer, Listing, ServerKind, Store},
+        standin::{BackendServer, Listing, MODEL, ServerKind, Store},
+        version_runs::VERSION_BOUND,
     },
     serde_json::{Value, json},
     std::{
@@ -300,6 +301,14 @@
         self.configuration = configuration;
     }
 
+    /// Announces a version of an adapter.
+    pub fn announce_version(&self, adapter: &str, version: u64) {
+        let key = format!("op/version/{MODEL}.{adapter}");
+        let row = json!({"model": MODEL, "adapter": adapter, "version": version});
+        self.store.put(&key, &row);
+        self.ledger.record_announced_version(adapter, version);
+    }
+
     /// Writes the current configuration and the entries of all servers to the store again.
     pub fn publish_all(&self) {
         self.store.put("op/config", &self.configuration);
@@ -409,9 +418,10 @@
              internal_ports = [{INTERNAL_PORT}, {METRICS_PORT}]\n{role_settings}\
              [listen]\n{listen_settings}\
              [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
-             budget_min_retries = 50\ndrain_ms = 2000\n\
+             budget_min_retries = 50\ndrain_ms = 2000\nversion_ms = {}\n\
              [platform]\naddress = \"{store}\"\nhistory_s = {}\n",
             index % 2,
+            VERSION_BOUND.as_millis(),
             self.settings.store_history.as_secs_f64()
         );
         let settings_path = self.directory.join(format!("{role}-{index}.toml"));
--- a/crates/magnoliasail-soak/src/ledger.rs
+++ b/crates/magnoliasail-soak/src/ledger.rs
@@ -1,9 +1,12 @@
 //! Records of what callers and backend servers observed, and the checks of the guarantees.
 
-use std::{
-    collections::{BTreeSet, HashMap, HashSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+use {
+    crate::version_runs::VersionRuns,
+    std::{
+        collections::{BTreeSet, HashMap, HashSet},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
 };
 
 /// The repeats of requests that a service may get within any window.
@@ -65,6 +68,7 @@
     software_versions: HashMap<String, BTreeSet<String>>,
     /// The client account of each request, by request id.
     owners: HashMap<String, &'static str>,
+    version_runs: VersionRuns,
     violations: Vec<Violation>,
 }
 
@@ -129,6 +133,34 @@
             .push(run);
     }
 
+    /// Records that the store has confirmed the announcement of an adapter version.
+    pub fn record_announced_version(&self, adapter: &str, version: u64) {
+        self.records().version_runs.announce(adapter, version);
+    }
+
+    /// Records that a server begins to run a request on an adapter version.
+    pub fn record_version_run(&self, adapter: &str, version: u64) {
+        self.records().version_runs.record_run(adapter, version);
+    }
+
+    /// Returns how long after the confirmation of a newer version requests have begun on older ones since `from`.
+    #[must_use]
+    pub fn outdated_runs(&self, from: Instant) -> Vec<Duration> {
+        self.records().version_runs.outdated_since(from)
+    }
+
+    /// Records a violation if a request has begun too late on an older version since `from`.
+    pub fn check_versions(&self, from: Instant) {
+        let late = self.records().version_runs.late_since(from);
+        if !late.is_empty() {
+            let detail = format!(
+                "{} requests began on older versions {late:?} after newer ones",
+                late.len()
+            );
+            self.record_violation("adapter versions in time", detail);
+        }
+    }
+
     /// Records whether the answer to a request reported that it has not run, and whether the
     /// request may run more than once.
     pub fn record_answer(&self, request: &str, is_reported_not_run: bool, may_repeat: bool) {
--- a/crates/magnoliasail-soak/src/standin/adapters.rs
+++ b/crates/magnoliasail-soak/src/standin/adapters.rs
@@ -17,6 +17,7 @@
 
 #[derive(Debug)]
 struct Adapter {
+    version: u64,
     ready_at: Instant,
     /// Shared with each run that uses the adapter.
     runs: Arc<()>,
@@ -48,9 +49,10 @@
     }
 
     /// Carries out the order to load an adapter; returns how many the engine holds then.
-    pub(super) fn load(&mut self, name: &str) -> usize {
+    pub(super) fn load(&mut self, name: &str, version: u64) -> usize {
         self.settle();
         let adapter = Adapter {
+            version,
             ready_at: Instant::now() + LOAD_TIME,
             runs: Arc::default(),
             is_unloading: false,
@@ -73,25 +75,34 @@
         }
     }
 
-    /// Returns the names of the adapters that are loaded, or else of those that are being loaded.
-    pub(super) fn names(&mut self, is_ready: bool) -> impl Iterator<Item = &str> {
+    /// Returns the adapters that are loaded, or else those that are being loaded, as NAME@VERSION.
+    pub(super) fn names(&mut self, is_ready: bool) -> impl Iterator<Item = String> {
         self.settle();
         let adapters = self.adapters.iter();
         adapters
             .filter(move |(_, adapter)| adapter.is_ready() == is_ready)
-            .map(|(name, _)| name.as_str())
+            .map(|(name, adapter)| format!("{name}@{}", adapter.version))
     }
 
-    /// Starts a run that uses an adapter.
+    /// Starts a run that uses an adapter, in the version `expected` if the request names one; returns the version too.
     ///
     /// # Errors
     ///
-    /// Returns the status of the refusal if the adapter is not loaded or is being unloaded.
-    pub(super) fn start_run(&mut self, name: &str) -> Result<AdapterRun, StatusCode> {
+    /// Returns the status of the refusal if the adapter is not loaded in this version or is being unloaded.
+    pub(super) fn start_run(
+        &mut self,
+        name: &str,
+        expected: Option<u64>,
+    ) -> Result<(AdapterRun, u64), StatusCode> {
         self.settle();
         match self.adapters.get(name) {
             Some(adapter) if adapter.is_unloading => Err(StatusCode::SERVICE_UNAVAILABLE),
-            Some(adapter) if adapter.is_ready() => Ok(AdapterRun(Arc::clone(&adapter.runs))),
+            Some(adapter)
+                if adapter.is_ready()
+                    && expected.is_none_or(|expected| expected == adapter.version) =>
+            {
+                Ok((AdapterRun(Arc::clone(&adapter.runs)), adapter.version))
+            }
             Some(_) | None => Err(StatusCode::MISDIRECTED_REQUEST),
         }
     }
--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -41,7 +41,7 @@
 };
 
 /// The base model of the stand-ins.
-pub(super) const MODEL: &str = "base";
+pub(crate) const MODEL: &str = "base";
 pub(super) const ADAPTER_SLOTS: usize = 4;
 /// Time after which a server that a poison has crashed starts again.
 const RESTART_TIME: Duration = Duration::from_millis(700);
@@ -100,6 +100,8 @@
     /// Number of orders accepted by this incarnation.
     pub(super) sequence: u64,
     pub(super) adapters: Adapters,
+    /// Whether the engine carries out another order, and refuses further ones.
+    pub(super) is_busy: bool,
     pub(super) faults: ServerFaults,
     pub(super) draining_since: Option<Instant>,
     /// Whether every answer says that the server is leaving.
@@ -176,6 +178,7 @@
             has_model: true,
             sequence: 0,
             adapters: Adapters::default(),
+            is_busy: false,
             faults: ServerFaults::default(),
             draining_since: None,
             is_leaving: false,
@@ -386,6 +389,11 @@
         self.with(|state| version.clone_into(&mut state.software_version));
     }
 
+    /// Sets whether the engine carries out another order, and refuses further ones.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.with(|state| state.is_busy = is_busy);
+    }
+
     /// Sets whether the server drains.
     pub fn set_draining(&self, is_draining: bool) {
         self.with(|state| state.draining_since = is_draining.then(Instant::now));
--- a/crates/magnoliasail-soak/src/standin/control.rs
+++ b/crates/magnoliasail-soak/src/standin/control.rs
@@ -13,15 +13,16 @@
     tokio::time::sleep,
 };
 
+/// The version that a load without one brings.
+const FIRST_VERSION: u64 = 1;
 const MODEL_LOAD_TIME: Duration = Duration::from_millis(200);
 
 impl BackendServer {
     pub(super) fn report(&self) -> Response<Body> {
         let report = self.with(|state| {
-            let loaded = state.adapters.names(true);
-            let resident: Vec<String> = loaded.map(|name| format!("{name}@1")).collect();
+            let resident: Vec<String> = state.adapters.names(true).collect();
             let coming = state.adapters.names(false);
-            let loading: Vec<String> = coming.map(|name| format!("{MODEL}/{name}@1")).collect();
+            let loading: Vec<String> = coming.map(|name| format!("{MODEL}/{name}")).collect();
             let models = if state.has_model {
                 json!([{"name": MODEL, "version": 1, "adapters": resident}])
             } else {
@@ -62,7 +63,7 @@
                 );
                 self.ledger.record_violation("one holder", detail);
             }
-            if order["precondition"].as_u64() != Some(state.sequence) {
+            if state.is_busy || order["precondition"].as_u64() != Some(state.sequence) {
                 return StatusCode::CONFLICT;
             }
             state.sequence += 1;
@@ -73,7 +74,8 @@
             if order["operation"] == "unload" {
                 return state.adapters.unload(adapter);
             }
-            let held = state.adapters.load(adapter);
+            let version = order["version"].as_u64().unwrap_or(FIRST_VERSION);
+            let held = state.adapters.load(adapter, version);
             if held > ADAPTER_SLOTS {
                 let detail = format!("{} was ordered to hold {held} adapters", state.id);
                 self.ledger.record_violation("adapter slots", detail);
--- a/crates/magnoliasail-soak/src/standin/mod.rs
+++ b/crates/magnoliasail-soak/src/standin/mod.rs
@@ -22,5 +22,5 @@
 
 pub(crate) use self::{
     answers::{adapter_name, event_count, stream_event},
-    backend_server::Listing,
+    backend_server::{Listing, MODEL},
 };
--- a/crates/magnoliasail-soak/src/standin/runs.rs
+++ b/crates/magnoliasail-soak/src/standin/runs.rs
@@ -148,8 +148,15 @@
         let adapter = text("model")
             .and_then(|model| model.split_once('/'))
             .map(|(_, adapter)| adapter);
-        let start_run = |name| self.with(|state| state.adapters.start_run(name));
-        adapter.map(start_run).transpose().map_err(not_run)
+        let Some(adapter) = adapter else {
+            return Ok(None);
+        };
+        let expected = text("expect-version").and_then(|version| version.parse().ok());
+        let (run, version) = self
+            .with(|state| state.adapters.start_run(adapter, expected))
+            .map_err(not_run)?;
+        self.ledger.record_version_run(adapter, version);
+        Ok(Some(run))
     }
 
     /// Checks that the key of a request stayed at its entry, and that the request names its own account.
--- a/crates/magnoliasail/src/gateway/agent/engine.rs
+++ b/crates/magnoliasail/src/gateway/agent/engine.rs
@@ -32,7 +32,7 @@
 };
 
 /// Time between comparisons of the engine's state with the one that entries have.
-const STATE_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const STATE_INTERVAL: Duration = Duration::from_millis(250);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between reports while a load is in progress or the engine's state is unknown.
@@ -160,6 +160,7 @@
 pub(super) async fn report_engine_state(state: Rc<AgentState>) {
     loop {
         sleep(STATE_INTERVAL).await;
+        state.record_tick();
         state.broadcast_changed_engine_state();
     }
 }
--- a/crates/magnoliasail/src/gateway/agent/operator_observer.rs
+++ b/crates/magnoliasail/src/gateway/agent/operator_observer.rs
@@ -11,7 +11,8 @@
     },
     bytes::Bytes,
     magnoliasail_core::gateway::{
-        Configuration, DiscardReason, Freshness, message::ConfigurationCopy,
+        AdapterVersion, Configuration, DiscardReason, Freshness, ReadAges,
+        message::ConfigurationCopy,
     },
     magnoliasail_platform::{configuration, registry, store::Change},
     std::{cell::Cell, rc::Rc, time::Duration},
@@ -21,7 +22,7 @@
 const LONG_POLL: Duration = Duration::from_millis(4_500);
 /// Pause between reads, well below the time within which a change must take effect.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
-/// Time within which a write has been read: the pause, and a slow read.
+/// Time within which a write has been read if nothing holds the process up: the pause, and a slow read.
 pub(super) const MAX_READ_LAG_MS: u64 = 800;
 
 /// Applies configurations and announcements of adapter versions.
@@ -31,8 +32,9 @@
     version: Cell<Option<u64>>,
     /// The newest era of the store that a response has named.
     era: Cell<Option<u64>>,
-    /// Whether all that was written before the start of this process has been read.
-    has_caught_up: Cell<bool>,
+    read_ages: Cell<ReadAges>,
+    /// The earliest time at which the changes of the latest response can have been written, if it is known.
+    written_ms: Cell<Option<u64>>,
 }
 
 /// Starts to follow the operator's keys. Does nothing if the store's address is invalid.
@@ -44,7 +46,8 @@
         state: Rc::clone(state),
         version: Cell::new(None),
         era: Cell::new(None),
-        has_caught_up: Cell::new(false),
+        read_ages: Cell::default(),
+        written_ms: Cell::new(None),
     };
     let follower = Follower::new(
         pool,
@@ -97,26 +100,49 @@
         self.state.apply_configuration(configuration);
         true
     }
+
+    /// Passes on the announcement of an adapter version. It counts from the earliest time at which it can have been
+    /// confirmed, plus the usual time until it is read, which the bound on older versions allows for.
+    fn announce(&self, announced: &AdapterVersion, revision: u64) {
+        let now_ms = self.state.clock.now_ms();
+        let written_ms = self.written_ms.get();
+        let max_age_ms = written_ms.map(|written_ms| now_ms.saturating_sub(written_ms));
+        emit(
+            EventId::VersionAnnounced,
+            format_args!(
+                "model={} adapter={} version={} revision={revision} max_age_ms={max_age_ms:?}",
+                announced.model, announced.adapter, announced.version
+            ),
+        );
+        let announced_ms = written_ms.map_or(0, |written_ms| {
+            now_ms.min(written_ms.saturating_add(MAX_READ_LAG_MS))
+        });
+        self.state.announce_version(announced, announced_ms);
+    }
 }
 
 impl ChangeObserver for OperatorObserver {
+    fn on_call(&self, is_watch: bool) {
+        let mut read_ages = self.read_ages.get();
+        read_ages.begin_call(is_watch, self.state.clock.now_ms());
+        self.read_ages.set(read_ages);
+    }
+
+    fn on_response(&self) {
+        let mut read_ages = self.read_ages.get();
+        let running_until_ms = self.state.running_until_ms(read_ages.call_began_ms());
+        self.written_ms
+            .set(read_ages.record_response(running_until_ms));
+        self.read_ages.set(read_ages);
+    }
+
     fn on_change(&self, change: &Change, _freshness: Freshness) {
         let Some(value) = &change.value else { return };
         if change.key == configuration::KEY {
             self.apply_published(value, change.revision);
         } else if change.key.starts_with(registry::VERSION_KEY_PREFIX) {
             match registry::decode_version(value) {
-                Ok(announced) => {
-                    emit(
-                        EventId::VersionAnnounced,
-                        format_args!(
-                            "model={} adapter={} version={} revision={}",
-                            announced.model, announced.adapter, announced.version, change.revision
-                        ),
-                    );
-                    self.state
-                        .announce_version(&announced, self.has_caught_up.get());
-                }
+                Ok(announced) => self.announce(&announced, change.revision),
                 Err(error) => emit(
                     EventId::ConfigurationRejected,
                     format_args!("key={} revision={}: {error}", change.key, change.revision),
@@ -143,6 +169,8 @@
     }
 
     fn on_caught_up(&self) {
-        self.has_caught_up.set(true);
+        let mut read_ages = self.read_ages.get();
+        read_ages.end_read();
+        self.read_ages.set(read_ages);
     }
 }
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         active_request::ActiveRequest,
-        engine::{run_request, send_order},
+        engine::{STATE_INTERVAL, run_request, send_order},
         fetches::FetchEntries,
         operator_observer::MAX_READ_LAG_MS,
         report_mark::ReportMarks,
@@ -26,8 +26,8 @@
     magnoliasail_core::gateway::{
         AdapterVersion, Announcement, Configuration, CrashDetector, EngineAction, EngineRefusal,
         EngineReport, EngineScheduler, GrantViews, HoldingsTracker, Order, OrderOutcome,
-        Quarantine, QuotaGrants, SchedulerSettings, SendGrants, ServerLoad, ServerNotice,
-        StreamOrigins, VersionHistory,
+        Quarantine, QuotaGrants, RecentPauses, SchedulerSettings, SendGrants, ServerLoad,
+        ServerNotice, StreamOrigins, VersionHistory,
         message::{ConfigurationCopy, EngineState, FollowView, ToEntry, ToEntryKind},
     },
     magnoliasail_platform::settings::NodeSettings,
@@ -63,6 +63,7 @@
 pub(super) struct AgentState {
     pub(super) settings: Rc<NodeSettings>,
     pub(super) clock: SteadyClock,
+    pauses: RefCell<RecentPauses>,
     pub(super) metrics: Rc<GatewayMetrics>,
     /// Connections to the engine for requests.
     pub(super) request_pool: Rc<Pool>,
@@ -110,6 +111,10 @@
 
 /// Maximum number of connections to the engine for requests; more than the size of any batch.
 const MAX_REQUEST_CONNECTIONS: usize = 200;
+/// Longest delay of a tick that does not count as a pause of the process.
+const MAX_TICK_DELAY: Duration = Duration::from_millis(100);
+/// Shortest pause that is logged.
+const LOGGED_PAUSE_MS: u64 = 1_000;
 /// Initial value of the average time until the response head.
 const INITIAL_HEAD_TIME_MS: f64 = 100.0;
 /// Maximum number of connections to the engine for a report and an order: one each, and as many
@@ -128,9 +133,12 @@
         let idle_limit = SharedIdleLimit::default();
         let buffered = BufferBudget::new(settings.max_buffered_bytes());
         let versions = VersionHistory::new(settings.is_first_start);
+        let clock = SteadyClock::new();
+        let max_tick_gap_ms = (STATE_INTERVAL + MAX_TICK_DELAY).as_millis() as u64;
         Rc::new(Self {
             settings,
-            clock: SteadyClock::new(),
+            clock,
+            pauses: RefCell::new(RecentPauses::new(max_tick_gap_ms, clock.now_ms())),
             metrics: GatewayMetrics::new(EngineRefusal::iter().map(Into::into)),
             request_pool: Pool::new(backend, MAX_REQUEST_CONNECTIONS, Rc::clone(&idle_limit)),
             control_pool: Pool::new(backend, MAX_CONTROL_CONNECTIONS, idle_limit),
@@ -292,16 +300,26 @@
         }
     }
 
-    /// Passes the announcement of an adapter version to the scheduler. `is_new` says whether it was made just
-    /// now, and not at an unknown time before this process has read the store.
-    pub(super) fn announce_version(&self, announced: &AdapterVersion, is_new: bool) {
+    /// Records a tick of the process; a gap between two of them shows that it has stood still.
+    pub(super) fn record_tick(&self) {
+        let pause_ms = self.pauses.borrow_mut().observe(self.clock.now_ms());
+        if let Some(pause_ms) = pause_ms.filter(|&pause_ms| pause_ms >= LOGGED_PAUSE_MS) {
+            emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
+        }
+    }
+
+    /// Returns until when the process has run without a pause since `from_ms`.
+    pub(super) fn running_until_ms(&self, from_ms: u64) -> u64 {
+        let now_ms = self.clock.now_ms();
+        self.pauses.borrow().running_until_ms(from_ms, now_ms)
+    }
+
+    /// Passes the announcement of an adapter version to the scheduler. It counts from `announced_ms`, which is 0 if
+    /// that is unknown.
+    pub(super) fn announce_version(&self, announced: &AdapterVersion, announced_ms: u64) {
         let now_ms = self.clock.now_ms();
         let mut scheduler = self.scheduler.borrow_mut();
-        if is_new {
-            scheduler.announce(announced, now_ms);
-        } else {
-            scheduler.announce_earlier(announced, now_ms);
-        }
+        scheduler.announce(announced, announced_ms, now_ms);
     }
 
     /// Applies a report that was requested with `ticket`.
--- a/crates/magnoliasail/src/gateway/follower.rs
+++ b/crates/magnoliasail/src/gateway/follower.rs
@@ -38,6 +38,12 @@
 
 /// Receives the notifications of a follower.
 pub(super) trait ChangeObserver {
+    /// Handles the start of a call. `is_watch` says whether the store holds it until there is a change.
+    fn on_call(&self, _is_watch: bool) {}
+
+    /// Handles a response that is used. Its changes follow.
+    fn on_response(&self) {}
+
     /// Handles a change of a key.
     fn on_change(&self, change: &Change, freshness: Freshness);
 
@@ -195,12 +201,15 @@
     /// Reads a page of the list or a batch of changes, and reports its changes.
     async fn read(&mut self, is_lost: bool) -> Result<ReadEnd, FollowError> {
         let (request, limit) = self.next_request(is_lost);
+        let is_watch = matches!(self.follow.next_read(), StoreRead::Watch { .. });
+        self.observer.on_call(is_watch);
         let response = self
             .pool
             .call(request, limit)
             .await
             .map_err(|source| FollowError::Unreachable { source })?;
         let page = self.check(&response)?;
+        self.observer.on_response();
         self.follow.begin_page(page.revision);
         for change in &page.changes {
             self.notify(change);
