fix(gateway): the steady clock runs on while the machine is suspended

Cause: the clock that times announcements, pauses and leases was the monotonic one, which stands still while a machine is suspended. An announcement read before one, or during it, left older versions that much longer, and the gap between two ticks did not show the pause.

Change: SteadyClock reads CLOCK_BOOTTIME by the library nix. Timers stay on the monotonic clock; a deadline is converted to theirs when it is needed, so that what was suspended is not waited for again.

--- a/crates/magnoliasail/src/gateway/steady_clock.rs
+++ b/crates/magnoliasail/src/gateway/steady_clock.rs
@@ -1,11 +1,18 @@
-//! Monotonic clock, which is unaffected when the system time is set.
+//! Steady clock, which is unaffected when the system time is set.
 
-use {std::time::Duration, tokio::time::Instant};
+use {
+    nix::time::{ClockId, clock_gettime},
+    std::time::Duration,
+    tokio::time::Instant,
+};
 
-/// Monotonic clock in milliseconds. Its zero is a minute before it was created.
+/// Steady clock in milliseconds. Its zero is a minute before it was created.
+///
+/// It runs on while the process stands still, and also while the whole machine is suspended. The monotonic clock of
+/// the timers stands still then, so that what counts from a time of another machine would get longer.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SteadyClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl SteadyClock {
@@ -14,18 +21,28 @@
 
     pub(super) fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: time_since_boot(),
         }
     }
 
     /// Returns the current time, in milliseconds.
     pub(super) fn now_ms(&self) -> u64 {
-        Self::OFFSET_MS + self.start.elapsed().as_millis() as u64
+        let elapsed = time_since_boot().saturating_sub(self.start);
+        Self::OFFSET_MS + elapsed.as_millis() as u64
     }
 
-    /// Converts a time in milliseconds to an instant. Times before the clock was created give the
-    /// instant of its creation.
+    /// Converts a time in milliseconds to an instant of the timers' clock. Times that have passed give the present.
     pub(super) fn instant(&self, time_ms: u64) -> Instant {
-        self.start + Duration::from_millis(time_ms.saturating_sub(Self::OFFSET_MS))
+        Instant::now() + Duration::from_millis(time_ms.saturating_sub(self.now_ms()))
     }
 }
+
+/// Returns the time since the machine started, with the times in which it was suspended.
+///
+/// # Panics
+///
+/// Panics if the system lacks this clock. Each Linux since 2.6.39 has it.
+fn time_since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has a boot time clock");
+    time.into()
+}
