test(soak): newer adapter versions are announced while an agent stands still

The soak draws, beside its other faults, a pause of one agent of 1.2 to 4.5 s in the moment in which versions of all adapters are announced, with an engine that may be busy with another order, and checks that no request begins on an older version later than the bound. The draws have a generator of their own, so that the schedules of known seeds stay.

--- a/crates/magnoliasail-soak/src/fleet.rs
+++ b/crates/magnoliasail-soak/src/fleet.rs
@@ -301,6 +301,24 @@
         self.configuration = configuration;
     }
 
+    /// Returns the number of engines.
+    #[must_use]
+    pub fn engine_count(&self) -> usize {
+        usize::from(self.settings.engines)
+    }
+
+    /// Returns the index of the process that is the agent of an engine.
+    #[must_use]
+    pub fn agent_process(&self, engine: usize) -> usize {
+        usize::from(self.settings.entries) + engine
+    }
+
+    /// Returns the proxies between each process and the store.
+    #[must_use]
+    pub fn store_proxies(&self) -> &[Proxy] {
+        &self.proxies[self.engine_count()..]
+    }
+
     /// Announces a version of an adapter.
     pub fn announce_version(&self, adapter: &str, version: u64) {
         let key = format!("op/version/{MODEL}.{adapter}");
--- a/crates/magnoliasail-soak/src/lib.rs
+++ b/crates/magnoliasail-soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod soak;
 mod software_faults;
 mod standin;
+mod version_faults;
 mod version_runs;
 
 pub use self::{
--- a/crates/magnoliasail-soak/src/soak.rs
+++ b/crates/magnoliasail-soak/src/soak.rs
@@ -15,6 +15,7 @@
         poison_callers::{check_equal_request, start_poison_callers},
         proxy::ProxyMode,
         standin::{DEFAULT_HISTORY, ServerFaults, StoreMode, adapter_name},
+        version_faults::VersionFaults,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -33,7 +34,7 @@
 
 /// Number of adapters that callers request. It exceeds the adapter slots of one engine, so that
 /// adapters are evicted.
-const ADAPTER_COUNT: u32 = 24;
+pub(crate) const ADAPTER_COUNT: u32 = 24;
 const CALL_DEADLINE: Duration = Duration::from_millis(2_500);
 /// One call of a caller in this many stops reading for a while.
 const READING_PAUSE_INTERVAL: u32 = 16;
@@ -120,6 +121,7 @@
     settings: SoakSettings,
     pub(crate) random: Pcg64Mcg,
     pub(crate) announcements: Announcements,
+    pub(crate) version_faults: VersionFaults,
     pub(crate) fleet: Fleet,
     schedule: Vec<String>,
     /// Path prefixes of the routes that were added to the configuration.
@@ -144,11 +146,13 @@
         let seed = settings.fleet.seed;
         let random = Pcg64Mcg::seed_from_u64(seed);
         let announcements = Announcements::new(seed);
+        let version_faults = VersionFaults::new(seed);
         let fleet = Fleet::start(settings.fleet.clone()).await?;
         Ok(Self {
             settings,
             random,
             announcements,
+            version_faults,
             fleet,
             schedule: Vec::new(),
             added_prefixes: Vec::new(),
@@ -168,6 +172,7 @@
         let poison_callers = start_poison_callers(&self.fleet, &is_poison_stopped);
         for _ in 0..self.settings.faults {
             self.announce().await?;
+            self.announce_versions().await;
             self.inject_fault().await?;
             let pause_ms = self.random.random_range(50..600);
             sleep(Duration::from_millis(pause_ms)).await;
