--- a/crates/magnoliasail/src/gateway/agent/mod.rs
+++ b/crates/magnoliasail/src/gateway/agent/mod.rs
@@ -11,6 +11,7 @@
 mod operator_observer;
 mod origins;
 mod outgoing;
+mod pauses;
 mod questions;
 mod rates;
 mod report_mark;
--- a/crates/magnoliasail/src/gateway/agent/operator_observer.rs
+++ b/crates/magnoliasail/src/gateway/agent/operator_observer.rs
@@ -15,7 +15,11 @@
         message::ConfigurationCopy,
     },
     magnoliasail_platform::{configuration, registry, store::Change},
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// Duration of a long poll. It may be long, because the limits of an engine hardly ever change.
@@ -32,7 +36,7 @@
     version: Cell<Option<u64>>,
     /// The newest era of the store that a response has named.
     era: Cell<Option<u64>>,
-    read_ages: Cell<ReadAges>,
+    read_ages: RefCell<ReadAges>,
     /// The earliest time at which the changes of the latest response can have been written, if it is known.
     written_ms: Cell<Option<u64>>,
 }
@@ -46,7 +50,7 @@
         state: Rc::clone(state),
         version: Cell::new(None),
         era: Cell::new(None),
-        read_ages: Cell::default(),
+        read_ages: RefCell::default(),
         written_ms: Cell::new(None),
     };
     let follower = Follower::new(
@@ -123,17 +127,15 @@
 
 impl ChangeObserver for OperatorObserver {
     fn on_call(&self, is_watch: bool) {
-        let mut read_ages = self.read_ages.get();
-        read_ages.begin_call(is_watch, self.state.clock.now_ms());
-        self.read_ages.set(read_ages);
+        let now_ms = self.state.clock.now_ms();
+        self.read_ages.borrow_mut().begin_call(is_watch, now_ms);
     }
 
     fn on_response(&self) {
-        let mut read_ages = self.read_ages.get();
+        let mut read_ages = self.read_ages.borrow_mut();
         let running_until_ms = self.state.running_until_ms(read_ages.call_began_ms());
         self.written_ms
             .set(read_ages.record_response(running_until_ms));
-        self.read_ages.set(read_ages);
     }
 
     fn on_change(&self, change: &Change, _freshness: Freshness) {
@@ -169,8 +171,6 @@
     }
 
     fn on_caught_up(&self) {
-        let mut read_ages = self.read_ages.get();
-        read_ages.end_read();
-        self.read_ages.set(read_ages);
+        self.read_ages.borrow_mut().end_read();
     }
 }
--- a/crates/magnoliasail/src/gateway/agent/state.rs
+++ b/crates/magnoliasail/src/gateway/agent/state.rs
@@ -7,9 +7,10 @@
 use {
     super::{
         active_request::ActiveRequest,
-        engine::{STATE_INTERVAL, run_request, send_order},
+        engine::{run_request, send_order},
         fetches::FetchEntries,
         operator_observer::MAX_READ_LAG_MS,
+        pauses::new_pauses,
         report_mark::ReportMarks,
     },
     crate::{
@@ -63,7 +64,7 @@
 pub(super) struct AgentState {
     pub(super) settings: Rc<NodeSettings>,
     pub(super) clock: SteadyClock,
-    pauses: RefCell<RecentPauses>,
+    pub(super) pauses: RefCell<RecentPauses>,
     pub(super) metrics: Rc<GatewayMetrics>,
     /// Connections to the engine for requests.
     pub(super) request_pool: Rc<Pool>,
@@ -111,10 +112,6 @@
 
 /// Maximum number of connections to the engine for requests; more than the size of any batch.
 const MAX_REQUEST_CONNECTIONS: usize = 200;
-/// Longest delay of a tick that does not count as a pause of the process.
-const MAX_TICK_DELAY: Duration = Duration::from_millis(100);
-/// Shortest pause that is logged.
-const LOGGED_PAUSE_MS: u64 = 1_000;
 /// Initial value of the average time until the response head.
 const INITIAL_HEAD_TIME_MS: f64 = 100.0;
 /// Maximum number of connections to the engine for a report and an order: one each, and as many
@@ -134,11 +131,10 @@
         let buffered = BufferBudget::new(settings.max_buffered_bytes());
         let versions = VersionHistory::new(settings.is_first_start);
         let clock = SteadyClock::new();
-        let max_tick_gap_ms = (STATE_INTERVAL + MAX_TICK_DELAY).as_millis() as u64;
         Rc::new(Self {
             settings,
             clock,
-            pauses: RefCell::new(RecentPauses::new(max_tick_gap_ms, clock.now_ms())),
+            pauses: RefCell::new(new_pauses(clock.now_ms())),
             metrics: GatewayMetrics::new(EngineRefusal::iter().map(Into::into)),
             request_pool: Pool::new(backend, MAX_REQUEST_CONNECTIONS, Rc::clone(&idle_limit)),
             control_pool: Pool::new(backend, MAX_CONTROL_CONNECTIONS, idle_limit),
@@ -300,20 +296,6 @@
         }
     }
 
-    /// Records a tick of the process; a gap between two of them shows that it has stood still.
-    pub(super) fn record_tick(&self) {
-        let pause_ms = self.pauses.borrow_mut().observe(self.clock.now_ms());
-        if let Some(pause_ms) = pause_ms.filter(|&pause_ms| pause_ms >= LOGGED_PAUSE_MS) {
-            emit(EventId::Paused, format_args!("pause_ms={pause_ms}"));
-        }
-    }
-
-    /// Returns until when the process has run without a pause since `from_ms`.
-    pub(super) fn running_until_ms(&self, from_ms: u64) -> u64 {
-        let now_ms = self.clock.now_ms();
-        self.pauses.borrow().running_until_ms(from_ms, now_ms)
-    }
-
     /// Passes the announcement of an adapter version to the scheduler. It counts from `announced_ms`, which is 0 if
     /// that is unknown.
     pub(super) fn announce_version(&self, announced: &AdapterVersion, announced_ms: u64) {
