fix(entry): the rest of a health check's answer is discarded within limits

Cause: a task that nobody awaits collected the rest of that answer for its connection's sake, 16 MB and no limit of time, on up to 44 connections and outside the budget for buffers.

Change: ServerResponse::discard holds nothing, and closes the connection after 16 KB or 0.5 s, counted and logged as response_too_long.

Test: answers_to_health_checks_without_end_are_broken_off failed on (1 MB and more taken of each of four answers), passes now.

--- a/crates/magnoliasail-soak/src/standin/backend_server.rs
+++ b/crates/magnoliasail-soak/src/standin/backend_server.rs
@@ -8,6 +8,7 @@
     super::{
         adapters::Adapters,
         answers::{stream_event, text_response},
+        endless::endless_health,
         poison::Poison,
         rate_check::RateCheck,
         raw_answer::{RawAnswer, is_control_request, serve_raw},
@@ -102,6 +103,8 @@
     pub(super) adapters: Adapters,
     /// Whether the engine carries out another order, and refuses further ones.
     pub(super) is_busy: bool,
+    /// Whether answers to health checks have no end.
+    has_endless_health: bool,
     pub(super) faults: ServerFaults,
     pub(super) draining_since: Option<Instant>,
     /// Whether every answer says that the server is leaving.
@@ -179,6 +182,7 @@
             sequence: 0,
             adapters: Adapters::default(),
             is_busy: false,
+            has_endless_health: false,
             faults: ServerFaults::default(),
             draining_since: None,
             is_leaving: false,
@@ -389,6 +393,11 @@
         self.with(|state| version.clone_into(&mut state.software_version));
     }
 
+    /// Sets whether the server answers health checks with a body in chunks that has no end.
+    pub fn set_endless_health(&self, is_endless: bool) {
+        self.with(|state| state.has_endless_health = is_endless);
+    }
+
     /// Sets whether the engine carries out another order, and refuses further ones.
     pub fn set_busy(&self, is_busy: bool) {
         self.with(|state| state.is_busy = is_busy);
@@ -534,6 +543,9 @@
         let server = self.clone();
         let answer = match request.uri().path() {
             "/report" => Ok(self.report()),
+            "/healthz" if self.with(|state| state.has_endless_health) => {
+                Ok(endless_health(self.id(), self.ledger.clone()))
+            }
             "/healthz" => Ok(self.health()),
             "/order" => Ok(self.handle_order(request, vm).await),
             _ => {
--- a/crates/magnoliasail/src/gateway/entry/end_check.rs
+++ b/crates/magnoliasail/src/gateway/entry/end_check.rs
@@ -22,6 +22,10 @@
 
 /// Longest wait for the answer to a health check.
 const MAX_WAIT: Duration = Duration::from_millis(1_100);
+/// Largest body of the answer to a health check for which its connection is kept.
+const MAX_BODY_BYTES: usize = 16 << 10;
+/// Longest time until the end of that body.
+const MAX_BODY_TIME: Duration = Duration::from_millis(500);
 
 /// Checks the end of one response of a plain server.
 pub(super) struct EndCheck {
@@ -104,7 +108,7 @@
                 Err(SendError::ConnectionLost { .. }) => continue,
                 Err(error) if error.is_connection_refused() => EndEvidence::Gone,
                 Err(_) => EndEvidence::Unproven,
-                Ok(response) => evidence_of(response, ended_at),
+                Ok(response) => self.evidence_of(response, ended_at),
             };
         }
         EndEvidence::Gone
@@ -125,19 +129,31 @@
         let path = Arc::clone(&service.health_path);
         (!path.is_empty()).then_some(path)
     }
-}
 
-/// Returns what the answer to a health check shows, and leaves its connection open for others.
-fn evidence_of(response: ServerResponse, ended_at: Instant) -> EndEvidence {
-    let evidence = if response.opened_at() < ended_at {
-        EndEvidence::SameProcess
-    } else if headers::is_expected_server(response.status) {
-        EndEvidence::SameId
-    } else {
-        EndEvidence::Unproven
-    };
-    if response.is_framed() {
-        tokio::task::spawn_local(response.collect());
+    /// Returns what the answer to a health check shows, and leaves its connection open for others.
+    fn evidence_of(&self, response: ServerResponse, ended_at: Instant) -> EndEvidence {
+        let evidence = if response.opened_at() < ended_at {
+            EndEvidence::SameProcess
+        } else if headers::is_expected_server(response.status) {
+            EndEvidence::SameId
+        } else {
+            EndEvidence::Unproven
+        };
+        if response.is_framed() {
+            let state = Rc::clone(&self.state);
+            let server = Arc::clone(&self.pick.id);
+            tokio::task::spawn_local(async move {
+                let rest = response.discard(MAX_BODY_BYTES, MAX_BODY_TIME).await;
+                if let Err(error @ (SendError::Overlong { .. } | SendError::Timeout { .. })) = rest
+                {
+                    state.metrics.overlong_responses.inc();
+                    emit(
+                        EventId::ResponseTooLong,
+                        format_args!("server={server} to a health check: {error}"),
+                    );
+                }
+            });
+        }
+        evidence
     }
-    evidence
 }
--- a/crates/magnoliasail/src/gateway/pool.rs
+++ b/crates/magnoliasail/src/gateway/pool.rs
@@ -479,6 +479,30 @@
         Ok((self.headers, body.freeze()))
     }
 
+    /// Reads the rest of the body and discards it, and returns the connection to the pool. It is closed instead if more
+    /// than `max_bytes` arrive, or if the end takes longer than `limit`.
+    pub(super) async fn discard(
+        mut self,
+        max_bytes: usize,
+        limit: Duration,
+    ) -> Result<(), SendError> {
+        self.limit = ByteLimit::new(max_bytes);
+        let address = self.pool.address;
+        let rest = async {
+            while self.next_part().await?.is_some() {}
+            Ok(())
+        };
+        let is_over = timeout(limit, rest).await.unwrap_or_else(|_| {
+            Err(SendError::Timeout {
+                address,
+                limit_ms: limit.as_millis() as u64,
+            })
+        });
+        is_over?;
+        self.release();
+        Ok(())
+    }
+
     /// Counts bytes of the body. The connection of a response that is too long is closed when the response
     /// is dropped.
     fn count(&mut self, bytes: usize) -> Result<(), SendError> {
--- a/crates/magnoliasail/tests/endless_responses.rs
+++ b/crates/magnoliasail/tests/endless_responses.rs
@@ -67,3 +67,32 @@
     let is_final = |outcome: &Outcome| matches!(outcome, Outcome::Served | Outcome::Failed(_));
     assert!(outcomes.iter().all(is_final), "{outcomes:?}");
 }
+
+/// Guards against reading the rest of an answer to a health check for its connection's sake, without a limit that several
+/// at a time keep within the memory. Each unframed answer is followed by such a check.
+#[test]
+fn answers_to_health_checks_without_end_are_broken_off() {
+    run_with_fleet(small_fleet(98), |fleet| async move {
+        for server in [2, 3] {
+            fleet.servers[server].set_unframed_answers(true);
+            fleet.servers[server].set_endless_health(true);
+        }
+        let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+        for number in 0..CALLS {
+            let call = Call {
+                id: format!("health-{number}"),
+                kind: CallKind::Safe,
+                ..Call::default()
+            };
+            assert_eq!(caller.call(&call).await, Outcome::Served);
+        }
+        // The servers go on writing for longer than they count.
+        sleep(2 * PROPAGATION_TIME).await;
+        assert_no_violations(&fleet);
+        assert!(
+            fleet.output().contains("response_too_long"),
+            "{}",
+            fleet.output()
+        );
+    });
+}
