fix(entry): what is missed counts until a list that is read anew is complete

Cause: versions counted as known from the 410 on, but the new list is complete only later, by seconds if the store refuses calls meanwhile. What came and left in between is missed too.

Change: the gap is recorded again when the list has been read. The tests of adapter_versions share their callers (read-through), ReadAges says in the field's terms what it does.

--- a/crates/magnoliasail-core/src/gateway/read_ages.rs
+++ b/crates/magnoliasail-core/src/gateway/read_ages.rs
@@ -1,9 +1,9 @@
 //! When the changes were written that a follower of the store's keys reads.
 //!
-//! Some bounds count from the confirmation of a write. A process reads it later: after its pause between reads, or
-//! after it has stood still or was turned away. So a change counts as written at the earliest time at which it can
-//! have been, which is that up to which the reads before have shown all changes. A response that lay unread
-//! while the process stood still tells of that earlier time only.
+//! Some bounds count from the confirmation of a write. A process reads it later: after the interval between reads, or
+//! after it was paused or could not reach the store. So a change counts as written at the earliest time that the reads
+//! before leave open: the time up to which they have shown all changes. A response that was read right after a
+//! pause of the process may have been ready since the pause began.
 
 use crate::TimeMs;
 
--- a/crates/magnoliasail/src/gateway/entry/store_observer.rs
+++ b/crates/magnoliasail/src/gateway/entry/store_observer.rs
@@ -14,6 +14,7 @@
     magnoliasail_core::gateway::{DiscardReason, Freshness},
     magnoliasail_platform::{configuration, registry, store::Change},
     std::{
+        cell::Cell,
         collections::HashSet,
         net::{IpAddr, SocketAddr},
         rc::Rc,
@@ -39,7 +40,11 @@
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Applies changes of the operator's configuration and of the server list.
-struct StoreObserver(Rc<EntryState>);
+struct StoreObserver {
+    state: Rc<EntryState>,
+    /// Whether the keys are being listed anew, so that changes up to the end of the list may be missed.
+    is_listing_anew: Cell<bool>,
+}
 
 /// Why a row is not used although it can be read: another writer wrote it.
 const NO_START_TIME: &str = "the row names no start time, as others do; check who wrote it";
@@ -63,7 +68,10 @@
             min_pause: MIN_PAUSE,
         },
         Rc::clone(&state.list_outdated),
-        Rc::new(StoreObserver(Rc::clone(state))),
+        Rc::new(StoreObserver {
+            state: Rc::clone(state),
+            is_listing_anew: Cell::new(false),
+        }),
     );
     tokio::task::spawn_local(follower.run());
     tokio::task::spawn_local(maintain_links(Rc::clone(state)));
@@ -73,7 +81,7 @@
     fn on_change(&self, change: &Change, freshness: Freshness) {
         if change.key == configuration::KEY {
             if let Some(value) = &change.value {
-                self.0
+                self.state
                     .apply_configuration(value, change.revision, ConfigurationSource::Store);
             }
         } else if let Some(id) = registry::server_id(&change.key) {
@@ -82,47 +90,64 @@
     }
 
     fn on_era(&self, era: Option<u64>) {
-        let mut freshness = self.0.store_freshness.get();
+        let mut freshness = self.state.store_freshness.get();
         freshness.record_era(era);
-        self.0.store_freshness.set(freshness);
+        self.state.store_freshness.set(freshness);
     }
 
     fn on_new_era(&self) {
-        let now_ms = self.0.clock.now_ms();
-        self.0.metrics.store_era_changes.inc();
+        let now_ms = self.state.clock.now_ms();
+        self.state.metrics.store_era_changes.inc();
         // Servers that the copy lacks have time to be listed again.
-        self.0.directory.borrow_mut().mark_list_unreliable(now_ms);
+        self.state
+            .directory
+            .borrow_mut()
+            .mark_list_unreliable(now_ms);
     }
 
     fn on_list_anew(&self) {
-        let now_ms = self.0.clock.now_ms();
-        self.0.versions.borrow_mut().record_gap(now_ms);
+        self.is_listing_anew.set(true);
+        self.record_gap();
     }
 
     fn on_answer_discarded(&self, reason: DiscardReason) {
-        self.0.metrics.count_discarded_store_answer(reason);
+        self.state.metrics.count_discarded_store_answer(reason);
     }
 
     fn on_store_error(&self) {
-        let now_ms = self.0.clock.now_ms();
-        self.0.metrics.store_troubles.inc();
-        self.0.directory.borrow_mut().mark_list_unreliable(now_ms);
-        self.0.mark_store_lost();
+        let now_ms = self.state.clock.now_ms();
+        self.state.metrics.store_troubles.inc();
+        self.state
+            .directory
+            .borrow_mut()
+            .mark_list_unreliable(now_ms);
+        self.state.mark_store_lost();
     }
 
     fn on_caught_up(&self) {
-        self.0.mark_store_read();
-        if self.0.listed_since_ms.get().is_none() {
-            self.0.listed_since_ms.set(Some(self.0.clock.now_ms()));
-            self.0.changes.notify_waiters();
+        self.state.mark_store_read();
+        if self.is_listing_anew.take() {
+            self.record_gap();
+        }
+        if self.state.listed_since_ms.get().is_none() {
+            self.state
+                .listed_since_ms
+                .set(Some(self.state.clock.now_ms()));
+            self.state.changes.notify_waiters();
         }
     }
 }
 
 impl StoreObserver {
+    /// Records that a software version may have come and left unseen up to now.
+    fn record_gap(&self) {
+        let now_ms = self.state.clock.now_ms();
+        self.state.versions.borrow_mut().record_gap(now_ms);
+    }
+
     fn apply_server(&self, id: Arc<str>, change: &Change, freshness: Freshness) {
-        let now_ms = self.0.clock.now_ms();
-        let mut directory = self.0.directory.borrow_mut();
+        let now_ms = self.state.clock.now_ms();
+        let mut directory = self.state.directory.borrow_mut();
         let Some(value) = change.value.as_ref().filter(|_| !change.is_removed) else {
             emit(
                 EventId::ServerRemoved,
@@ -132,7 +157,7 @@
             return;
         };
         match registry::decode_server(id, value) {
-            Ok(entry) if entry.started_ms.is_none() && self.0.has_start_times.get() => emit(
+            Ok(entry) if entry.started_ms.is_none() && self.state.has_start_times.get() => emit(
                 EventId::ServerUnreadable,
                 format_args!(
                     "key={} revision={}: {NO_START_TIME}",
@@ -140,7 +165,7 @@
                 ),
             ),
             Ok(entry) => {
-                self.0.has_start_times.set(entry.started_ms.is_some());
+                self.state.has_start_times.set(entry.started_ms.is_some());
                 emit(
                     EventId::ServerListed,
                     format_args!(
@@ -153,7 +178,7 @@
                         change.revision
                     ),
                 );
-                self.0
+                self.state
                     .record_version(&entry.service, entry.software_version.as_ref());
                 match freshness {
                     Freshness::Written => directory.insert(entry, now_ms),
--- a/crates/magnoliasail/tests/adapter_versions.rs
+++ b/crates/magnoliasail/tests/adapter_versions.rs
@@ -21,25 +21,55 @@
 /// Longer than the bound on older versions after the end of the pause.
 const AFTER_PAUSE: Duration = Duration::from_millis(5_500);
 
-/// Sends requests for all adapters until `is_over`.
-fn start_callers(fleet: &Fleet, is_over: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
-    const INTERVAL: Duration = Duration::from_millis(150);
-    (0..ADAPTERS)
-        .map(|adapter| {
-            let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
-            let is_over = Arc::clone(is_over);
-            tokio::spawn(async move {
-                for number in 0.. {
-                    if is_over.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    let call = resumable_call(number * ADAPTERS + adapter);
-                    caller.call(&call).await;
-                    sleep(INTERVAL).await;
-                }
+/// Callers that send requests for all adapters.
+struct Callers {
+    is_over: Arc<AtomicBool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts the callers, and waits until the adapters are loaded and requested regularly.
+    async fn start(fleet: &Fleet) -> Self {
+        const WARM_UP: Duration = Duration::from_millis(2_500);
+        let is_over = Arc::new(AtomicBool::new(false));
+        let tasks = (0..ADAPTERS)
+            .map(|adapter| {
+                let caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
+                tokio::spawn(call_repeatedly(caller, adapter, Arc::clone(&is_over)))
             })
-        })
-        .collect()
+            .collect();
+        sleep(WARM_UP).await;
+        Self { is_over, tasks }
+    }
+
+    async fn end(self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        for task in self.tasks {
+            task.await.expect("the caller does not panic");
+        }
+    }
+}
+
+async fn call_repeatedly(mut caller: Caller, adapter: u32, is_over: Arc<AtomicBool>) {
+    const INTERVAL: Duration = Duration::from_millis(150);
+    for number in 0.. {
+        if is_over.load(Ordering::SeqCst) {
+            return;
+        }
+        caller
+            .call(&resumable_call(number * ADAPTERS + adapter))
+            .await;
+        sleep(INTERVAL).await;
+    }
+}
+
+/// Returns the settings of a fleet with one engine, so that no other one serves in its place.
+fn one_engine(network: u8) -> FleetSettings {
+    FleetSettings {
+        engines: 1,
+        plain_servers: 1,
+        ..small_fleet(network)
+    }
 }
 
 fn announce_all(fleet: &Fleet, version: u64) {
@@ -52,15 +82,8 @@
 /// The engine carries out another order meanwhile, so that its adapters are not replaced.
 #[test]
 fn no_request_begins_on_an_older_version_too_late_after_a_pause_of_its_agent() {
-    let settings = FleetSettings {
-        engines: 1,
-        plain_servers: 1,
-        ..small_fleet(190)
-    };
-    run_with_fleet(settings, |fleet| async move {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let callers = start_callers(&fleet, &is_over);
-        sleep(Duration::from_millis(2_500)).await;
+    run_with_fleet(one_engine(190), |fleet| async move {
+        let callers = Callers::start(&fleet).await;
         let started_at = Instant::now();
         fleet.servers[0].set_busy(true);
         fleet.signal(AGENT, "STOP");
@@ -73,10 +96,7 @@
         assert_no_violations(&fleet);
         fleet.servers[0].set_busy(false);
         sleep(Duration::from_millis(1_500)).await;
-        is_over.store(true, Ordering::SeqCst);
-        for caller in callers {
-            caller.await.expect("the caller does not panic");
-        }
+        callers.end().await;
         let mut caller = Caller::new(fleet.entry_address(0), fleet.ledger.clone());
         let last = Call {
             id: "last".to_owned(),
@@ -90,15 +110,8 @@
 /// An announcement that is read as usual leaves older versions the time that the bound allows.
 #[test]
 fn requests_begin_on_older_versions_until_they_are_replaced_in_time() {
-    let settings = FleetSettings {
-        engines: 1,
-        plain_servers: 1,
-        ..small_fleet(191)
-    };
-    run_with_fleet(settings, |fleet| async move {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let callers = start_callers(&fleet, &is_over);
-        sleep(Duration::from_millis(2_500)).await;
+    run_with_fleet(one_engine(191), |fleet| async move {
+        let callers = Callers::start(&fleet).await;
         let started_at = Instant::now();
         fleet.servers[0].set_busy(true);
         announce_all(&fleet, 2);
@@ -107,9 +120,6 @@
         assert_no_violations(&fleet);
         let latest = fleet.ledger.outdated_runs(started_at).into_iter().max();
         assert!(latest > Some(Duration::from_millis(3_000)), "{latest:?}");
-        is_over.store(true, Ordering::SeqCst);
-        for caller in callers {
-            caller.await.expect("the caller does not panic");
-        }
+        callers.end().await;
     });
 }
