--- a/crates/magnoliasail-soak/src/version_faults.rs
+++ b/crates/magnoliasail-soak/src/version_faults.rs
@@ -1,4 +1,4 @@
-//! Newer versions of all adapters that the operator announces while the agent of an engine stands still.
+//! Newer versions of all adapters that the operator announces while the agent of an engine is paused.
 
 use {
     crate::{
--- a/crates/magnoliasail/src/gateway/steady_clock.rs
+++ b/crates/magnoliasail/src/gateway/steady_clock.rs
@@ -8,8 +8,8 @@
 
 /// Steady clock in milliseconds. Its zero is a minute before it was created.
 ///
-/// It runs on while the process stands still, and also while the whole machine is suspended. The monotonic clock of
-/// the timers stands still then, so that what counts from a time of another machine would get longer.
+/// It goes on while the process is paused, and also while the whole machine is suspended. The monotonic clock of the
+/// timers does not count a suspension, so that limits which began on other machines would end too late.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SteadyClock {
     start: Duration,
