--- a/crates/magnoliasail/tests/stale_software_versions.rs
+++ b/crates/magnoliasail/tests/stale_software_versions.rs
@@ -45,6 +45,16 @@
     }
 }
 
+/// Returns the settings of the fleet in which some engines are replaced.
+fn larger_fleet(network: u8) -> FleetSettings {
+    FleetSettings {
+        entries: ENTRIES as u8,
+        engines: ENGINES as u8,
+        plain_servers: 1,
+        ..small_fleet(network)
+    }
+}
+
 type Task = JoinHandle<(Outcome, Option<Call>)>;
 
 /// Starts streams at an entry. Each task returns the outcome, and the call that resumes the stream if it
@@ -98,8 +108,8 @@
 /// Cuts the second entry off from the store, replaces two engines by others of newer software, and starts streams at
 /// the first entry. Returns their tasks when all have events.
 async fn streams_beside_replaced_engines(fleet: &Fleet) -> Vec<Task> {
-    // The proxies of the processes follow those of the agents; entries come first.
-    let store_path = &fleet.proxies[ENGINES + 1];
+    // Entries come first among the processes.
+    let store_path = &fleet.store_proxies()[1];
     store_path.set_mode(ProxyMode::Blocked);
     store_path.reset_connections();
     for engine in REPLACED {
@@ -203,13 +213,7 @@
 /// of other software come and leave, and discards its history. All other processes are lost with what they knew.
 #[test]
 fn stream_is_not_joined_to_the_only_software_of_a_list_that_was_read_anew() {
-    let settings = FleetSettings {
-        entries: ENTRIES as u8,
-        engines: ENGINES as u8,
-        plain_servers: 1,
-        ..small_fleet(180)
-    };
-    run_with_fleet(settings, |mut fleet| async move {
+    run_with_fleet(larger_fleet(180), |mut fleet| async move {
         let tasks = streams_beside_replaced_engines(&fleet).await;
         for engine in REPLACED {
             fleet.remove_server(engine);
@@ -228,7 +232,7 @@
         for process in others() {
             fleet.restart(process).expect("the process starts");
         }
-        fleet.proxies[ENGINES + 1].set_mode(ProxyMode::Open);
+        fleet.store_proxies()[1].set_mode(ProxyMode::Open);
         sleep(PROPAGATION_TIME).await;
         let mut caller = Caller::new(fleet.entry_address(1), fleet.ledger.clone());
         for call in &resumed {
@@ -242,13 +246,7 @@
 /// there through another entry are resumed at this one.
 #[test]
 fn stream_is_not_joined_to_the_only_software_that_a_cut_off_entry_has_listed() {
-    let settings = FleetSettings {
-        entries: ENTRIES as u8,
-        engines: ENGINES as u8,
-        plain_servers: 1,
-        ..small_fleet(172)
-    };
-    run_with_fleet(settings, |mut fleet| async move {
+    run_with_fleet(larger_fleet(172), |mut fleet| async move {
         let tasks = streams_beside_replaced_engines(&fleet).await;
         fleet.kill(0);
         let resumed: Vec<Call> = end(tasks)
@@ -274,13 +272,7 @@
 /// The same, and the other entry and all agents are restarted: what they do not know proves nothing.
 #[test]
 fn stream_is_not_joined_to_the_only_software_that_a_cut_off_entry_and_new_agents_know() {
-    let settings = FleetSettings {
-        entries: ENTRIES as u8,
-        engines: ENGINES as u8,
-        plain_servers: 1,
-        ..small_fleet(177)
-    };
-    run_with_fleet(settings, |mut fleet| async move {
+    run_with_fleet(larger_fleet(177), |mut fleet| async move {
         let tasks = streams_beside_replaced_engines(&fleet).await;
         fleet.kill(0);
         for agent in 0..ENGINES {
